--- /dev/null
+++ b/crates/burn/src/lib.rs
@@ -0,0 +1,1 @@
+//! Error budgets and burn rates.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! One entry VM.
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts the program.
+
+fn main() {}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry-VM membership, shard ownership and spread of configuration revisions.
--- /dev/null
+++ b/crates/gang/src/lib.rs
@@ -0,0 +1,1 @@
+//! Job decisions.
--- /dev/null
+++ b/crates/model/src/shape.rs
@@ -0,0 +1,60 @@
+//! What a gang of tasks needs.
+
+use serde::Deserialize;
+use serde::Serialize;
+use strum::AsRefStr;
+use strum::Display;
+use strum::EnumString;
+use strum::VariantArray;
+
+/// How close together the accelerators of a gang must be.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    AsRefStr,
+    Display,
+    EnumString,
+    VariantArray,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Adjacency {
+    /// All on one worker.
+    Worker,
+    /// All in one rack, on consecutive workers.
+    Rack,
+    /// On consecutive racks of one availability zone.
+    Racks,
+    /// Anywhere in one availability zone.
+    Zone,
+}
+
+/// Resources of a gang, all of which it gets or none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct GangShape {
+    /// Number of tasks.
+    pub tasks: u32,
+    /// Accelerators of each task, all on one worker.
+    pub accelerators: u32,
+    /// Processor cores of each task, in thousandths.
+    pub millicores: u32,
+    /// Memory of each task, in mebibytes.
+    pub memory_mib: u32,
+    /// How close together the accelerators must be.
+    pub adjacency: Adjacency,
+}
+
+impl GangShape {
+    /// Accelerators of all tasks.
+    pub fn total(&self) -> u32 {
+        self.tasks.saturating_mul(self.accelerators)
+    }
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer channels and backend server connections.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Request decisions.
--- /dev/null
+++ b/crates/text/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' configuration and process settings.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Border types and peer frames.
