--- a/crates/chart/tests/checks.rs
+++ b/crates/chart/tests/checks.rs
@@ -1,10 +1,11 @@
 //! Unsound charts are refused when they are loaded.
 
+use strum::AsRefStr;
+use strum::VariantArray;
+
 use chart::Chart;
 use chart::Error;
 use chart::Machine;
-use strum::AsRefStr;
-use strum::VariantArray;
 
 const DOOR: &str = r#"{
     // A door that can be locked for good.
--- a/crates/model/tests/ids.rs
+++ b/crates/model/tests/ids.rs
@@ -1,8 +1,9 @@
 //! Ids survive being printed and parsed, and nothing else parses.
 
+use proptest::prelude::*;
+
 use model::Incarnation;
 use model::RequestId;
-use proptest::prelude::*;
 
 proptest! {
     #![proptest_config(ProptestConfig {
