--- a/crates/gang/src/lib.rs
+++ b/crates/gang/src/lib.rs
@@ -1,1 +1,49 @@
 //! Job decisions.
+//!
+//! A [`Shard`] decides for the jobs and workers of one placement shard: an availability zone, or a
+//! part of one. It is a deterministic state machine: events and the time go in, actions come out,
+//! and the caller connects it to the store and to the workers.
+
+mod action;
+mod event;
+mod policy;
+mod settings;
+mod shard;
+mod snapshot;
+mod spec;
+mod state;
+
+pub use action::Action;
+pub use action::LeaseRef;
+pub use action::Reply;
+pub use action::TaskRange;
+pub use event::Event;
+pub use event::Grant;
+pub use event::LeaseReport;
+pub use event::ReadResult;
+pub use event::StoredPage;
+pub use event::TaskReport;
+pub use event::TaskStatus;
+pub use event::Ticket;
+pub use event::WorkerAnswer;
+pub use event::WorkerInfo;
+pub use event::WorkerReport;
+pub use event::WriteId;
+pub use event::WriteResult;
+pub use policy::AccountPolicy;
+pub use policy::Guaranteed;
+pub use policy::Policy;
+pub use policy::ServicePolicy;
+pub use settings::Settings;
+pub use shard::Shard;
+pub use snapshot::Explanation;
+pub use snapshot::GuaranteeView;
+pub use snapshot::Snapshot;
+pub use snapshot::Step;
+pub use spec::Attempt;
+pub use spec::JobSpec;
+pub use spec::Part;
+pub use state::JobEvent;
+pub use state::JobState;
+pub use state::WorkerEvent;
+pub use state::WorkerState;
