--- a/crates/gang/src/state.rs
+++ b/crates/gang/src/state.rs
@@ -66,6 +66,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, AsRefStr, Display, EnumString, VariantArray)]
 #[strum(serialize_all = "snake_case")]
 pub enum JobEvent {
+    /// A stored placement was found that another owner made.
+    Found,
     /// A block was chosen for it.
     Placed,
     /// All leases are held.
