Give attempts the width that fencing needs

Cause: an attempt holds the owner's epoch in its upper bits. Change: 64-bit attempts, memory overrun as a task state, throttling of one task, checkpointing jobs.

--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -240,6 +240,9 @@
 pub struct JobSpec {
     ///Client account that it runs for.
     pub account: ::std::string::String,
+    ///Whether its tasks can write a checkpoint and resume from it.
+    #[serde(default)]
+    pub checkpoint: bool,
     ///Declared run time, in milliseconds.
     pub declared_ms: u64,
     ///Whether it may run again from the start.
@@ -258,8 +261,8 @@
 ///State of one job.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct JobStatus {
-    ///Attempts made.
-    pub attempt: u32,
+    ///The latest attempt.
+    pub attempt: u64,
     ///Whether the verdict can no longer change.
     #[serde(rename = "final")]
     pub final_: bool,
@@ -281,7 +284,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LeaseAnswer {
     ///Highest attempt of the job that the worker has seen.
-    pub attempt: u32,
+    pub attempt: u64,
     ///Whether the lease is held now.
     pub granted: bool,
     ///Why not.
@@ -294,7 +297,7 @@
     ///Accelerators to lease, by index.
     pub accelerators: ::std::vec::Vec<u8>,
     ///The attempt.
-    pub attempt: u32,
+    pub attempt: u64,
     ///The job id.
     pub job: ::std::string::String,
     ///Time to live, in milliseconds.
@@ -304,7 +307,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LeaseKey {
     ///The attempt.
-    pub attempt: u32,
+    pub attempt: u64,
     ///The job id.
     pub job: ::std::string::String,
 }
@@ -314,7 +317,7 @@
     ///Its accelerators, by index.
     pub accelerators: ::std::vec::Vec<u8>,
     ///The attempt.
-    pub attempt: u32,
+    pub attempt: u64,
     ///The job id.
     pub job: ::std::string::String,
     ///Time left, in milliseconds.
@@ -483,7 +486,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct StartCall {
     ///The attempt.
-    pub attempt: u32,
+    pub attempt: u64,
     ///The job id.
     pub job: ::std::string::String,
     ///The tasks.
@@ -617,17 +620,26 @@
 pub struct TaskCall {
     pub action: TaskAction,
     ///The attempt.
-    pub attempt: u32,
+    pub attempt: u64,
+    ///Task to throttle; the others act on all tasks.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub index: ::std::option::Option<u32>,
     ///The job id.
     pub job: ::std::string::String,
+    ///Processor share of a throttled task, in thousandths of a core.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub millicores: ::std::option::Option<u32>,
 }
 ///One task as its worker sees it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TaskReport {
     ///The attempt.
-    pub attempt: u32,
+    pub attempt: u64,
     ///Run time saved by the last checkpoint, in milliseconds.
     pub checkpoint_ms: u64,
+    ///Exit code, once it has ended.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub exit: ::std::option::Option<i32>,
     ///Its number in the gang.
     pub index: u32,
     ///The job id.
@@ -681,6 +693,8 @@
     Failed,
     #[serde(rename = "stopped")]
     Stopped,
+    #[serde(rename = "overrun")]
+    Overrun,
 }
 impl ::std::fmt::Display for TaskState {
     fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
@@ -689,6 +703,7 @@
             Self::Succeeded => f.write_str("succeeded"),
             Self::Failed => f.write_str("failed"),
             Self::Stopped => f.write_str("stopped"),
+            Self::Overrun => f.write_str("overrun"),
         }
     }
 }
@@ -702,6 +717,7 @@
             "succeeded" => Ok(Self::Succeeded),
             "failed" => Ok(Self::Failed),
             "stopped" => Ok(Self::Stopped),
+            "overrun" => Ok(Self::Overrun),
             _ => Err("invalid value".into()),
         }
     }
