Give the request decisions their events, actions and a first path

Cause: the shell of the entry VM needs a router to build against. Conclusion: the API is in place; decisions follow behind it.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,47 @@
-//! Request decisions.
+//! Request decisions of one entry VM, without clock, socket or task.
+//!
+//! A [`Router`] is told what happened as [`Event`]s, with the time, and answers with [`Action`]s
+//! that a shell carries out. The same events in the same order give the same actions.
+
+mod action;
+mod event;
+mod life;
+mod message;
+mod policy;
+mod router;
+mod settings;
+mod view;
+
+pub use action::Action;
+pub use action::Answer;
+pub use action::Reason;
+pub use action::Reuse;
+pub use event::AttemptResult;
+pub use event::Backend;
+pub use event::Call;
+pub use event::Cause;
+pub use event::Event;
+pub use event::Peer;
+pub use event::Sign;
+pub use event::Ticket;
+pub use life::BackendState;
+pub use life::RequestState;
+pub use message::Block;
+pub use message::Grant;
+pub use message::LedgerImage;
+pub use message::Message;
+pub use message::Record;
+pub use message::RecordState;
+pub use message::Want;
+pub use policy::AccountPolicy;
+pub use policy::Policy;
+pub use policy::PoolId;
+pub use policy::ServicePolicy;
+pub use router::Router;
+pub use settings::Settings;
+pub use view::AnswerCount;
+pub use view::BackendView;
+pub use view::PeerView;
+pub use view::QueueView;
+pub use view::Snapshot;
+pub use view::Step;
