--- /dev/null
+++ b/crates/text/src/account.rs
@@ -0,0 +1,131 @@
+//! Client accounts: shares, quotas, guarantees and rates.
+
+use jsonc_parser::ast::Value;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Bytes;
+use crate::reader::Read;
+use crate::reader::Reader;
+use crate::reader::join;
+use crate::reader::variant;
+use model::Adjacency;
+use model::GangShape;
+
+/// Largest weight.
+const MAX_WEIGHT: u32 = 10_000;
+/// Most tasks of one gang.
+const MAX_TASKS: u32 = 512;
+/// Most accelerators or cores of one task.
+const MAX_UNITS: u32 = 1_024;
+/// Thousandths of a core in a core.
+const MILLICORES: u32 = 1_000;
+
+/// One client account.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Account {
+    /// Share of what is contended, relative to other accounts.
+    pub weight: u32,
+    /// Most accelerators in use at once; nothing means no limit.
+    pub quota: Option<u32>,
+    /// Shapes that can always be reclaimed, all at once.
+    pub guarantees: Vec<GangShape>,
+    /// Limit on requests.
+    pub rate: Option<Rate>,
+}
+
+/// Limit on requests, as a token bucket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rate {
+    /// Requests a second.
+    pub requests: u32,
+    /// Requests that may come at once.
+    pub burst: u32,
+}
+
+impl Read for Adjacency {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Adjacency> {
+        variant(reader, value, path)
+    }
+}
+
+impl Read for GangShape {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<GangShape> {
+        let known = ["tasks", "accelerators", "cores", "memory", "adjacency"];
+        let object = reader.object(value, path, &known)?;
+        let tasks = reader.required(object, path, "tasks", "1");
+        let accelerators = reader.required(object, path, "accelerators", "8");
+        let cores = reader.or(object, path, "cores", 1_u32);
+        let memory = reader.or(object, path, "memory", Bytes(1 << 30));
+        let adjacency = reader.required(object, path, "adjacency", "\"rack\"");
+        let ranges = [
+            ("tasks", tasks, MAX_TASKS),
+            ("accelerators", accelerators, MAX_UNITS),
+            ("cores", cores, MAX_UNITS),
+        ];
+        for (name, number, max) in ranges {
+            if number.is_some_and(|n| !(1..=max).contains(&n)) {
+                let advice = format!("write 1 to {max}");
+                reader.fault(&join(path, name), "is out of range", advice);
+            }
+        }
+        let memory_mib = memory.and_then(|memory| u32::try_from(memory.mebibytes()).ok());
+        if memory.is_some() && memory_mib.is_none() {
+            reader.fault(&join(path, "memory"), "is out of range", "write at most \"4000TB\"");
+        }
+        Some(GangShape {
+            tasks: tasks?,
+            accelerators: accelerators?,
+            millicores: cores?.saturating_mul(MILLICORES),
+            memory_mib: memory_mib?,
+            adjacency: adjacency?,
+        })
+    }
+}
+
+impl Read for Rate {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Rate> {
+        let object = reader.object(value, path, &["requests", "burst"])?;
+        let requests = reader.required(object, path, "requests", "100");
+        let burst = reader.required(object, path, "burst", "200");
+        for (name, number) in [("requests", requests), ("burst", burst)] {
+            if number == Some(0) {
+                reader.fault(&join(path, name), "is out of range", "write 1 or more");
+            }
+        }
+        Some(Rate { requests: requests?, burst: burst? })
+    }
+}
+
+impl Read for Account {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Account> {
+        let object = reader.object(value, path, &["weight", "quota", "guarantees", "rate"])?;
+        let weight = reader.or(object, path, "weight", 1);
+        let quota = reader.or(object, path, "quota", None);
+        let guarantees = reader.or(object, path, "guarantees", Vec::new());
+        let rate = reader.or(object, path, "rate", None);
+        if weight.is_some_and(|n| !(1..=MAX_WEIGHT).contains(&n)) {
+            reader.fault(&join(path, "weight"), "is out of range", "write 1 to 10000");
+        }
+        let account =
+            Account { weight: weight?, quota: quota?, guarantees: guarantees?, rate: rate? };
+        account.check(reader, path);
+        Some(account)
+    }
+}
+
+impl Account {
+    fn check(&self, reader: &mut Reader<'_>, path: &str) {
+        let total = self.guaranteed();
+        if let Some(quota) = self.quota.filter(|quota| u64::from(*quota) < total) {
+            let message = format!("{quota} is less than the guarantees, which sum to {total}");
+            let advice = format!("write {total} or more, or fewer guarantees");
+            reader.fault(&join(path, "quota"), message, advice);
+        }
+    }
+
+    /// Accelerators of all guarantees.
+    pub fn guaranteed(&self) -> u64 {
+        self.guarantees.iter().map(|shape| u64::from(shape.total())).sum()
+    }
+}
--- /dev/null
+++ b/crates/text/src/change.rs
@@ -0,0 +1,120 @@
+//! Differences between two texts.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Account;
+use crate::Bytes;
+use crate::Service;
+use crate::Text;
+use crate::unit::show_duration;
+use model::GangShape;
+
+/// One field that differs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Path of the field.
+    pub path: String,
+    /// Value before, or nothing if it is new.
+    pub old: Option<String>,
+    /// Value after, or nothing if it is gone.
+    pub new: Option<String>,
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (&self.old, &self.new) {
+            (Some(old), Some(new)) => write!(f, "~ {}: {old} -> {new}", self.path),
+            (None, Some(new)) => write!(f, "+ {}: {new}", self.path),
+            (Some(old), None) => write!(f, "- {}: {old}", self.path),
+            (None, None) => write!(f, "  {}", self.path),
+        }
+    }
+}
+
+/// Fields that differ between two texts, in the order of their paths.
+pub fn diff(old: &Text, new: &Text) -> Vec<Change> {
+    let old = flatten(old);
+    let new = flatten(new);
+    let mut changes: Vec<Change> = old
+        .iter()
+        .filter(|(path, value)| new.get(*path) != Some(value))
+        .map(|(path, value)| Change {
+            path: path.clone(),
+            old: Some(value.clone()),
+            new: new.get(path).cloned(),
+        })
+        .collect();
+    let added = new.iter().filter(|(path, _)| !old.contains_key(*path));
+    changes.extend(added.map(|(path, value)| Change {
+        path: path.clone(),
+        old: None,
+        new: Some(value.clone()),
+    }));
+    changes.sort_by(|a, b| a.path.cmp(&b.path));
+    changes
+}
+
+type Fields = BTreeMap<String, String>;
+
+fn flatten(text: &Text) -> Fields {
+    let mut fields = Fields::new();
+    for (name, service) in &text.services {
+        flatten_service(&mut fields, &format!("services.{name}"), service);
+    }
+    for (name, pool) in &text.pools {
+        fields.insert(format!("pools.{name}.slots"), pool.slots.to_string());
+        fields.insert(format!("pools.{name}.connections"), pool.connections.to_string());
+    }
+    for (name, account) in &text.accounts {
+        flatten_account(&mut fields, &format!("accounts.{name}"), account);
+    }
+    fields
+}
+
+fn flatten_service(fields: &mut Fields, path: &str, service: &Service) {
+    let mut put = |name: &str, value: String| fields.insert(format!("{path}.{name}"), value);
+    put("class", service.class.to_string());
+    put("idempotent", service.idempotent.to_string());
+    put("timeout", show_duration(service.timeout));
+    put("deadline", show_duration(service.deadline));
+    put("retry_share", service.retry_share.to_string());
+    put("objective.availability", service.objective.availability.to_string());
+    put("objective.latency", show_duration(service.objective.latency));
+    put("pool", service.pool.clone());
+    if let Some(hedge) = service.hedge {
+        put("hedge", show_duration(hedge));
+    }
+    if !service.depends.is_empty() {
+        let names: Vec<&str> = service.depends.iter().map(|name| name.as_str()).collect();
+        put("depends", names.join(", "));
+    }
+}
+
+fn flatten_account(fields: &mut Fields, path: &str, account: &Account) {
+    let mut put = |name: &str, value: String| fields.insert(format!("{path}.{name}"), value);
+    put("weight", account.weight.to_string());
+    if let Some(quota) = account.quota {
+        put("quota", quota.to_string());
+    }
+    if let Some(rate) = account.rate {
+        put("rate", format!("{}/s, burst {}", rate.requests, rate.burst));
+    }
+    for (index, shape) in account.guarantees.iter().enumerate() {
+        put(&format!("guarantees[{index}]"), show_shape(shape));
+    }
+}
+
+fn show_shape(shape: &GangShape) -> String {
+    format!(
+        "{} x ({} accelerators, {} millicores, {}) in one {}",
+        shape.tasks,
+        shape.accelerators,
+        shape.millicores,
+        Bytes(u64::from(shape.memory_mib) << 20),
+        shape.adjacency
+    )
+}
--- a/crates/text/src/lib.rs
+++ b/crates/text/src/lib.rs
@@ -1,1 +1,42 @@
-//! The operators' configuration and process settings.
+//! The operators' text and the process settings, both JSON with comments.
+//!
+//! [`parse`] reads the text and refuses what is misspelt, dangling, cyclic or out of range, naming
+//! each place by line and column together with what to write instead. [`check_fleet`] finds
+//! guarantees that the workers cannot hold together. [`diff`] compares two texts, and
+//! [`parse_settings`] reads the settings of one entry VM.
+
+mod account;
+mod change;
+mod check;
+mod config;
+mod fault;
+mod pack;
+mod reader;
+mod service;
+mod settings;
+mod unit;
+
+pub use account::Account;
+pub use account::Rate;
+pub use change::Change;
+pub use change::diff;
+pub use config::MAX_TEXT_BYTES;
+pub use config::Text;
+pub use config::parse;
+pub use fault::Fault;
+pub use fault::Place;
+pub use pack::FleetSize;
+pub use pack::WorkerSize;
+pub use pack::ZoneSize;
+pub use pack::check_fleet;
+pub use service::Objective;
+pub use service::Pool;
+pub use service::Service;
+pub use settings::Bounds;
+pub use settings::Endpoints;
+pub use settings::LogFormat;
+pub use settings::LogLevel;
+pub use settings::Settings;
+pub use settings::parse_settings;
+pub use unit::Bytes;
+pub use unit::Share;
--- /dev/null
+++ b/crates/text/src/service.rs
@@ -0,0 +1,184 @@
+//! Services and the pools of backend servers that run them.
+
+use std::time::Duration;
+
+use jsonc_parser::ast::Value;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Share;
+use crate::reader::Read;
+use crate::reader::Reader;
+use crate::reader::join;
+use crate::reader::variant;
+use model::Class;
+use model::ServiceId;
+
+/// Longest timeout or deadline.
+const MAX_SPAN: Duration = Duration::from_secs(24 * 3600);
+/// Most slots or connections of one backend server.
+const MAX_SLOTS: u32 = 65_535;
+
+/// One service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// Latency class.
+    pub class: Class,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// Longest time that one attempt may take.
+    pub timeout: Duration,
+    /// Longest time from receipt to answer, unless the caller asks for less.
+    pub deadline: Duration,
+    /// Retries allowed, as a share of recent successes.
+    pub retry_share: Share,
+    /// Delay after which an idempotent request is sent a second time.
+    pub hedge: Option<Duration>,
+    /// What the service promises.
+    pub objective: Objective,
+    /// Services without which this one cannot answer.
+    pub depends: Vec<ServiceId>,
+    /// Pool of backend servers that run it.
+    pub pool: String,
+}
+
+/// What a service promises.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Objective {
+    /// Share of requests that are answered in time.
+    pub availability: Share,
+    /// What in time means.
+    pub latency: Duration,
+}
+
+/// A pool of backend servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pool {
+    /// Requests that one backend server runs at once.
+    pub slots: u32,
+    /// Connections that one backend server accepts from all entry VMs.
+    pub connections: u32,
+}
+
+impl Read for Class {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Class> {
+        variant(reader, value, path)
+    }
+}
+
+impl Read for ServiceId {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<ServiceId> {
+        String::read(reader, value, path).map(|name| ServiceId::from(name.as_str()))
+    }
+}
+
+impl Read for Objective {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Objective> {
+        let object = reader.object(value, path, &["availability", "latency"])?;
+        let availability = reader.required(object, path, "availability", "\"99.9%\"");
+        let latency = reader.required(object, path, "latency", "\"500ms\"");
+        if availability == Some(Share::WHOLE) {
+            let path = join(path, "availability");
+            reader.fault(&path, "100% leaves no error budget", "write less, such as \"99.99%\"");
+        }
+        check_span(reader, &join(path, "latency"), latency);
+        Some(Objective { availability: availability?, latency: latency? })
+    }
+}
+
+impl Read for Service {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Service> {
+        let known = [
+            "class",
+            "idempotent",
+            "timeout",
+            "deadline",
+            "retry_share",
+            "hedge",
+            "objective",
+            "depends",
+            "pool",
+        ];
+        let object = reader.object(value, path, &known)?;
+        let class = reader.required(object, path, "class", "\"interactive\"");
+        let idempotent = reader.required(object, path, "idempotent", "false");
+        let timeout = reader.required(object, path, "timeout", "\"1s\"");
+        let deadline = reader.required(object, path, "deadline", "\"5s\"");
+        let retry_share = reader.or(object, path, "retry_share", Share(0));
+        let hedge = reader.or(object, path, "hedge", None);
+        let objective = reader.required(object, path, "objective", "{}");
+        let depends = reader.or(object, path, "depends", Vec::new());
+        let pool = reader.required(object, path, "pool", "\"main\"");
+        check_span(reader, &join(path, "timeout"), timeout);
+        check_span(reader, &join(path, "deadline"), deadline);
+        let service = Service {
+            class: class?,
+            idempotent: idempotent?,
+            timeout: timeout?,
+            deadline: deadline?,
+            retry_share: retry_share?,
+            hedge: hedge?,
+            objective: objective?,
+            depends: depends?,
+            pool: pool?,
+        };
+        service.check(reader, path);
+        Some(service)
+    }
+}
+
+impl Service {
+    fn check(&self, reader: &mut Reader<'_>, path: &str) {
+        if self.timeout > self.deadline {
+            let path = join(path, "timeout");
+            reader.fault(&path, "is longer than the deadline", "write at most the deadline");
+        }
+        if self.objective.latency > self.deadline {
+            let path = join(path, "objective.latency");
+            reader.fault(&path, "is longer than the deadline", "write at most the deadline");
+        }
+        match self.hedge {
+            Some(_) if !self.idempotent => {
+                let advice = "leave hedge out, or write \"idempotent\": true if running twice \
+                              does no harm";
+                reader.fault(&join(path, "hedge"), "would run the request twice", advice);
+            }
+            Some(hedge) if hedge >= self.timeout => {
+                let path = join(path, "hedge");
+                reader.fault(&path, "is not below the timeout", "write less than the timeout");
+            }
+            _ => {}
+        }
+    }
+}
+
+fn check_span(reader: &mut Reader<'_>, path: &str, span: Option<Duration>) {
+    if span.is_some_and(|span| span.is_zero() || span > MAX_SPAN) {
+        reader.fault(path, "is out of range", "write a duration from \"1us\" to \"24h\"");
+    }
+}
+
+impl Read for Pool {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Pool> {
+        let object = reader.object(value, path, &["slots", "connections"])?;
+        let slots = reader.required(object, path, "slots", "8");
+        let connections = reader.required(object, path, "connections", "64");
+        for (name, number) in [("slots", slots), ("connections", connections)] {
+            if number.is_some_and(|n| !(1..=MAX_SLOTS).contains(&n)) {
+                reader.fault(&join(path, name), "is out of range", "write 1 to 65535");
+            }
+        }
+        let pool = Pool { slots: slots?, connections: connections? };
+        if pool.connections < pool.slots {
+            let path = join(path, "connections");
+            reader.fault(&path, "is less than the slots", "write at least as many as slots");
+        }
+        Some(pool)
+    }
+}
+
+impl<T: Read> Read for Option<T> {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Option<T>> {
+        T::read(reader, value, path).map(Some)
+    }
+}
--- /dev/null
+++ b/crates/text/src/settings.rs
@@ -0,0 +1,295 @@
+//! Settings of one entry VM's process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jsonc_parser::ast::Value;
+use serde::Deserialize;
+use serde::Serialize;
+use strum::AsRefStr;
+use strum::Display;
+use strum::EnumString;
+use strum::VariantArray;
+
+use crate::Bytes;
+use crate::Fault;
+use crate::reader::Read;
+use crate::reader::Reader;
+use crate::reader::is_name;
+use crate::reader::join;
+use crate::reader::variant;
+use model::RegionId;
+use model::VmId;
+use model::ZoneId;
+
+/// Settings of one entry VM's process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settings {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its region.
+    pub region: RegionId,
+    /// Addresses that it listens on.
+    pub listen: Endpoints,
+    /// Address by which peers reach it.
+    pub advertise: SocketAddr,
+    /// Base URLs of the key-value store, in the order of preference.
+    pub store: Vec<String>,
+    /// URL of the platform's list of VMs.
+    pub vms: String,
+    /// Token that operators present; without one, nothing can be changed here.
+    pub token: Option<String>,
+    /// Lowest level that is logged.
+    pub log_level: LogLevel,
+    /// Form of the log.
+    pub log_format: LogFormat,
+    /// Bounds on what one process takes on.
+    pub limits: Bounds,
+    /// Bytes a second that may cross to other regions.
+    pub link_budget: Bytes,
+}
+
+/// Addresses that one entry VM listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Endpoints {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators; may equal that for callers.
+    pub operators: SocketAddr,
+    /// For other entry VMs.
+    pub peers: SocketAddr,
+}
+
+/// Bounds on what one process takes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bounds {
+    /// Requests in progress or queued.
+    pub requests: u32,
+    /// Body of one request or answer.
+    pub body: Bytes,
+    /// Memory for kept answers.
+    pub answers: Bytes,
+    /// Longest graceful shutdown.
+    pub drain: Duration,
+    /// Store calls a second.
+    pub store_calls: u32,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds {
+            requests: 20_000,
+            body: Bytes(1_000_000),
+            answers: Bytes(64_000_000),
+            drain: Duration::from_secs(300),
+            store_calls: 50,
+        }
+    }
+}
+
+/// Lowest level that is logged.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    AsRefStr,
+    Display,
+    EnumString,
+    VariantArray,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum LogLevel {
+    /// Failures that need an operator.
+    Error,
+    /// Failures that the process copes with.
+    Warn,
+    /// Changes of state.
+    Info,
+    /// Decisions.
+    Debug,
+    /// Messages.
+    Trace,
+}
+
+/// Form of the log.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    AsRefStr,
+    Display,
+    EnumString,
+    VariantArray,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum LogFormat {
+    /// Lines for people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl Read for LogLevel {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<LogLevel> {
+        variant(reader, value, path)
+    }
+}
+
+impl Read for LogFormat {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<LogFormat> {
+        variant(reader, value, path)
+    }
+}
+
+impl Read for SocketAddr {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<SocketAddr> {
+        let address = value.as_string_lit().and_then(|s| s.value.parse().ok());
+        if address.is_none() {
+            reader.mistyped(value, path, "an IP number and a port, such as \"10.0.0.5:8080\"");
+        }
+        address
+    }
+}
+
+impl Read for Endpoints {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Endpoints> {
+        let object = reader.object(value, path, &["callers", "operators", "peers"])?;
+        let callers: Option<SocketAddr> =
+            reader.required(object, path, "callers", "\"0.0.0.0:8080\"");
+        let operators = reader.or(object, path, "operators", None);
+        let peers = reader.required(object, path, "peers", "\"0.0.0.0:8090\"");
+        let callers = callers?;
+        Some(Endpoints { callers, operators: operators?.unwrap_or(callers), peers: peers? })
+    }
+}
+
+impl Read for Bounds {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Bounds> {
+        let known = ["requests", "body", "answers", "drain", "store_calls"];
+        let object = reader.object(value, path, &known)?;
+        let usual = Bounds::default();
+        let requests = reader.or(object, path, "requests", usual.requests);
+        let body = reader.or(object, path, "body", usual.body);
+        let answers = reader.or(object, path, "answers", usual.answers);
+        let drain = reader.or(object, path, "drain", usual.drain);
+        let store_calls = reader.or(object, path, "store_calls", usual.store_calls);
+        for (name, number) in [("requests", requests), ("store_calls", store_calls)] {
+            if number == Some(0) {
+                reader.fault(&join(path, name), "is out of range", "write 1 or more");
+            }
+        }
+        Some(Bounds {
+            requests: requests?,
+            body: body?,
+            answers: answers?,
+            drain: drain?,
+            store_calls: store_calls?,
+        })
+    }
+}
+
+/// A name as it appears in the platform, such as that of a VM.
+struct Name(String);
+
+impl Read for Name {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Name> {
+        let name = value.as_string_lit().filter(|s| is_name(&s.value));
+        if name.is_none() {
+            let expected = "a name of lower-case letters, digits and hyphens, a letter first";
+            reader.mistyped(value, path, expected);
+        }
+        name.map(|name| Name(name.value.to_string()))
+    }
+}
+
+/// An `http` URL.
+struct Url(String);
+
+impl Read for Url {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Url> {
+        let host = |url: &str| url.strip_prefix("http://").is_some_and(|rest| !rest.is_empty());
+        let plain = |url: &str| !url.contains(char::is_whitespace);
+        let url = value.as_string_lit().filter(|s| host(&s.value) && plain(&s.value));
+        if url.is_none() {
+            reader.mistyped(value, path, "a URL, such as \"http://10.0.0.2:2379\"");
+        }
+        url.map(|url| Url(url.value.to_string()))
+    }
+}
+
+const FIELDS: [&str; 13] = [
+    "$schema",
+    "vm",
+    "zone",
+    "region",
+    "listen",
+    "advertise",
+    "store",
+    "vms",
+    "token",
+    "log_level",
+    "log_format",
+    "limits",
+    "link_budget",
+];
+
+impl Read for Settings {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Settings> {
+        let object = reader.object(value, path, &FIELDS)?;
+        let schema: Option<Option<String>> = reader.or(object, path, "$schema", None);
+        let vm: Option<Name> = reader.required(object, path, "vm", "\"entry-1\"");
+        let zone: Option<Name> = reader.required(object, path, "zone", "\"north-a\"");
+        let region: Option<Name> = reader.required(object, path, "region", "\"north\"");
+        let listen = reader.required(object, path, "listen", "{}");
+        let advertise = reader.required(object, path, "advertise", "\"10.0.0.5:8090\"");
+        let example = "[\"http://10.0.0.2:2379\"]";
+        let store: Option<Vec<Url>> = reader.required(object, path, "store", example);
+        let vms: Option<Url> = reader.required(object, path, "vms", "\"http://10.0.0.2:8000/vms\"");
+        let token = reader.or(object, path, "token", None);
+        let log_level = reader.or(object, path, "log_level", LogLevel::Info);
+        let log_format = reader.or(object, path, "log_format", LogFormat::Text);
+        let limits = reader.or(object, path, "limits", Bounds::default());
+        let link_budget = reader.or(object, path, "link_budget", Bytes(1_000_000));
+        if store.as_ref().is_some_and(Vec::is_empty) {
+            reader.fault("store", "is empty", format!("write {example}"));
+        }
+        schema?;
+        Some(Settings {
+            vm: VmId::from(vm?.0.as_str()),
+            zone: ZoneId::from(zone?.0.as_str()),
+            region: RegionId::from(region?.0.as_str()),
+            listen: listen?,
+            advertise: advertise?,
+            store: store?.into_iter().map(|url| url.0).collect(),
+            vms: vms?.0,
+            token: token?,
+            log_level: log_level?,
+            log_format: log_format?,
+            limits: limits?,
+            link_budget: link_budget?,
+        })
+    }
+}
+
+/// Reads and checks settings that the operator knows as `file`.
+///
+/// # Errors
+///
+/// All faults found, in the order of their places.
+pub fn parse_settings(file: &str, source: &str) -> Result<Settings, Vec<Fault>> {
+    let mut reader = Reader::new(file, source);
+    let settings = reader.root::<Settings>();
+    reader.finish(settings).map(|(settings, _)| settings)
+}
