Give the store client its interface and its first transport

Cause: the shell and the fleet need a store to build against. Change: trait Store, Client over the JSON gateway, queue with rate and priority, watches.

--- /dev/null
+++ b/crates/store/src/client.rs
@@ -0,0 +1,313 @@
+//! Client of the store's gateway.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::Weak;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::api::Cas;
+use crate::api::Entry;
+use crate::api::KeepAlive;
+use crate::api::Lease;
+use crate::api::LeaseId;
+use crate::api::Listing;
+use crate::api::Purpose;
+use crate::api::Store;
+use crate::config::Config;
+use crate::connection::Call;
+use crate::connection::Pool;
+use crate::counters::Counters;
+use crate::counters::Ledger;
+use crate::counters::Outcome;
+use crate::error::Error;
+use crate::gate::Gate;
+use crate::gateway;
+use crate::gateway::Compare;
+use crate::gateway::DecodeError;
+use crate::gateway::GrantRequest;
+use crate::gateway::LeaseRequest;
+use crate::gateway::Operation;
+use crate::gateway::PutRequest;
+use crate::gateway::RangeRequest;
+use crate::gateway::TxnRequest;
+use crate::watch::Hub;
+use crate::watch::Watch;
+
+/// Entries in one page of a listing.
+const PAGE_ENTRIES: u32 = 64;
+/// Times that a listing starts over because its revision was compacted under it.
+const LIST_RESTARTS: u32 = 2;
+
+/// Client of the store. Clones share its queue and connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pub(crate) inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Inner {
+    pub(crate) config: Config,
+    pub(crate) gate: Arc<Gate>,
+    pub(crate) pool: Pool,
+    pub(crate) ledger: Arc<Ledger>,
+    hubs: Mutex<BTreeMap<String, Weak<Hub>>>,
+}
+
+impl Drop for Inner {
+    fn drop(&mut self) {
+        self.gate.close();
+    }
+}
+
+impl Client {
+    /// Makes a client inside a tokio runtime. It connects when it is first used.
+    ///
+    /// # Errors
+    /// The URL is not of the form `http://<address>:<port>`.
+    pub fn new(config: Config) -> Result<Client, Error> {
+        let invalid = || Error::Url { url: config.url.clone() };
+        let address = config.url.strip_prefix("http://").ok_or_else(invalid)?;
+        let address = address.trim_end_matches('/').to_owned();
+        let port = address.rsplit_once(':').and_then(|(_, port)| port.parse::<u16>().ok());
+        if port.is_none() || address.contains('/') {
+            return Err(invalid());
+        }
+        let ledger = Arc::new(Ledger::default());
+        let inner = Inner {
+            gate: Gate::new(&config),
+            pool: Pool::new(&address, ledger.clone()),
+            ledger,
+            config,
+            hubs: Mutex::new(BTreeMap::new()),
+        };
+        Ok(Client { inner: Arc::new(inner) })
+    }
+
+    /// Calls so far, by purpose and outcome.
+    pub fn counters(&self) -> Counters {
+        self.inner.ledger.counters()
+    }
+
+    fn deadline(&self) -> Instant {
+        Instant::now() + self.inner.config.deadline
+    }
+
+    async fn page(&self, purpose: Purpose, range: &RangeRequest) -> Result<gateway::Page, Error> {
+        let call = call("/v3/kv/range", range, true);
+        self.inner.run(purpose, &call, self.deadline(), gateway::page).await
+    }
+
+    async fn pages(&self, purpose: Purpose, prefix: &str) -> Result<Listing, Error> {
+        let end = gateway::prefix_end(prefix);
+        let mut start = gateway::encode(prefix.as_bytes());
+        let mut listing = Listing::default();
+        loop {
+            let pinned = (listing.revision > 0).then(|| listing.revision.to_string());
+            let range = RangeRequest {
+                key: start,
+                range_end: Some(end.clone()),
+                limit: Some(PAGE_ENTRIES.to_string()),
+                revision: pinned,
+            };
+            let page = self.page(purpose, &range).await?;
+            if listing.revision == 0 {
+                listing.revision = page.listing.revision;
+            }
+            let last = page.listing.entries.last().map(|entry| entry.key.clone());
+            listing.entries.extend(page.listing.entries);
+            let Some(last) = last.filter(|_| page.more) else {
+                return Ok(listing);
+            };
+            start = gateway::encode(format!("{last}\0").as_bytes());
+        }
+    }
+
+    async fn transact(
+        &self,
+        purpose: Purpose,
+        key: &str,
+        expect: u64,
+        change: Operation,
+    ) -> Result<Cas, Error> {
+        let key = gateway::encode(key.as_bytes());
+        let compare = Compare {
+            key: key.clone(),
+            target: "MOD",
+            result: "EQUAL",
+            mod_revision: expect.to_string(),
+        };
+        let read = RangeRequest { key, range_end: None, limit: None, revision: None };
+        let failure = [Operation::Range(read)];
+        let txn = TxnRequest { compare: [compare], success: [change], failure };
+        let call = call("/v3/kv/txn", &txn, false);
+        self.inner.run(purpose, &call, self.deadline(), gateway::parse_txn).await
+    }
+}
+
+impl Inner {
+    /// Makes a call and, where that is safe, makes it once more.
+    async fn run<T>(
+        &self,
+        purpose: Purpose,
+        call: &Call,
+        deadline: Instant,
+        decode: fn(&[u8]) -> Result<T, DecodeError>,
+    ) -> Result<T, Error> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let first = if call.repeatable { deadline - left / 2 } else { deadline };
+        match self.attempt(purpose, call, first, false, decode).await {
+            Err(error) if may_repeat(call, &error) => {
+                self.ledger.retries.fetch_add(1, Ordering::Relaxed);
+                self.attempt(purpose, call, deadline, true, decode).await
+            }
+            result => result,
+        }
+    }
+
+    async fn attempt<T>(
+        &self,
+        purpose: Purpose,
+        call: &Call,
+        deadline: Instant,
+        fresh: bool,
+        decode: fn(&[u8]) -> Result<T, DecodeError>,
+    ) -> Result<T, Error> {
+        let result = self.trial(purpose, call, deadline, fresh, decode).await;
+        let outcome = result.as_ref().err().map_or(Outcome::Answered, Outcome::of);
+        self.ledger.record(purpose, outcome);
+        result
+    }
+
+    async fn trial<T>(
+        &self,
+        purpose: Purpose,
+        call: &Call,
+        deadline: Instant,
+        fresh: bool,
+        decode: fn(&[u8]) -> Result<T, DecodeError>,
+    ) -> Result<T, Error> {
+        let permit = self.gate.admit(purpose, deadline).await?;
+        let answer = self.pool.exchange(call, deadline, fresh).await;
+        match &answer {
+            Ok(_) | Err(Error::Rejected { .. }) => permit.succeed(),
+            Err(_) => permit.fail(),
+        }
+        Ok(decode(&answer?)?)
+    }
+}
+
+/// Whether a failed call may be made again. One that never left may, whatever it does.
+fn may_repeat(call: &Call, error: &Error) -> bool {
+    match error {
+        Error::Unsent { .. } => true,
+        error => call.repeatable && error.is_transport(),
+    }
+}
+
+pub(crate) fn call<T: Serialize>(path: &'static str, request: &T, repeatable: bool) -> Call {
+    let body = serde_json::to_vec(request).expect("a request of strings is valid json");
+    Call { path, body: Bytes::from(body), repeatable }
+}
+
+impl Store for Client {
+    async fn get(&self, purpose: Purpose, key: &str) -> Result<Option<Entry>, Error> {
+        let key = gateway::encode(key.as_bytes());
+        let range = RangeRequest { key, range_end: None, limit: None, revision: None };
+        let page = self.page(purpose, &range).await?;
+        Ok(page.listing.entries.into_iter().next())
+    }
+
+    async fn list(&self, purpose: Purpose, prefix: &str) -> Result<Listing, Error> {
+        let mut restarts = 0;
+        loop {
+            match self.pages(purpose, prefix).await {
+                Err(Error::Rejected { .. }) if restarts < LIST_RESTARTS => restarts += 1,
+                result => return result,
+            }
+        }
+    }
+
+    async fn put(
+        &self,
+        purpose: Purpose,
+        key: &str,
+        value: Bytes,
+        lease: Option<LeaseId>,
+    ) -> Result<u64, Error> {
+        let call = call("/v3/kv/put", &put(key, &value, lease), false);
+        self.inner.run(purpose, &call, self.deadline(), gateway::put).await
+    }
+
+    async fn cas(
+        &self,
+        purpose: Purpose,
+        key: &str,
+        expect: u64,
+        value: Bytes,
+        lease: Option<LeaseId>,
+    ) -> Result<Cas, Error> {
+        self.transact(purpose, key, expect, Operation::Put(put(key, &value, lease))).await
+    }
+
+    async fn delete(&self, purpose: Purpose, key: &str, expect: u64) -> Result<Cas, Error> {
+        let encoded = gateway::encode(key.as_bytes());
+        let range = RangeRequest { key: encoded, range_end: None, limit: None, revision: None };
+        self.transact(purpose, key, expect, Operation::Delete(range)).await
+    }
+
+    async fn grant(&self, purpose: Purpose, ttl: Duration) -> Result<Lease, Error> {
+        let sent = Instant::now();
+        let seconds = ttl.as_secs_f64().ceil().max(1.0);
+        let request = GrantRequest { ttl: seconds.to_string() };
+        let call = call("/v3/lease/grant", &request, true);
+        let granted = self.inner.run(purpose, &call, self.deadline(), gateway::granted).await?;
+        Ok(Lease { id: granted.id, ttl: Duration::from_secs(granted.seconds), sent })
+    }
+
+    async fn keep_alive(&self, purpose: Purpose, lease: LeaseId) -> Result<KeepAlive, Error> {
+        let sent = Instant::now();
+        let request = LeaseRequest { id: lease.0.to_string() };
+        let call = call("/v3/lease/keepalive", &request, true);
+        let seconds = self.inner.run(purpose, &call, self.deadline(), gateway::renewed).await?;
+        if seconds == 0 {
+            return Ok(KeepAlive::Gone);
+        }
+        Ok(KeepAlive::Renewed { ttl: Duration::from_secs(seconds), sent })
+    }
+
+    async fn revoke(&self, purpose: Purpose, lease: LeaseId) -> Result<(), Error> {
+        let request = LeaseRequest { id: lease.0.to_string() };
+        let call = call("/v3/lease/revoke", &request, true);
+        match self.inner.run(purpose, &call, self.deadline(), |_| Ok(())).await {
+            Err(Error::Rejected { status: 404, .. }) => Ok(()),
+            result => result,
+        }
+    }
+
+    fn watch(&self, purpose: Purpose, prefix: &str, from: u64) -> Watch {
+        let mut hubs = self.inner.hubs.lock().unwrap_or_else(PoisonError::into_inner);
+        hubs.retain(|_, hub| hub.strong_count() > 0);
+        let hub = hubs.get(prefix).and_then(Weak::upgrade).unwrap_or_else(|| {
+            let hub = Hub::start(self.inner.clone(), purpose, prefix, from);
+            hubs.insert(prefix.to_owned(), Arc::downgrade(&hub));
+            hub
+        });
+        drop(hubs);
+        Watch::subscribe(hub, from)
+    }
+}
+
+fn put(key: &str, value: &[u8], lease: Option<LeaseId>) -> PutRequest {
+    PutRequest {
+        key: gateway::encode(key.as_bytes()),
+        value: gateway::encode(value),
+        lease: gateway::lease(lease),
+    }
+}
--- /dev/null
+++ b/crates/store/src/config.rs
@@ -0,0 +1,43 @@
+//! Settings of the client.
+
+use std::time::Duration;
+
+/// Settings of the client.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// Address of the store, as `http://<address>:<port>`.
+    pub url: String,
+    /// Time that one call may take, its wait in the queue included.
+    pub deadline: Duration,
+    /// Calls a second, on average.
+    pub rate: f64,
+    /// Calls that may leave at once after a quiet time.
+    pub burst: u32,
+    /// Calls that may be in progress at once.
+    pub inflight: usize,
+    /// Calls that may wait.
+    pub depth: usize,
+    /// Time after which a watch without news is opened anew.
+    pub quiet: Duration,
+    /// Longest wait between two trials while the store is failing.
+    pub backoff: Duration,
+    /// Seed of the random spread of trials.
+    pub seed: u64,
+}
+
+impl Config {
+    /// Default settings for the store at `url`.
+    pub fn new(url: &str) -> Config {
+        Config {
+            url: url.to_owned(),
+            deadline: Duration::from_secs(2),
+            rate: 20.0,
+            burst: 20,
+            inflight: 8,
+            depth: 1024,
+            quiet: Duration::from_secs(10),
+            backoff: Duration::from_secs(2),
+            seed: rand::random(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/connection.rs
@@ -0,0 +1,213 @@
+//! Connections to the store, one call at a time each.
+//!
+//! A connection is used again only if the store answered on it lately. A call that gets no answer
+//! closes its own connection and every idle one that was last heard before the call left, since
+//! whatever lost track of the one may have lost the others.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use crate::counters::Ledger;
+use crate::error::Error;
+use crate::gateway;
+use crate::gateway::DecodeError;
+
+/// Largest answer to one call.
+pub(crate) const MAX_ANSWER_BYTES: usize = 96 << 20;
+/// Idle time after which a connection is not used for a call that may be repeated.
+const READ_IDLE: Duration = Duration::from_secs(5);
+/// Idle time after which a connection is not used for a call that must not be repeated.
+const WRITE_IDLE: Duration = Duration::from_secs(1);
+/// Codes of the gateway by which a call surely had no effect: invalid argument, not found,
+/// already exists, permission denied, resource exhausted, failed precondition, out of range,
+/// unimplemented, unauthenticated.
+const REFUSAL_CODES: [u32; 9] = [3, 5, 6, 7, 8, 9, 11, 12, 16];
+
+/// One call, as it goes over the wire.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) path: &'static str,
+    pub(crate) body: Bytes,
+    /// Whether the call may be sent again when its outcome is unknown.
+    pub(crate) repeatable: bool,
+}
+
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    heard: Instant,
+}
+
+/// The idle connections of a client.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    address: String,
+    idle: Mutex<Vec<Connection>>,
+    ledger: Arc<Ledger>,
+}
+
+impl Pool {
+    pub(crate) fn new(address: &str, ledger: Arc<Ledger>) -> Pool {
+        Pool { address: address.to_owned(), idle: Mutex::new(Vec::new()), ledger }
+    }
+
+    /// Sends a call and reads its whole answer.
+    pub(crate) async fn exchange(
+        &self,
+        call: &Call,
+        deadline: Instant,
+        fresh: bool,
+    ) -> Result<Bytes, Error> {
+        let mut connection = self.take(call, deadline, fresh).await?;
+        let sent = Instant::now();
+        let answer = timeout_at(deadline, self.converse(&mut connection, call)).await;
+        let answer = answer.unwrap_or_else(|_| Err(self.timeout()));
+        match &answer {
+            Ok(_) | Err(Error::Rejected { .. } | Error::Failed { .. }) => self.keep(connection),
+            Err(Error::Timeout { .. }) => self.distrust(sent),
+            Err(_) => {}
+        }
+        answer
+    }
+
+    /// Sends a call on a connection of its own and gives its answer as it comes.
+    pub(crate) async fn stream(&self, call: &Call, deadline: Instant) -> Result<Stream, Error> {
+        let mut connection = self.connect(deadline).await?;
+        let answer = timeout_at(deadline, self.send(&mut connection, call)).await;
+        let body = answer.unwrap_or_else(|_| Err(self.timeout()))?;
+        Ok(Stream { body, _sender: connection.sender })
+    }
+
+    pub(crate) fn closed(&self) -> Error {
+        Error::Closed { address: self.address.clone() }
+    }
+
+    pub(crate) fn timeout(&self) -> Error {
+        Error::Timeout { address: self.address.clone() }
+    }
+
+    async fn take(&self, call: &Call, deadline: Instant, fresh: bool) -> Result<Connection, Error> {
+        let limit = if call.repeatable { READ_IDLE } else { WRITE_IDLE };
+        let reused = if fresh { None } else { self.idle_within(limit) };
+        match reused {
+            Some(connection) => Ok(connection),
+            None => self.connect(deadline).await,
+        }
+    }
+
+    fn idle_within(&self, limit: Duration) -> Option<Connection> {
+        let mut idle = self.lock();
+        idle.retain(|connection| {
+            connection.heard.elapsed() < READ_IDLE && connection.sender.is_ready()
+        });
+        let newest = idle.iter().enumerate().max_by_key(|(_, connection)| connection.heard);
+        let (index, _) = newest.filter(|(_, connection)| connection.heard.elapsed() < limit)?;
+        Some(idle.swap_remove(index))
+    }
+
+    async fn connect(&self, deadline: Instant) -> Result<Connection, Error> {
+        let failed = |source| Error::Connect { address: self.address.clone(), source };
+        let stream = timeout_at(deadline, TcpStream::connect(self.address.as_str()))
+            .await
+            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+            .map_err(failed)?;
+        stream.set_nodelay(true).map_err(failed)?;
+        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|source| failed(io::Error::other(source)))?;
+        tokio::spawn(driver);
+        self.ledger.connections.fetch_add(1, Ordering::Relaxed);
+        Ok(Connection { sender, heard: Instant::now() })
+    }
+
+    async fn converse(&self, connection: &mut Connection, call: &Call) -> Result<Bytes, Error> {
+        let body = self.send(connection, call).await?;
+        let bytes = self.collect(body).await?;
+        connection.heard = Instant::now();
+        Ok(bytes)
+    }
+
+    async fn send(&self, connection: &mut Connection, call: &Call) -> Result<Incoming, Error> {
+        let request = Request::post(call.path)
+            .header(HOST, &self.address)
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(call.body.clone()))
+            .map_err(|source| Error::Connect {
+                address: self.address.clone(),
+                source: io::Error::other(source),
+            })?;
+        let sent = connection.sender.try_send_request(request).await;
+        let answer = sent.map_err(|mut error| match error.take_message() {
+            Some(_) => Error::Unsent { address: self.address.clone() },
+            None => self.closed(),
+        })?;
+        let status = answer.status();
+        if status == StatusCode::OK {
+            return Ok(answer.into_body());
+        }
+        let body = self.collect(answer.into_body()).await?;
+        connection.heard = Instant::now();
+        Err(failed(status, &body))
+    }
+
+    async fn collect(&self, body: Incoming) -> Result<Bytes, Error> {
+        let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        match collected {
+            Ok(whole) => Ok(whole.to_bytes()),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                Err(DecodeError::TooLong { limit: MAX_ANSWER_BYTES }.into())
+            }
+            Err(_) => Err(self.closed()),
+        }
+    }
+
+    fn keep(&self, connection: Connection) {
+        self.lock().push(connection);
+    }
+
+    fn distrust(&self, since: Instant) {
+        self.lock().retain(|connection| connection.heard > since);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Connection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn failed(status: StatusCode, body: &[u8]) -> Error {
+    let failure = gateway::failure(body);
+    let refused = match failure.code {
+        0 => status.is_client_error(),
+        code => REFUSAL_CODES.contains(&code),
+    };
+    let (status, message) = (status.as_u16(), failure.message);
+    if refused { Error::Rejected { status, message } } else { Error::Failed { status, message } }
+}
+
+/// An answer that comes line by line. The connection ends with it.
+#[derive(Debug)]
+pub(crate) struct Stream {
+    pub(crate) body: Incoming,
+    _sender: SendRequest<Full<Bytes>>,
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,47 @@
 //! Client of the platform's key-value store.
+//!
+//! The store speaks the JSON gateway of etcd v3, of which this crate uses a subset: range, put,
+//! transactions with one comparison, leases and watches. Every call has a purpose, a deadline and
+//! a place in one bounded queue, which admits the most urgent purpose first and never exceeds the
+//! configured rate. Reads and lease calls are repeated once on a new connection if the first one
+//! gave no answer. Writes never are: their error says whether they may have taken effect, and
+//! [`settle`] finds out.
+
+mod api;
+mod client;
+mod config;
+mod connection;
+mod counters;
+mod error;
+mod gate;
+mod gateway;
+mod queue;
+mod settle;
+mod watch;
+
+pub use api::Cas;
+pub use api::Entry;
+pub use api::KeepAlive;
+pub use api::Lease;
+pub use api::LeaseId;
+pub use api::Listing;
+pub use api::Purpose;
+pub use api::Store;
+pub use api::WatchEvent;
+pub use client::Client;
+pub use config::Config;
+pub use counters::Count;
+pub use counters::Counters;
+pub use counters::Outcome;
+pub use error::Error;
+pub use gateway::DecodeError;
+pub use gateway::WatchLine;
+pub use gateway::parse_range;
+pub use gateway::parse_txn;
+pub use gateway::parse_watch;
+pub use queue::Admission;
+pub use queue::Queue;
+pub use queue::Ticket;
+pub use settle::Settled;
+pub use settle::settle;
+pub use watch::Watch;
--- /dev/null
+++ b/crates/store/src/watch.rs
@@ -0,0 +1,375 @@
+//! Watches: one stream from the store for each prefix, shared by all who watch it.
+//!
+//! The hub of a prefix keeps a bounded log of what the store reported. Each watch reads the log at
+//! its own pace; one that falls behind the log is told that changes are lost, as if the store had
+//! compacted them. A stream that ends or brings no news for a while is opened again from the next
+//! revision, so nothing is lost by it.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use log::info;
+use log::warn;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout_at;
+
+use crate::api::Purpose;
+use crate::api::WatchEvent;
+use crate::client::Inner;
+use crate::client::call;
+use crate::connection::MAX_ANSWER_BYTES;
+use crate::connection::Stream;
+use crate::counters::Outcome;
+use crate::error::Error;
+use crate::gateway;
+use crate::gateway::CreateRequest;
+use crate::gateway::DecodeError;
+use crate::gateway::WatchLine;
+use crate::gateway::WatchRequest;
+
+/// Events that a hub keeps.
+const LOG_EVENTS: usize = 1024;
+/// Bytes of values that a hub keeps.
+const LOG_BYTES: usize = 8 << 20;
+/// First wait before a stream is opened again after a failure.
+const MIN_WAIT: Duration = Duration::from_millis(50);
+/// Age at which a stream counts as having worked.
+const STEADY: Duration = Duration::from_secs(1);
+
+#[derive(Debug)]
+struct Log {
+    events: VecDeque<WatchEvent>,
+    /// Position of the first event that is kept.
+    base: u64,
+    bytes: usize,
+    /// First revision that the log can still report.
+    floor: u64,
+    /// Next revision to ask the store for; 0 until it is known.
+    next: u64,
+    lost: bool,
+}
+
+impl Log {
+    fn push(&mut self, event: WatchEvent) {
+        self.bytes += size(&event);
+        self.events.push_back(event);
+        while self.events.len() > LOG_EVENTS || (self.bytes > LOG_BYTES && self.events.len() > 1) {
+            let Some(event) = self.events.pop_front() else { break };
+            self.bytes -= size(&event);
+            self.base += 1;
+            if let Some(version) = version(&event) {
+                self.floor = self.floor.max(version + 1);
+            }
+        }
+    }
+
+    fn end(&self) -> u64 {
+        self.base + self.events.len() as u64
+    }
+
+    fn get(&self, position: u64) -> Option<&WatchEvent> {
+        let index = usize::try_from(position.checked_sub(self.base)?).ok()?;
+        self.events.get(index)
+    }
+}
+
+fn size(event: &WatchEvent) -> usize {
+    match event {
+        WatchEvent::Put(entry) => entry.key.len() + entry.value.len(),
+        WatchEvent::Delete { key, .. } => key.len(),
+        _ => 0,
+    }
+}
+
+/// Version of a change; none for a report on the watch itself.
+fn version(event: &WatchEvent) -> Option<u64> {
+    match event {
+        WatchEvent::Put(entry) => Some(entry.version),
+        WatchEvent::Delete { version, .. } => Some(*version),
+        _ => None,
+    }
+}
+
+/// What the stream and the watches of a prefix share.
+#[derive(Debug)]
+struct Feed {
+    purpose: Purpose,
+    prefix: String,
+    log: Mutex<Log>,
+    changed: Notify,
+}
+
+impl Feed {
+    fn lock(&self) -> MutexGuard<'_, Log> {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The stream of one prefix; it ends with the last watch.
+#[derive(Debug)]
+pub(crate) struct Hub {
+    feed: Arc<Feed>,
+    task: AbortHandle,
+}
+
+impl Drop for Hub {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Hub {
+    pub(crate) fn start(inner: Arc<Inner>, purpose: Purpose, prefix: &str, from: u64) -> Arc<Hub> {
+        let log = Log {
+            events: VecDeque::new(),
+            base: 0,
+            bytes: 0,
+            floor: from,
+            next: from,
+            lost: false,
+        };
+        let feed = Arc::new(Feed {
+            purpose,
+            prefix: prefix.to_owned(),
+            log: Mutex::new(log),
+            changed: Notify::new(),
+        });
+        let streamer = Streamer { inner, feed: feed.clone(), target: 0 };
+        let task = tokio::spawn(streamer.run()).abort_handle();
+        Arc::new(Hub { feed, task })
+    }
+}
+
+/// Reports changes under a prefix.
+#[derive(Debug)]
+pub struct Watch {
+    hub: Arc<Hub>,
+    from: u64,
+    position: u64,
+    /// Position of the log when the watch was made; reports on the stream before it are stale.
+    joined: u64,
+    pending: VecDeque<WatchEvent>,
+}
+
+impl Watch {
+    pub(crate) fn subscribe(hub: Arc<Hub>, from: u64) -> Watch {
+        let log = hub.feed.lock();
+        let joined = log.end();
+        let position = if from == 0 { joined } else { log.base };
+        let mut pending = VecDeque::new();
+        if from != 0 && from < log.floor {
+            pending.push_back(WatchEvent::Compacted { revision: log.floor });
+        }
+        if log.lost {
+            pending.push_back(WatchEvent::Lost { revision: log.next.saturating_sub(1) });
+        }
+        drop(log);
+        Watch { hub, from, position, joined, pending }
+    }
+
+    /// Waits for the next report. May be cancelled without loss.
+    pub async fn next(&mut self) -> WatchEvent {
+        let feed = self.hub.feed.clone();
+        loop {
+            let changed = feed.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if let Some(event) = self.poll(&feed) {
+                return event;
+            }
+            changed.await;
+        }
+    }
+
+    fn poll(&mut self, feed: &Feed) -> Option<WatchEvent> {
+        if let Some(event) = self.pending.pop_front() {
+            return Some(event);
+        }
+        let log = feed.lock();
+        if self.position < log.base {
+            self.position = log.base;
+            return Some(WatchEvent::Compacted { revision: log.floor });
+        }
+        while let Some(event) = log.get(self.position) {
+            let stale = self.position < self.joined;
+            self.position += 1;
+            match version(event) {
+                Some(version) if version < self.from => {}
+                None if stale => {}
+                _ => return Some(event.clone()),
+            }
+        }
+        None
+    }
+}
+
+/// Keeps the stream of one prefix open.
+struct Streamer {
+    inner: Arc<Inner>,
+    feed: Arc<Feed>,
+    /// Revision of the store when the stream was opened.
+    target: u64,
+}
+
+impl Streamer {
+    async fn run(mut self) {
+        let mut wait = MIN_WAIT;
+        loop {
+            let opened = Instant::now();
+            match self.open().await {
+                Ok(stream) => {
+                    let ended = self.follow(stream).await;
+                    info!("store: watch of {:?} ended: {ended}", self.feed.prefix);
+                    if opened.elapsed() >= STEADY {
+                        wait = MIN_WAIT;
+                        continue;
+                    }
+                }
+                Err(error) => self.lose(&error),
+            }
+            sleep(wait.mul_f64(0.5 + self.inner.gate.jitter() / 2.0)).await;
+            wait = (wait * 2).min(self.inner.config.backoff);
+        }
+    }
+
+    async fn open(&self) -> Result<Lines, Error> {
+        let Inner { config, gate, pool, ledger, .. } = &*self.inner;
+        let deadline = Instant::now() + config.deadline;
+        let request = CreateRequest {
+            key: gateway::encode(self.feed.prefix.as_bytes()),
+            range_end: gateway::prefix_end(&self.feed.prefix),
+            start_revision: self.feed.lock().next.to_string(),
+            progress_notify: true,
+        };
+        let call = call("/v3/watch", &WatchRequest { create_request: request }, true);
+        let permit = gate.admit(self.feed.purpose, deadline).await?;
+        let result = pool.stream(&call, deadline).await;
+        let outcome = result.as_ref().err().map_or(Outcome::Answered, Outcome::of);
+        ledger.record(self.feed.purpose, outcome);
+        match &result {
+            Ok(_) | Err(Error::Rejected { .. }) => permit.succeed(),
+            Err(_) => permit.fail(),
+        }
+        ledger.watches.fetch_add(1, Ordering::Relaxed);
+        Ok(Lines { stream: result?, buffer: BytesMut::new() })
+    }
+
+    /// Reads the stream until it ends; says why it did.
+    async fn follow(&mut self, mut lines: Lines) -> Error {
+        loop {
+            let deadline = Instant::now() + self.inner.config.quiet;
+            let line = match timeout_at(deadline, lines.next()).await {
+                Err(_) => return self.inner.pool.timeout(),
+                Ok(Err(error)) => return error,
+                Ok(Ok(None)) => return self.inner.pool.closed(),
+                Ok(Ok(Some(line))) => line,
+            };
+            match gateway::parse_watch(&line) {
+                Err(error) => return error.into(),
+                Ok(WatchLine::Canceled) => return self.inner.pool.closed(),
+                Ok(line) => self.publish(line),
+            }
+        }
+    }
+
+    fn publish(&mut self, line: WatchLine) {
+        let mut log = self.feed.lock();
+        match line {
+            WatchLine::Created { revision } => {
+                self.target = revision;
+                if log.next == 0 {
+                    log.next = revision + 1;
+                    log.floor = revision + 1;
+                }
+                log.lost = false;
+                if log.next > revision {
+                    log.push(WatchEvent::Current { revision });
+                }
+            }
+            WatchLine::Progress { revision } => {
+                log.next = log.next.max(revision + 1);
+                log.push(WatchEvent::Current { revision });
+            }
+            WatchLine::Changes(events) => self.append(&mut log, events),
+            WatchLine::Compacted { revision } => {
+                warn!("store: watch of {:?} is compacted to {revision}", self.feed.prefix);
+                log.base = log.end();
+                log.events.clear();
+                log.bytes = 0;
+                log.floor = log.floor.max(revision);
+                log.next = log.next.max(revision);
+                log.push(WatchEvent::Compacted { revision });
+            }
+            WatchLine::Canceled => {}
+        }
+        drop(log);
+        self.feed.changed.notify_waiters();
+    }
+
+    fn append(&self, log: &mut Log, events: Vec<WatchEvent>) {
+        let fresh = events.into_iter().filter(|event| version(event) >= Some(log.next));
+        let fresh: Vec<_> = fresh.collect();
+        let last = fresh.iter().filter_map(version).max();
+        for event in fresh {
+            log.push(event);
+        }
+        let Some(last) = last else { return };
+        log.next = last + 1;
+        if last == self.target {
+            log.push(WatchEvent::Current { revision: last });
+        }
+    }
+
+    fn lose(&self, error: &Error) {
+        let mut log = self.feed.lock();
+        if log.lost {
+            return;
+        }
+        warn!("store: watch of {:?} is lost: {error}", self.feed.prefix);
+        log.lost = true;
+        let revision = log.next.saturating_sub(1);
+        log.push(WatchEvent::Lost { revision });
+        drop(log);
+        self.feed.changed.notify_waiters();
+    }
+}
+
+/// Lines of a streamed answer.
+#[derive(Debug)]
+struct Lines {
+    stream: Stream,
+    buffer: BytesMut,
+}
+
+impl Lines {
+    async fn next(&mut self) -> Result<Option<BytesMut>, Error> {
+        let mut searched = 0;
+        loop {
+            if let Some(end) = self.buffer[searched..].iter().position(|&byte| byte == b'\n') {
+                let mut line = self.buffer.split_to(searched + end + 1);
+                line.truncate(searched + end);
+                return Ok(Some(line));
+            }
+            searched = self.buffer.len();
+            if searched > MAX_ANSWER_BYTES {
+                return Err(DecodeError::TooLong { limit: MAX_ANSWER_BYTES }.into());
+            }
+            let Some(frame) = self.stream.body.frame().await else { return Ok(None) };
+            // The connection broke; the stream is opened again like one that ended.
+            let Ok(frame) = frame else { return Ok(None) };
+            if let Some(data) = frame.data_ref() {
+                self.buffer.extend_from_slice(data);
+            }
+        }
+    }
+}
