--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -4,10 +4,9 @@
 
 use thiserror::Error;
 
-use model::Verdict;
-
 use crate::api::Purpose;
 use crate::gateway::DecodeError;
+use model::Verdict;
 
 /// A call to the store failed.
 #[derive(Debug, Error)]
--- a/crates/store/src/gate.rs
+++ b/crates/store/src/gate.rs
@@ -16,14 +16,13 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
-use model::Time;
-
 use crate::api::Purpose;
 use crate::config::Config;
 use crate::error::Error;
 use crate::queue::Admission;
 use crate::queue::Queue;
 use crate::queue::Ticket;
+use model::Time;
 
 /// Longest sleep of the pump when nothing is due.
 const IDLE_SLEEP: Duration = Duration::from_secs(3600);
--- a/crates/store/src/queue.rs
+++ b/crates/store/src/queue.rs
@@ -8,9 +8,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use model::Time;
-
 use crate::api::Purpose;
+use model::Time;
 
 /// Consecutive failures after which calls are refused.
 const TRIP_FAILURES: u32 = 4;
