--- /dev/null
+++ b/crates/net/src/peer/hub.rs
@@ -0,0 +1,352 @@
+//! The task that owns all links: adopts, replaces, dials and reports them.
+//!
+//! Every frame passes the hub, which drops frames of a link that is no longer the current one of
+//! its peer. A replaced link can therefore lose messages, but never deliver them late.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::peer::Config;
+use crate::peer::Distance;
+use crate::peer::PeerEvent;
+use crate::peer::Reason;
+use crate::peer::Side;
+use crate::peer::handshake;
+use crate::peer::handshake::Opened;
+use crate::peer::link::Link;
+use crate::peer::link::Outbox;
+use crate::peer::shared::Shared;
+use model::Incarnation;
+use wire::Hello;
+use wire::Part;
+
+/// Limit on flushing queues when stopping.
+const STOP_TIME: Duration = Duration::from_millis(1_000);
+
+/// What the handle asks for.
+#[derive(Debug)]
+pub(super) enum Command {
+    /// Keep a link to this peer.
+    Connect { peer: Incarnation, address: SocketAddr },
+    /// Close the link and keep none.
+    Forget { peer: Incarnation },
+}
+
+/// What links and dials report.
+#[derive(Debug)]
+pub(super) enum Note {
+    /// A connection is open.
+    Opened { side: Side, opened: Box<Opened> },
+    /// A dial failed.
+    Failed { peer: Incarnation, address: SocketAddr, reason: Reason },
+    /// A frame arrived.
+    Frame { link: u64, part: Part, body: Bytes },
+    /// A link ended.
+    Ended { link: u64, reason: Reason },
+}
+
+/// Everything the hub owns.
+pub(super) struct Hub {
+    pub(super) own: Arc<Hello>,
+    pub(super) config: Arc<Config>,
+    pub(super) shared: Arc<Shared>,
+    pub(super) events: mpsc::Sender<PeerEvent>,
+    pub(super) notes: mpsc::Sender<Note>,
+    pub(super) stop: watch::Receiver<bool>,
+    pub(super) peers: BTreeMap<Incarnation, Peer>,
+    pub(super) current: BTreeMap<u64, Incarnation>,
+    pub(super) tasks: JoinSet<()>,
+    pub(super) last_link: u64,
+}
+
+/// What is known of one peer.
+#[derive(Debug, Default)]
+pub(super) struct Peer {
+    target: Option<SocketAddr>,
+    link: Option<Current>,
+    dial: Option<AbortHandle>,
+    failures: u32,
+}
+
+#[derive(Debug)]
+struct Current {
+    id: u64,
+    dialer: Incarnation,
+    since: Instant,
+}
+
+/// The hub has to stop.
+struct Stopped;
+
+impl Hub {
+    /// Runs until stopped.
+    pub(super) async fn run(
+        mut self,
+        mut commands: mpsc::UnboundedReceiver<Command>,
+        mut notes: mpsc::Receiver<Note>,
+    ) {
+        let mut stop = self.stop.clone();
+        loop {
+            while self.tasks.try_join_next().is_some() {}
+            let step = tokio::select! {
+                biased;
+                () = stopped(&mut stop) => Err(Stopped),
+                command = commands.recv() => match command {
+                    Some(command) => self.command(command).await,
+                    None => Err(Stopped),
+                },
+                Some(note) = notes.recv() => self.note(note).await,
+            };
+            if let Err(Stopped) = step {
+                break;
+            }
+        }
+        self.finish(notes).await;
+    }
+
+    /// Closes every link once its queue is written.
+    async fn finish(mut self, mut notes: mpsc::Receiver<Note>) {
+        self.shared.clear_links();
+        for peer in self.peers.values_mut() {
+            if let Some(dial) = peer.dial.take() {
+                dial.abort();
+            }
+        }
+        let drain = async {
+            while !self.tasks.is_empty() {
+                tokio::select! {
+                    _ = self.tasks.join_next() => {}
+                    Some(note) = notes.recv() => {
+                        if let Note::Ended { link, .. } = note {
+                            self.shared.settle(link);
+                        }
+                    }
+                }
+            }
+        };
+        if timeout(STOP_TIME, drain).await.is_err() {
+            log::warn!("peer: links cut while stopping, their queues were not empty");
+        }
+    }
+
+    async fn command(&mut self, command: Command) -> Result<(), Stopped> {
+        match command {
+            Command::Connect { peer, address } => {
+                if peer != self.own.incarnation {
+                    self.connect(peer, address);
+                }
+                Ok(())
+            }
+            Command::Forget { peer } => self.forget(peer).await,
+        }
+    }
+
+    async fn note(&mut self, note: Note) -> Result<(), Stopped> {
+        match note {
+            Note::Opened { side, opened } => self.adopt(side, *opened).await,
+            Note::Failed { peer, address, reason } => self.failed(peer, address, reason).await,
+            Note::Frame { link, part, body } => self.frame(link, part, body).await,
+            Note::Ended { link, reason } => self.ended(link, reason).await,
+        }
+    }
+
+    async fn emit(&mut self, event: PeerEvent) -> Result<(), Stopped> {
+        tokio::select! {
+            biased;
+            sent = self.events.send(event) => sent.map_err(|_| Stopped),
+            () = stopped(&mut self.stop) => Err(Stopped),
+        }
+    }
+
+    fn connect(&mut self, id: Incarnation, address: SocketAddr) {
+        let peer = self.peers.entry(id).or_default();
+        if peer.target == Some(address) {
+            return;
+        }
+        peer.target = Some(address);
+        peer.failures = 0;
+        if let Some(dial) = peer.dial.take() {
+            dial.abort();
+        }
+        self.dial(id, Duration::ZERO);
+    }
+
+    async fn forget(&mut self, id: Incarnation) -> Result<(), Stopped> {
+        let Some(peer) = self.peers.remove(&id) else { return Ok(()) };
+        if let Some(dial) = peer.dial {
+            dial.abort();
+        }
+        let Some(link) = peer.link else { return Ok(()) };
+        self.current.remove(&link.id);
+        self.shared.set_link(id, None);
+        self.emit(PeerEvent::Down { incarnation: id, reason: Reason::Local }).await
+    }
+
+    /// Dials `id` after `pause`, unless it is linked, being dialled or not wanted.
+    fn dial(&mut self, id: Incarnation, pause: Duration) {
+        let Some(peer) = self.peers.get_mut(&id) else { return };
+        let Some(address) = peer.target else { return };
+        if peer.link.is_some() || peer.dial.is_some() {
+            return;
+        }
+        let own = Arc::clone(&self.own);
+        let config = Arc::clone(&self.config);
+        let notes = self.notes.clone();
+        let work = async move {
+            sleep(pause).await;
+            let note = match handshake::dial(address, id, &own, &config).await {
+                Ok(opened) => Note::Opened { side: Side::Dialer, opened: Box::new(opened) },
+                Err(reason) => Note::Failed { peer: id, address, reason },
+            };
+            // The hub outlives its dials, except when it stops.
+            let _ = notes.send(note).await;
+        };
+        peer.dial = Some(self.tasks.spawn(work));
+    }
+
+    async fn failed(
+        &mut self,
+        id: Incarnation,
+        address: SocketAddr,
+        reason: Reason,
+    ) -> Result<(), Stopped> {
+        if matches!(reason, Reason::Protocol(_) | Reason::Version { .. }) {
+            self.shared.malformed.fetch_add(1, Ordering::Relaxed);
+        }
+        let Some(peer) = self.peers.get_mut(&id) else { return Ok(()) };
+        if peer.target != Some(address) {
+            return Ok(());
+        }
+        peer.dial = None;
+        let pause = backoff(&self.config, peer.failures);
+        peer.failures = peer.failures.saturating_add(1);
+        self.dial(id, pause);
+        self.emit(PeerEvent::Failed { incarnation: id, address, reason }).await
+    }
+
+    async fn adopt(&mut self, side: Side, opened: Opened) -> Result<(), Stopped> {
+        let id = opened.hello.incarnation;
+        let dialer = if side == Side::Dialer { self.own.incarnation } else { id };
+        if side == Side::Dialer {
+            match self.peers.get_mut(&id) {
+                Some(peer) => peer.dial = None,
+                None => return Ok(()),
+            }
+        }
+        let peer = self.peers.entry(id).or_default();
+        if let Some(old) = &peer.link {
+            if !replaces(old, dialer, id.min(self.own.incarnation), self.config.handshake) {
+                self.refuse(opened);
+                return Ok(());
+            }
+            self.current.remove(&old.id);
+            peer.link = None;
+            self.shared.set_link(id, None);
+            self.emit(PeerEvent::Down { incarnation: id, reason: Reason::Replaced }).await?;
+        }
+        self.start_link(side, dialer, opened).await
+    }
+
+    async fn start_link(
+        &mut self,
+        side: Side,
+        dialer: Incarnation,
+        opened: Opened,
+    ) -> Result<(), Stopped> {
+        let Opened { socket, hello, address } = opened;
+        self.last_link += 1;
+        let id = self.last_link;
+        let distance = Distance::between(&self.own, &hello);
+        self.shared.meter(id, distance, socket.get_ref().traffic());
+        self.shared.opened.fetch_add(1, Ordering::Relaxed);
+        let (outbox, queue) = Outbox::new(&self.config);
+        let link = Link {
+            id,
+            side,
+            notes: self.notes.clone(),
+            queue,
+            config: Arc::clone(&self.config),
+            shared: Arc::clone(&self.shared),
+        };
+        self.tasks.spawn(link.run(socket));
+        self.current.insert(id, hello.incarnation);
+        let peer = self.peers.entry(hello.incarnation).or_default();
+        peer.link = Some(Current { id, dialer, since: Instant::now() });
+        self.shared.set_link(hello.incarnation, Some(Arc::new(outbox)));
+        self.emit(PeerEvent::Up { hello, address }).await
+    }
+
+    fn refuse(&mut self, opened: Opened) {
+        let mut socket = opened.socket;
+        self.tasks.spawn(async move {
+            let close = socket.close(Some(handshake::close_frame(&Reason::Replaced)));
+            // Closing is a courtesy; the socket is dropped either way.
+            let _ = timeout(STOP_TIME, close).await;
+        });
+    }
+
+    async fn frame(&mut self, link: u64, part: Part, body: Bytes) -> Result<(), Stopped> {
+        let Some(from) = self.current.get(&link).copied() else { return Ok(()) };
+        self.shared.received.fetch_add(1, Ordering::Relaxed);
+        self.emit(PeerEvent::Message { from, part, body }).await
+    }
+
+    async fn ended(&mut self, link: u64, reason: Reason) -> Result<(), Stopped> {
+        self.shared.settle(link);
+        count_end(&self.shared, &reason);
+        let Some(id) = self.current.remove(&link) else { return Ok(()) };
+        self.shared.set_link(id, None);
+        if let Some(peer) = self.peers.get_mut(&id) {
+            let since = peer.link.take().map(|link| link.since);
+            let short = since.is_some_and(|since| since.elapsed() < self.config.max_backoff);
+            peer.failures = if short { peer.failures.saturating_add(1) } else { 0 };
+            let pause = backoff(&self.config, peer.failures.saturating_sub(1));
+            match peer.target {
+                Some(_) => self.dial(id, pause),
+                None => drop(self.peers.remove(&id)),
+            }
+        }
+        self.emit(PeerEvent::Down { incarnation: id, reason }).await
+    }
+}
+
+/// Waits until the handle stops or is gone.
+pub(super) async fn stopped(stop: &mut watch::Receiver<bool>) {
+    // A handle that is gone cannot use the links any more.
+    let _ = stop.wait_for(|stop| *stop).await;
+}
+
+fn count_end(shared: &Shared, reason: &Reason) {
+    let counter: &AtomicU64 = match reason {
+        Reason::Silent | Reason::Stalled => &shared.silent,
+        Reason::Protocol(_) | Reason::Version { .. } => &shared.malformed,
+        _ => return,
+    };
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
+/// Whether a new connection by `dialer` takes the place of `old`.
+///
+/// When both sides dial at once, the connection of the lower incarnation wins on both. A peer that
+/// dials later than that has lost the old connection, whether this side has noticed or not.
+fn replaces(old: &Current, dialer: Incarnation, lower: Incarnation, contest: Duration) -> bool {
+    old.dialer == dialer || old.since.elapsed() > contest || dialer == lower
+}
+
+fn backoff(config: &Config, failures: u32) -> Duration {
+    let doubled = config.min_backoff.saturating_mul(1 << failures.min(16));
+    doubled.min(config.max_backoff).mul_f64(rand::random_range(0.5..1.0))
+}
