--- /dev/null
+++ b/crates/route/src/attempts.rs
@@ -0,0 +1,162 @@
+//! How attempts end, and what follows for the request and the backend server.
+
+use bytes::Bytes;
+
+use crate::Action;
+use crate::AttemptResult;
+use crate::Cause;
+use crate::Reason;
+use crate::Router;
+use crate::Sign;
+use crate::life::RequestEvent;
+use crate::table::Attempt;
+use model::RequestId;
+
+/// Status with which a backend server refuses work.
+const UNAVAILABLE: u16 = 503;
+
+/// Lowest status that counts as a failure of the backend server.
+const SERVER_ERROR: u16 = 500;
+
+/// Highest power of two that lengthens the pause before a retry.
+const BACKOFF_STEPS: u32 = 6;
+
+impl Router {
+    /// The shell reports the end of an attempt.
+    pub(crate) fn attempt_ended(&mut self, id: RequestId, number: u32, result: AttemptResult) {
+        let Some(entry) = self.table.get_mut(id) else { return };
+        let Some(place) = entry.attempts.iter().position(|a| a.number == number) else { return };
+        let attempt = entry.attempts.swap_remove(place);
+        let pool = entry.pool;
+        self.learn(id, &attempt, &result);
+        self.release(&attempt);
+        self.judge_seat(&attempt, &result);
+        match result {
+            AttemptResult::Answered { status: UNAVAILABLE, body } => {
+                self.unavailable(id, &attempt, body);
+            }
+            AttemptResult::Answered { status, body } => self.answered(id, &attempt, status, body),
+            AttemptResult::NotSent { .. } | AttemptResult::TimedOut { sent: false } => {
+                self.not_sent(id, &attempt);
+            }
+            AttemptResult::Broken { .. } => {
+                self.may_have_run(id, &attempt, Reason::ConnectionLost);
+            }
+            AttemptResult::TimedOut { sent: true } => {
+                self.may_have_run(id, &attempt, Reason::Timeout);
+            }
+        }
+        self.set_request_timer(id);
+        self.pump(pool);
+    }
+
+    /// Learns run times and charges the account with what the run really took.
+    fn learn(&mut self, id: RequestId, attempt: &Attempt, result: &AttemptResult) {
+        let Some(entry) = self.table.get(id) else { return };
+        let run = self.now.since(attempt.started);
+        let service = &mut self.names.services[entry.service];
+        let micros = i64::try_from(run.as_micros()).unwrap_or(i64::MAX);
+        let expected = i64::try_from(entry.cost).unwrap_or(0);
+        let queue = &mut self.pools[entry.pool].queues[attempt.lane as usize];
+        queue.charge(entry.account, micros - expected);
+        if let AttemptResult::Answered { status, .. } = result
+            && *status < SERVER_ERROR
+        {
+            let ratio = service.run.ratio(run);
+            service.run.observe(run);
+            service.retries.earn(self.settings.retry_percent);
+            self.seats[attempt.seat].observe(ratio);
+        }
+    }
+
+    /// What the attempt says about its backend server.
+    fn judge_seat(&mut self, attempt: &Attempt, result: &AttemptResult) {
+        let seat = attempt.seat;
+        match result {
+            AttemptResult::Answered { status: UNAVAILABLE, .. } => {
+                self.seat_sign(seat, Sign::Unavailable);
+            }
+            AttemptResult::Answered { status, .. } if *status < SERVER_ERROR => self.seat_ok(seat),
+            AttemptResult::NotSent { cause: Cause::Refused } => {
+                self.seat_sign(seat, Sign::Refused);
+            }
+            AttemptResult::NotSent { cause: Cause::NoConnection | Cause::TooLarge } => {}
+            AttemptResult::TimedOut { .. } | AttemptResult::Broken { .. } => {
+                let backend = self.seats[seat].id.clone();
+                self.out.push(Action::DropIdle { backend });
+                self.seat_failed(seat);
+            }
+            AttemptResult::Answered { .. } | AttemptResult::NotSent { .. } => {
+                self.seat_failed(seat);
+            }
+        }
+    }
+
+    fn answered(&mut self, id: RequestId, attempt: &Attempt, status: u16, body: Bytes) {
+        self.stop_attempts(id);
+        self.note(id, attempt.number, Some(attempt.seat), None);
+        self.complete(id, attempt.seat, status, body);
+    }
+
+    /// Status 503: refused without effect only if the service guarantees that.
+    fn unavailable(&mut self, id: RequestId, attempt: &Attempt, body: Bytes) {
+        let Some(entry) = self.table.get(id) else { return };
+        let policy = &self.names.services[entry.service].policy;
+        if policy.refuses {
+            return self.not_sent(id, attempt);
+        }
+        drop(body);
+        self.may_have_run(id, attempt, Reason::Unavailable);
+    }
+
+    /// The attempt had no effect.
+    fn not_sent(&mut self, id: RequestId, attempt: &Attempt) {
+        self.note(id, attempt.number, Some(attempt.seat), Some(Reason::ConnectFailed));
+        let Some(entry) = self.table.get(id) else { return };
+        if !entry.attempts.is_empty() {
+            return self.advance(id, RequestEvent::Fail);
+        }
+        let (tried, late) = (entry.tried, self.now >= entry.deadline);
+        if late {
+            return self.refuse(id, Reason::Expired, Some(std::time::Duration::ZERO));
+        }
+        if tried >= self.settings.attempts {
+            let pause = self.jitter(self.settings.backoff * 10);
+            return self.refuse(id, Reason::ConnectFailed, Some(pause));
+        }
+        if tried == 1 {
+            return self.requeue(id);
+        }
+        self.pause(id, tried);
+    }
+
+    /// The attempt may have run.
+    fn may_have_run(&mut self, id: RequestId, attempt: &Attempt, reason: Reason) {
+        self.note(id, attempt.number, Some(attempt.seat), Some(reason));
+        let Some(entry) = self.table.get_mut(id) else { return };
+        entry.exposed = true;
+        let (service, tried) = (entry.service, entry.tried);
+        let (late, others) = (self.now >= entry.deadline, !entry.attempts.is_empty());
+        if others {
+            return self.advance(id, RequestEvent::Fail);
+        }
+        let most = self.settings.attempts;
+        let service = &mut self.names.services[service];
+        if !service.policy.idempotent || late || tried >= most || !service.retries.take() {
+            return self.lose(id, reason);
+        }
+        self.pause(id, tried);
+    }
+
+    /// Waits with random, growing pauses before the next attempt.
+    fn pause(&mut self, id: RequestId, tried: u32) {
+        let longest = self.settings.backoff * 2_u32.pow(tried.min(BACKOFF_STEPS));
+        let pause = self.jitter(longest);
+        self.totals.retries += 1;
+        self.advance(id, RequestEvent::Retry);
+        let resume = self.now + pause;
+        if let Some(entry) = self.table.get_mut(id) {
+            entry.resume = resume;
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/budget.rs
@@ -0,0 +1,89 @@
+//! Budgets that refill with time or with success.
+
+use std::time::Duration;
+
+use model::Time;
+
+const MILLIS: u64 = 1_000;
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
+/// A token bucket that refills with time.
+#[derive(Clone, Debug)]
+pub(crate) struct TokenBucket {
+    rate: u64,
+    burst: u64,
+    /// Tokens times a million.
+    level: u64,
+    filled: Time,
+}
+
+impl TokenBucket {
+    /// A full bucket of `burst` tokens that gains `rate` tokens a second.
+    pub(crate) fn new(rate: u64, burst: u64) -> TokenBucket {
+        let burst = burst.max(1);
+        TokenBucket { rate, burst, level: burst * MICROS_PER_SECOND, filled: Time::ZERO }
+    }
+
+    /// Changes rate and burst and keeps the level.
+    pub(crate) fn resize(&mut self, rate: u64, burst: u64) {
+        self.rate = rate;
+        self.burst = burst.max(1);
+        self.level = self.level.min(self.burst * MICROS_PER_SECOND);
+    }
+
+    /// Takes `count` tokens, if there are so many.
+    pub(crate) fn take(&mut self, now: Time, count: u64) -> bool {
+        self.refill(now);
+        let need = count.saturating_mul(MICROS_PER_SECOND);
+        let enough = self.level >= need;
+        if enough {
+            self.level -= need;
+        }
+        enough
+    }
+
+    /// Time until one token is there.
+    pub(crate) fn pause(&self) -> Duration {
+        let missing = MICROS_PER_SECOND.saturating_sub(self.level);
+        Duration::from_micros(missing / self.rate.max(1))
+    }
+
+    fn refill(&mut self, now: Time) {
+        let passed = u64::try_from(now.since(self.filled).as_micros()).unwrap_or(u64::MAX);
+        let gained = passed.saturating_mul(self.rate);
+        self.level = self.level.saturating_add(gained).min(self.burst * MICROS_PER_SECOND);
+        self.filled = now;
+    }
+}
+
+/// Retries as a share of recent successes.
+#[derive(Clone, Debug)]
+pub(crate) struct RetryBudget {
+    /// Retries times a thousand.
+    level: u64,
+}
+
+impl RetryBudget {
+    const FIRST: u64 = 10 * MILLIS;
+    const MOST: u64 = 100 * MILLIS;
+
+    /// A budget with a few retries to start from.
+    pub(crate) fn new() -> RetryBudget {
+        RetryBudget { level: RetryBudget::FIRST }
+    }
+
+    /// Adds the share of one success.
+    pub(crate) fn earn(&mut self, percent: u32) {
+        let gain = u64::from(percent) * MILLIS / 100;
+        self.level = (self.level + gain).min(RetryBudget::MOST);
+    }
+
+    /// Takes one retry, if there is one.
+    pub(crate) fn take(&mut self) -> bool {
+        let enough = self.level >= MILLIS;
+        if enough {
+            self.level -= MILLIS;
+        }
+        enough
+    }
+}
--- /dev/null
+++ b/crates/route/src/calls.rs
@@ -0,0 +1,467 @@
+//! Requests coming in: whose they are, whether they are known, and whether they are let in.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::Action;
+use crate::Answer;
+use crate::Call;
+use crate::Message;
+use crate::Reason;
+use crate::RequestState;
+use crate::Router;
+use crate::Step;
+use crate::Ticket;
+use crate::homes::Owner;
+use crate::ledger::Standing;
+use crate::life::RequestEvent;
+use crate::queue::Queue;
+use crate::queue::Waiting;
+use crate::router::Timer;
+use crate::seat::Lane;
+use crate::table::Entry;
+use crate::table::Waiter;
+use model::Class;
+use model::Incarnation;
+use model::RequestId;
+use model::ServiceId;
+use model::Time;
+use model::Verdict;
+
+/// Why a request is not let in.
+struct Refusal {
+    reason: Reason,
+    retry: Option<Duration>,
+    dependency: Option<ServiceId>,
+}
+
+impl Refusal {
+    fn new(reason: Reason, retry: Option<Duration>) -> Refusal {
+        Refusal { reason, retry, dependency: None }
+    }
+}
+
+const SOON: Duration = Duration::from_millis(100);
+const LATER: Duration = Duration::from_secs(1);
+
+impl Router {
+    /// Takes a request, new or repeated, from a caller or a peer.
+    pub(crate) fn call(&mut self, waiter: Waiter, call: Call) {
+        let id = call.id;
+        if self.table.get(id).is_some_and(|entry| entry.state != RequestState::Moved) {
+            return self.join(waiter, call);
+        }
+        match self.owner(id) {
+            Owner::Me => self.consider(waiter, call),
+            Owner::Peer(to) => self.forward(waiter, call, to),
+            Owner::Nobody { certain } => self.orphan(waiter, call, certain),
+            Owner::Unclear => self.unclear(waiter, id),
+        }
+    }
+
+    /// A request whose home has ended, or was never seen.
+    fn orphan(&mut self, waiter: Waiter, call: Call, certain: bool) {
+        let service = self.names.service(&call.service);
+        match service.filter(|index| self.names.services[*index].policy.idempotent) {
+            Some(_) => self.admit(waiter, call, true),
+            None => {
+                let mut answer = blank(call.id, Verdict::Unknown, Reason::HomeGone);
+                answer.last = certain;
+                answer.retry = (!certain).then_some(LATER);
+                self.deliver(waiter, answer);
+            }
+        }
+    }
+
+    /// A repeat of a request that is in the table.
+    fn join(&mut self, waiter: Waiter, call: Call) {
+        let id = call.id;
+        let Some(entry) = self.table.get(id) else { return };
+        if entry.digest != call.digest() {
+            let verdict = entry.answer.as_ref().map_or(Verdict::Unknown, |a| a.verdict);
+            let mut answer = blank(id, verdict, Reason::Conflict);
+            answer.last = entry.is_settled();
+            return self.deliver(waiter, answer);
+        }
+        let idempotent = self.names.services[entry.service].policy.idempotent;
+        match &entry.answer {
+            Some(_) if idempotent && entry.state == RequestState::Lost => self.rerun(waiter, call),
+            Some(answer) => {
+                let answer = answer.clone();
+                self.deliver(waiter, answer);
+            }
+            None => {
+                let deadline = self.now + call.deadline;
+                self.extend(id, waiter, deadline);
+            }
+        }
+    }
+
+    /// Lets a repeat wait for a request in progress, if need be longer than the first caller.
+    fn extend(&mut self, id: RequestId, waiter: Waiter, deadline: Time) {
+        let Some(entry) = self.table.get_mut(id) else { return };
+        entry.join(waiter);
+        if entry.state == RequestState::Running {
+            entry.deadline = entry.deadline.max(deadline);
+        }
+        self.set_request_timer(id);
+    }
+
+    /// Runs an idempotent request again whose earlier outcome is unknown.
+    fn rerun(&mut self, waiter: Waiter, call: Call) {
+        let id = call.id;
+        self.table.reopen(id);
+        let Some(entry) = self.table.get_mut(id) else { return };
+        entry.body = call.body;
+        entry.arrived = self.now;
+        entry.deadline = self.now + call.deadline;
+        entry.tried = 0;
+        entry.waiters = vec![waiter];
+        self.requeue(id);
+        self.pump_for(id);
+    }
+
+    /// A request of an own id that is not in the table.
+    fn consider(&mut self, waiter: Waiter, call: Call) {
+        let id = call.id;
+        let mut answer = match self.standing(id) {
+            Standing::Unused => return self.admit(waiter, call, false),
+            Standing::NotIssued => blank(id, Verdict::NotRun, Reason::NotIssued),
+            Standing::TooOld => blank(id, Verdict::Unknown, Reason::TooOld),
+            Standing::Settled(verdict) => blank(id, verdict, Reason::AnswerDropped),
+        };
+        answer.retry = answer.verdict.permits_resend().then_some(Duration::ZERO);
+        self.deliver(waiter, answer);
+    }
+
+    fn admit(&mut self, waiter: Waiter, call: Call, adopted: bool) {
+        if let Err(refusal) = self.check_call(&call) {
+            return self.turn_away(waiter, call.id, refusal, adopted);
+        }
+        let (Some(service), Some(account)) =
+            (self.names.service(&call.service), self.names.account(&call.account))
+        else {
+            return;
+        };
+        let digest = call.digest();
+        let entry = Entry {
+            service,
+            pool: self.names.services[service].pool,
+            account,
+            digest,
+            state: self.charts.request.initial(),
+            body: call.body,
+            arrived: self.now,
+            deadline: self.now + call.deadline,
+            lane: Lane::Interactive,
+            cost: 0,
+            waiters: vec![waiter],
+            attempts: Vec::new(),
+            tried: 0,
+            stopped: 0,
+            exposed: adopted,
+            adopted,
+            resume: self.now,
+            wake: None,
+            answer: None,
+            settled: self.now,
+            steps: Vec::new(),
+        };
+        self.table.insert(call.id, entry);
+        self.enqueue(call.id);
+        self.pump_for(call.id);
+    }
+
+    fn turn_away(&mut self, waiter: Waiter, id: RequestId, refusal: Refusal, adopted: bool) {
+        let verdict = if adopted { Verdict::Unknown } else { Verdict::NotRun };
+        let mut answer = blank(id, verdict, refusal.reason);
+        answer.last = !adopted;
+        answer.retry = refusal.retry;
+        answer.dependency = refusal.dependency;
+        if !adopted {
+            self.record(id, Verdict::NotRun);
+        }
+        self.deliver(waiter, answer);
+    }
+
+    /// Whether a new request is let in.
+    fn check_call(&mut self, call: &Call) -> Result<(), Refusal> {
+        let service = self.names.service(&call.service);
+        let service = service.ok_or_else(|| Refusal::new(Reason::NoService, None))?;
+        let account = self.names.account(&call.account);
+        let account = account.ok_or_else(|| Refusal::new(Reason::NoAccount, None))?;
+        if call.deadline.is_zero() {
+            return Err(Refusal::new(Reason::Expired, Some(Duration::ZERO)));
+        }
+        self.check_pools(service)?;
+        self.check_load(service, account, call)?;
+        self.check_account(account)
+    }
+
+    fn check_account(&mut self, account: usize) -> Result<(), Refusal> {
+        let now = self.now;
+        let account = &mut self.names.accounts[account];
+        if account.waiting >= account.policy.queued {
+            return Err(Refusal::new(Reason::QueueLimit, Some(LATER)));
+        }
+        if account.policy.rate.is_some() && !account.rate.take(now, 1) {
+            return Err(Refusal::new(Reason::RateLimit, Some(account.rate.pause())));
+        }
+        Ok(())
+    }
+
+    fn check_pools(&self, service: usize) -> Result<(), Refusal> {
+        let own = &self.names.services[service];
+        if self.pools[own.pool].listed == 0 {
+            return Err(Refusal::new(Reason::NoBackend, Some(LATER)));
+        }
+        let mut seen = vec![service];
+        let mut open = own.depends.clone();
+        while let Some(index) = open.pop() {
+            if seen.contains(&index) {
+                continue;
+            }
+            seen.push(index);
+            let other = &self.names.services[index];
+            if self.pools[other.pool].open_total() == 0 {
+                let dependency = Some(other.id.clone());
+                let retry = Some(LATER);
+                return Err(Refusal { reason: Reason::DependencyDown, retry, dependency });
+            }
+            open.extend(&other.depends);
+        }
+        Ok(())
+    }
+
+    /// Sheds what would not meet its deadline, and batch work first where room runs out.
+    fn check_load(&mut self, service: usize, account: usize, call: &Call) -> Result<(), Refusal> {
+        let lane = self.lane(service);
+        let pool = self.names.services[service].pool;
+        let wait = self.estimate(pool, lane, account);
+        let allowed = match lane {
+            Lane::Interactive => call.deadline * self.settings.wait_percent / 100,
+            Lane::Batch | Lane::Firm => call.deadline,
+        };
+        let run = self.names.services[service].run.mean();
+        if !wait.is_zero() && (wait > allowed || wait + run > call.deadline) {
+            let retry = self.jitter(wait.max(SOON));
+            return Err(Refusal::new(Reason::Shed, Some(retry)));
+        }
+        while self.is_full(call.body.len()) {
+            let victim = match lane {
+                Lane::Interactive => self.least_urgent(),
+                Lane::Batch | Lane::Firm => None,
+            };
+            let Some(victim) = victim else {
+                return Err(Refusal::new(Reason::Shed, Some(LATER)));
+            };
+            self.refuse(victim, Reason::Shed, Some(LATER));
+        }
+        Ok(())
+    }
+
+    fn is_full(&self, more: usize) -> bool {
+        self.waiting >= self.settings.queued
+            || self.waiting > 0 && self.waiting_bytes + more > self.settings.queued_bytes
+    }
+
+    /// The waiting batch request with the latest deadline.
+    fn least_urgent(&self) -> Option<RequestId> {
+        let batch = self.pools.iter().flat_map(|pool| &pool.queues[1..]);
+        batch.filter_map(Queue::latest).max().map(|waiting| waiting.id)
+    }
+
+    /// Time for which a new request would wait.
+    fn estimate(&self, pool: usize, lane: Lane, account: usize) -> Duration {
+        let pool = &self.pools[pool];
+        let weight = self.names.accounts[account].policy.weight;
+        let urgent = &pool.queues[Lane::Interactive as usize];
+        let (work, slots) = match lane {
+            Lane::Interactive => (urgent.ahead(account, weight), pool.used[0]),
+            Lane::Batch | Lane::Firm => {
+                let queued = pool.queues[lane as usize].ahead(account, weight);
+                (queued.saturating_add(urgent.work()), pool.used[0] + pool.used[1])
+            }
+        };
+        Duration::from_micros(work / u64::from(slots.max(1)))
+    }
+
+    pub(crate) fn lane(&self, service: usize) -> Lane {
+        let policy = &self.names.services[service].policy;
+        match (policy.class, policy.idempotent) {
+            (Class::Interactive, _) => Lane::Interactive,
+            (Class::Batch, true) => Lane::Batch,
+            (Class::Batch, false) => Lane::Firm,
+        }
+    }
+
+    /// Puts a request into its queue.
+    pub(crate) fn enqueue(&mut self, id: RequestId) {
+        let Some(entry) = self.table.get(id) else { return };
+        let service = entry.service;
+        let lane = self.lane(service);
+        let cost = self.names.services[service].run.mean_micros();
+        let pool = self.names.services[service].pool;
+        let Some(entry) = self.table.get_mut(id) else { return };
+        entry.lane = lane;
+        entry.pool = pool;
+        entry.cost = cost;
+        let waiting = Waiting { deadline: entry.deadline, id };
+        let account = &mut self.names.accounts[entry.account];
+        account.waiting += 1;
+        self.waiting += 1;
+        self.waiting_bytes += entry.body.len();
+        let weight = account.policy.weight;
+        self.pools[pool].queues[lane as usize].push(entry.account, weight, waiting, cost);
+        self.note(id, 0, None, None);
+        self.set_request_timer(id);
+    }
+
+    /// Takes a request out of its queue.
+    pub(crate) fn dequeue(&mut self, id: RequestId) {
+        let Some(entry) = self.table.get(id) else { return };
+        let waiting = Waiting { deadline: entry.deadline, id };
+        let queue = &mut self.pools[entry.pool].queues[entry.lane as usize];
+        let there = queue.remove(entry.account, waiting, entry.cost);
+        assert!(there, "request {id} is not in its queue");
+        self.names.accounts[entry.account].waiting -= 1;
+        self.waiting -= 1;
+        self.waiting_bytes -= entry.body.len();
+    }
+
+    /// Queues a request again after a pause, an attempt without effect or a repeat.
+    pub(crate) fn requeue(&mut self, id: RequestId) {
+        self.advance(id, RequestEvent::Requeue);
+        self.enqueue(id);
+    }
+
+    pub(crate) fn advance(&mut self, id: RequestId, event: RequestEvent) {
+        if let Some(entry) = self.table.get_mut(id) {
+            self.charts.request.advance(&mut entry.state, event);
+        }
+    }
+
+    pub(crate) fn note(
+        &mut self,
+        id: RequestId,
+        attempt: u32,
+        seat: Option<usize>,
+        reason: Option<Reason>,
+    ) {
+        let backend = seat.map(|seat| self.seats[seat].id.clone());
+        let at = self.now;
+        if let Some(entry) = self.table.get_mut(id) {
+            let state = entry.state;
+            entry.note(Step { at, state, attempt, backend, reason });
+        }
+    }
+
+    /// Restarts the timer of a request for what comes next.
+    pub(crate) fn set_request_timer(&mut self, id: RequestId) {
+        let wake = self.table.get(id).and_then(|entry| self.request_wake(entry));
+        let Some(entry) = self.table.get_mut(id) else { return };
+        let old = entry.wake;
+        entry.wake = wake;
+        if old == wake {
+            return;
+        }
+        if let Some(old) = old {
+            self.stop_timer(old, Timer::Request(id));
+        }
+        if let Some(wake) = wake {
+            self.start_timer(wake, Timer::Request(id));
+        }
+    }
+
+    /// Hands an answer to whoever waits for it.
+    pub(crate) fn deliver(&mut self, waiter: Waiter, answer: Answer) {
+        match waiter {
+            Waiter::Ticket(ticket) => {
+                if self.tickets.remove(&ticket).is_none() {
+                    return;
+                }
+                let key = (answer.verdict, answer.reason);
+                *self.totals.answers.entry(key).or_default() += 1;
+                self.out.push(Action::Answer { ticket, answer });
+            }
+            Waiter::Peer(peer) => self.send(peer, Message::Answer { answer }),
+        }
+    }
+
+    /// A caller went away.
+    pub(crate) fn hang_up(&mut self, ticket: Ticket) {
+        let Some(id) = self.tickets.remove(&ticket) else { return };
+        self.leave(Waiter::Ticket(ticket), id);
+    }
+
+    /// Nobody waits at a peer any more.
+    pub(crate) fn cancelled(&mut self, from: Incarnation, id: RequestId) {
+        self.leave(Waiter::Peer(from), id);
+    }
+
+    fn leave(&mut self, waiter: Waiter, id: RequestId) {
+        if self.leave_forward(waiter, id) {
+            return;
+        }
+        let Some(entry) = self.table.get_mut(id) else { return };
+        let before = entry.waiters.len();
+        entry.waiters.retain(|other| *other != waiter);
+        if before > 0 && entry.waiters.is_empty() && !entry.is_settled() {
+            self.abandon(id);
+        }
+    }
+
+    /// Nobody waits for the request any more.
+    fn abandon(&mut self, id: RequestId) {
+        let Some(entry) = self.table.get(id) else { return };
+        let idempotent = self.names.services[entry.service].policy.idempotent;
+        match entry.state {
+            RequestState::Queued | RequestState::Paused => {
+                self.refuse(id, Reason::Cancelled, Some(Duration::ZERO));
+            }
+            RequestState::Running if idempotent => self.give_up(id, Reason::Cancelled),
+            _ => {}
+        }
+    }
+}
+
+/// An answer without a body.
+pub(crate) fn blank(id: RequestId, verdict: Verdict, reason: Reason) -> Answer {
+    Answer {
+        id,
+        verdict,
+        last: true,
+        reason,
+        retry: None,
+        status: status(reason),
+        body: Bytes::new(),
+        backend: None,
+        dependency: None,
+    }
+}
+
+fn status(reason: Reason) -> u16 {
+    match reason {
+        Reason::Answered
+        | Reason::AnswerDropped
+        | Reason::Queued
+        | Reason::Running
+        | Reason::Unused => 200,
+        Reason::NotIssued | Reason::NoService => 404,
+        Reason::NoAccount => 403,
+        Reason::TooOld => 410,
+        Reason::Conflict => 409,
+        Reason::RateLimit | Reason::QueueLimit => 429,
+        Reason::Cancelled => 499,
+        Reason::ConnectionLost | Reason::HomeGone => 502,
+        Reason::Timeout | Reason::DeadlinePassed | Reason::HomeUnreachable => 504,
+        Reason::Shed
+        | Reason::Expired
+        | Reason::DependencyDown
+        | Reason::NoBackend
+        | Reason::ConnectFailed
+        | Reason::Unavailable
+        | Reason::Draining => 503,
+    }
+}
--- /dev/null
+++ b/crates/route/src/drain.rs
@@ -0,0 +1,473 @@
+//! A planned stop: what has not run goes to an heir, what runs is finished, and the heir answers
+//! for the ids from then on.
+//!
+//! Two kinds of parts go to the heir. While requests are still in progress, parts carry those that
+//! wait in a queue; once sent, they are never dispatched here again unless the heir declines the
+//! part. When nothing is in progress, the last parts carry the kept answers and the ledger, and
+//! only with the ledger does the heir answer for ids that it has not been told of one by one. Parts
+//! are sent again until they are taken.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::Action;
+use crate::Call;
+use crate::LedgerImage;
+use crate::Message;
+use crate::Reason;
+use crate::Record;
+use crate::RecordState;
+use crate::RequestState;
+use crate::Router;
+use crate::homes::Legacy;
+use crate::homes::PartKey;
+use crate::ledger::Ledger;
+use crate::life::RequestEvent;
+use crate::queue::Queue;
+use crate::seat::Lane;
+use crate::table::Entry;
+use crate::table::Waiter;
+use model::Incarnation;
+use model::RequestId;
+use model::Time;
+use model::Verdict;
+
+/// Bytes of bodies and answers in one part.
+const PART_BYTES: usize = 256 << 10;
+
+/// Memory of a record besides its body.
+const RECORD_BYTES: usize = 256;
+
+/// A part that was sent and not yet taken.
+#[derive(Debug)]
+struct Part {
+    home: Incarnation,
+    message: Message,
+    moved: Vec<RequestId>,
+    sent: Time,
+}
+
+/// State of a planned stop.
+#[derive(Debug, Default)]
+pub(crate) struct Drain {
+    heir: Option<Incarnation>,
+    refused: Vec<Incarnation>,
+    next: u64,
+    open: BTreeMap<u64, Part>,
+    /// Whether everything was sent to the present heir.
+    closed: bool,
+    /// Homes whose ledger was sent and not declined, and to whom. Their unused ids are never
+    /// dispatched here again.
+    given: BTreeMap<Incarnation, Incarnation>,
+    done: bool,
+}
+
+impl Router {
+    /// Begins a planned stop.
+    pub(crate) fn start_drain(&mut self) {
+        if self.draining() {
+            return;
+        }
+        self.drain = Some(Drain { heir: self.peers.choose_heir(&[]), ..Drain::default() });
+        self.peers.leave();
+        for peer in self.peers.reachable() {
+            self.send(peer, Message::Draining);
+        }
+        self.assign_lenders();
+    }
+
+    /// Whether waiting requests go to an heir instead of being dispatched.
+    pub(crate) fn hands_over(&self) -> bool {
+        self.drain.as_ref().is_some_and(|drain| drain.heir.is_some())
+    }
+
+    /// The heir of an id that was given away.
+    pub(crate) fn heir_of(&self, id: RequestId) -> Option<Incarnation> {
+        let drain = self.drain.as_ref()?;
+        let moved = self.table.get(id).is_some_and(|entry| entry.state == RequestState::Moved);
+        drain.given.get(&id.home).copied().or(drain.heir.filter(|_| moved))
+    }
+
+    /// Does what the drain allows next.
+    pub(crate) fn drain_step(&mut self) {
+        let Some(drain) = &self.drain else { return };
+        if drain.done {
+            return;
+        }
+        if drain.heir.is_some() && !drain.closed {
+            self.hand_over_waiting();
+        }
+        if self.in_progress() > 0 || !self.forwards.is_empty() || !self.tickets.is_empty() {
+            return;
+        }
+        let Some(drain) = &self.drain else { return };
+        match drain.heir {
+            Some(_) if !drain.closed => self.hand_over_rest(),
+            Some(_) if drain.open.is_empty() => self.name_heirs(),
+            Some(_) => {}
+            None => self.end_drain(),
+        }
+    }
+
+    /// Requests that neither are settled nor belong to the heir.
+    fn in_progress(&self) -> usize {
+        self.table.active() - self.moved
+    }
+
+    fn hand_over_waiting(&mut self) {
+        let queues = self.pools.iter().flat_map(|pool| &pool.queues);
+        let mut waiting: Vec<RequestId> = queues.flat_map(Queue::all).collect();
+        if !waiting.is_empty() {
+            waiting.sort_unstable();
+            self.hand_over(&waiting);
+        }
+    }
+
+    /// Gives waiting requests to the heir.
+    fn hand_over(&mut self, waiting: &[RequestId]) {
+        let mut records: BTreeMap<Incarnation, Vec<Record>> = BTreeMap::new();
+        for id in waiting {
+            let Some(entry) = self.table.get(*id) else { continue };
+            let deadline = entry.deadline.since(self.now);
+            let (body, exposed) = (entry.body.clone(), entry.exposed);
+            let state = RecordState::Queued { deadline, body, exposed };
+            records.entry(id.home).or_default().push(self.record_of(*id, entry, state));
+        }
+        for (home, records) in records {
+            let moved: Vec<RequestId> = records.iter().map(|record| record.id).collect();
+            for chunk in chunks(records) {
+                self.send_part(home, chunk, None);
+            }
+            for id in moved {
+                self.move_away(id);
+            }
+        }
+    }
+
+    fn record_of(&self, id: RequestId, entry: &Entry, state: RecordState) -> Record {
+        Record {
+            id,
+            service: self.names.services[entry.service].id.clone(),
+            account: self.names.accounts[entry.account].id.clone(),
+            digest: entry.digest,
+            state,
+        }
+    }
+
+    /// From now on the heir may dispatch the request; its callers wait on here.
+    fn move_away(&mut self, id: RequestId) {
+        let Some(heir) = self.drain.as_ref().and_then(|drain| drain.heir) else { return };
+        self.dequeue(id);
+        self.advance(id, RequestEvent::HandOver);
+        self.moved += 1;
+        self.record(id, Verdict::Unknown);
+        self.note(id, 0, None, None);
+        self.set_request_timer(id);
+        let now = self.now;
+        let Some(entry) = self.table.get_mut(id) else { return };
+        let waiters = std::mem::take(&mut entry.waiters);
+        let body = entry.body.clone();
+        let (service, account) = (entry.service, entry.account);
+        let call = Call {
+            id,
+            service: self.names.services[service].id.clone(),
+            account: self.names.accounts[account].id.clone(),
+            deadline: entry.deadline.since(now),
+            body,
+        };
+        for waiter in waiters {
+            self.forward(waiter, call.clone(), heir);
+        }
+    }
+
+    fn send_part(&mut self, home: Incarnation, records: Vec<Record>, ledger: Option<LedgerImage>) {
+        let now = self.now;
+        let Some(drain) = self.drain.as_mut() else { return };
+        let Some(heir) = drain.heir else { return };
+        let part = drain.next;
+        drain.next += 1;
+        let queued = |record: &&Record| matches!(record.state, RecordState::Queued { .. });
+        let moved = records.iter().filter(queued).map(|record| record.id).collect();
+        let message = Message::Handover { home, part, records, ledger };
+        drain.open.insert(part, Part { home, message: message.clone(), moved, sent: now });
+        self.send(heir, message);
+    }
+
+    /// Nothing is in progress: kept answers and ledgers go to the heir.
+    fn hand_over_rest(&mut self) {
+        let mut records: BTreeMap<Incarnation, Vec<Record>> = BTreeMap::new();
+        for (id, entry) in self.table.iter() {
+            if let Some(answer) = &entry.answer
+                && !entry.adopted
+            {
+                let state = RecordState::Done { answer: answer.clone() };
+                records.entry(id.home).or_default().push(self.record_of(*id, entry, state));
+            }
+        }
+        for (home, records) in records {
+            for chunk in chunks(records) {
+                self.send_part(home, chunk, None);
+            }
+        }
+        let mut ledgers = vec![(self.me, self.ledger.image())];
+        let complete = self.legacies.iter().filter(|(_, legacy)| legacy.complete);
+        ledgers.extend(complete.map(|(home, legacy)| (*home, legacy.ledger.image())));
+        let Some(drain) = self.drain.as_mut() else { return };
+        drain.closed = true;
+        let Some(heir) = drain.heir else { return };
+        let given = drain.given.clone();
+        ledgers.retain(|(home, _)| !given.contains_key(home));
+        drain.given.extend(ledgers.iter().map(|(home, _)| (*home, heir)));
+        for (home, image) in ledgers {
+            self.send_part(home, Vec::new(), Some(image));
+        }
+    }
+
+    fn name_heirs(&mut self) {
+        let given = self.drain.as_ref().map(|drain| drain.given.clone()).unwrap_or_default();
+        for peer in self.peers.reachable() {
+            for (home, heir) in &given {
+                self.send(peer, Message::Heir { home: *home, heir: *heir });
+            }
+        }
+        self.end_drain();
+    }
+
+    fn end_drain(&mut self) {
+        if let Some(drain) = self.drain.as_mut() {
+            drain.done = true;
+        }
+        self.out.push(Action::Drained);
+    }
+
+    /// Sends parts again that were not taken.
+    pub(crate) fn resend_handover(&mut self) {
+        let (now, pause) = (self.now, self.settings.resend);
+        let Some(drain) = self.drain.as_mut() else { return };
+        let Some(heir) = drain.heir else { return };
+        let late = drain.open.values_mut().filter(|part| now.since(part.sent) >= pause);
+        let mut messages = Vec::new();
+        for part in late {
+            part.sent = now;
+            messages.push(part.message.clone());
+        }
+        for message in messages {
+            self.send(heir, message);
+        }
+    }
+
+    pub(crate) fn part_taken(&mut self, from: Incarnation, home: Incarnation, part: u64) {
+        let Some(drain) = self.drain.as_mut().filter(|drain| drain.heir == Some(from)) else {
+            return;
+        };
+        if drain.open.get(&part).is_some_and(|open| open.home == home) {
+            drain.open.remove(&part);
+        }
+    }
+
+    /// The heir did not take a part: its requests may be dispatched here, or go to another heir.
+    pub(crate) fn part_declined(&mut self, from: Incarnation, home: Incarnation, part: u64) {
+        let Some(drain) = self.drain.as_mut().filter(|drain| drain.heir == Some(from)) else {
+            return;
+        };
+        let Some(open) = drain.open.remove(&part) else { return };
+        assert_eq!(open.home, home, "part {part} of a handover has another home");
+        if matches!(open.message, Message::Handover { ledger: Some(_), .. }) {
+            drain.given.remove(&home);
+        }
+        for id in open.moved {
+            self.take_back(id);
+        }
+        self.change_heir(from);
+    }
+
+    fn take_back(&mut self, id: RequestId) {
+        let Some(entry) = self.table.get(id) else { return };
+        if entry.state != RequestState::Moved {
+            return;
+        }
+        self.moved -= 1;
+        self.reopen(id);
+        let waiters = self.forwards.remove(&id).map(|forward| forward.waiters);
+        if let Some(entry) = self.table.get_mut(id) {
+            entry.waiters = waiters.unwrap_or_default();
+        }
+        self.requeue(id);
+    }
+
+    fn reopen(&mut self, id: RequestId) {
+        if id.home == self.me {
+            self.ledger.reopen(id.sequence);
+        } else if let Some(legacy) = self.legacies.get_mut(&id.home) {
+            legacy.ledger.reopen(id.sequence);
+        }
+    }
+
+    /// The heir has ended: what it was given may have run there.
+    pub(crate) fn heir_lost(&mut self, peer: Incarnation) {
+        let lost = self.drain.as_ref().is_some_and(|d| d.heir == Some(peer) && !d.done);
+        if !lost {
+            return;
+        }
+        self.change_heir(peer);
+    }
+
+    /// Settles what the old heir may have run, and chooses another.
+    fn change_heir(&mut self, old: Incarnation) {
+        let Some(drain) = self.drain.as_mut() else { return };
+        drain.refused.push(old);
+        drain.open.clear();
+        drain.closed = false;
+        let refused = drain.refused.clone();
+        let heir = self.peers.choose_heir(&refused);
+        if let Some(drain) = self.drain.as_mut() {
+            drain.heir = heir;
+        }
+        let moved = |(_, entry): &(&RequestId, &Entry)| entry.state == RequestState::Moved;
+        let moved: Vec<RequestId> = self.table.iter().filter(moved).map(|(id, _)| *id).collect();
+        for id in moved {
+            self.moved -= 1;
+            let waiters = self.forwards.remove(&id).map(|forward| forward.waiters);
+            if let Some(entry) = self.table.get_mut(id) {
+                entry.waiters = waiters.unwrap_or_default();
+                entry.exposed = true;
+            }
+            self.lose(id, Reason::HomeGone);
+        }
+        for pool in 0..self.pools.len() {
+            self.pump(pool);
+        }
+    }
+
+    /// Takes requests and verdicts of a home that is stopping.
+    pub(crate) fn take_over(
+        &mut self,
+        from: Incarnation,
+        home: Incarnation,
+        part: u64,
+        records: Vec<Record>,
+        ledger: Option<LedgerImage>,
+    ) {
+        let known = self.legacies.get(&home);
+        let key = PartKey { from, part };
+        if known.is_some_and(|legacy| legacy.parts.contains(&key)) {
+            return self.send(from, Message::Taken { home, part });
+        }
+        if self.draining() || home == self.me {
+            return self.send(from, Message::Declined { home, part });
+        }
+        let keep = self.settings.keep_ids;
+        let legacy = self.legacies.entry(home).or_insert_with(|| Legacy {
+            ledger: Ledger::new(keep),
+            complete: false,
+            parts: BTreeSet::new(),
+        });
+        legacy.parts.insert(key);
+        if let Some(image) = &ledger {
+            legacy.ledger.merge(image);
+            legacy.complete = true;
+        }
+        for record in records {
+            self.take_record(record);
+        }
+        self.send(from, Message::Taken { home, part });
+        if ledger.is_some() {
+            for peer in self.peers.reachable() {
+                self.send(peer, Message::Heir { home, heir: self.me });
+            }
+        }
+    }
+
+    fn take_record(&mut self, record: Record) {
+        let id = record.id;
+        let service = self.names.service(&record.service);
+        let account = self.names.account(&record.account);
+        let (Some(service), Some(account)) = (service, account) else {
+            let verdict = match &record.state {
+                RecordState::Queued { .. } => Verdict::NotRun,
+                RecordState::Done { answer } => answer.verdict,
+            };
+            return self.record(id, verdict);
+        };
+        if self.table.get(id).is_some() {
+            return;
+        }
+        let mut entry = self.inherited(service, account, record.digest);
+        match record.state {
+            RecordState::Queued { deadline, body, exposed } => {
+                entry.body = body;
+                entry.exposed = exposed;
+                entry.waiters = self.local_waiters(id);
+                entry.deadline = self.now + deadline;
+                self.table.insert(id, entry);
+                self.enqueue(id);
+                self.pump_for(id);
+            }
+            RecordState::Done { answer } => {
+                entry.state = match answer.verdict {
+                    Verdict::Ran => RequestState::Answered,
+                    Verdict::NotRun => RequestState::Refused,
+                    Verdict::Unknown => RequestState::Lost,
+                };
+                self.record(id, answer.verdict);
+                self.table.insert(id, entry);
+                self.table.keep(id, answer.clone(), self.now);
+                for waiter in self.local_waiters(id) {
+                    self.deliver(waiter, answer.clone());
+                }
+            }
+        }
+    }
+
+    /// Takes over who waits here for an answer of the stopping home.
+    fn local_waiters(&mut self, id: RequestId) -> Vec<Waiter> {
+        self.forwards.remove(&id).map(|forward| forward.waiters).unwrap_or_default()
+    }
+
+    fn inherited(&self, service: usize, account: usize, digest: u128) -> Entry {
+        Entry {
+            service,
+            pool: self.names.services[service].pool,
+            account,
+            digest,
+            state: self.charts.request.initial(),
+            body: bytes::Bytes::new(),
+            arrived: self.now,
+            deadline: self.now,
+            lane: Lane::Interactive,
+            cost: 0,
+            waiters: Vec::<Waiter>::new(),
+            attempts: Vec::new(),
+            tried: 0,
+            stopped: 0,
+            exposed: false,
+            adopted: false,
+            resume: self.now,
+            wake: None,
+            answer: None,
+            settled: self.now,
+            steps: Vec::new(),
+        }
+    }
+}
+
+/// Cuts records into parts of bounded size.
+fn chunks(records: Vec<Record>) -> Vec<Vec<Record>> {
+    let mut parts = vec![Vec::new()];
+    let mut bytes = 0;
+    for record in records {
+        let body = match &record.state {
+            RecordState::Queued { body, .. } => body.len(),
+            RecordState::Done { answer } => answer.body.len(),
+        };
+        bytes += body + RECORD_BYTES;
+        if bytes > PART_BYTES {
+            parts.push(Vec::new());
+            bytes = body + RECORD_BYTES;
+        }
+        if let Some(part) = parts.last_mut() {
+            part.push(record);
+        }
+    }
+    parts
+}
--- /dev/null
+++ b/crates/route/src/ledger.rs
@@ -0,0 +1,125 @@
+//! Verdicts of a home's ids, two bits an id, beyond the time for which answers are kept.
+
+use std::collections::BTreeMap;
+
+use crate::Block;
+use crate::LedgerImage;
+use model::Verdict;
+
+const IDS_PER_WORD: u64 = 32;
+const WORDS_PER_BLOCK: usize = 16;
+const IDS_PER_BLOCK: u64 = IDS_PER_WORD * WORDS_PER_BLOCK as u64;
+
+/// Low bit of each id's pair.
+const LOW_BITS: u64 = 0x5555_5555_5555_5555;
+
+/// What a ledger knows of an id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// The home did not give it out.
+    NotIssued,
+    /// It is older than the record.
+    TooOld,
+    /// It was given out and is not settled.
+    Unused,
+    /// It is settled.
+    Settled(Verdict),
+}
+
+/// Verdicts of the ids of one home.
+#[derive(Debug)]
+pub(crate) struct Ledger {
+    issued: u64,
+    floor: u64,
+    keep: u64,
+    blocks: BTreeMap<u64, [u64; WORDS_PER_BLOCK]>,
+}
+
+impl Ledger {
+    /// An empty ledger that remembers the last `keep` ids.
+    pub(crate) fn new(keep: u64) -> Ledger {
+        Ledger { issued: 1, floor: 0, keep, blocks: BTreeMap::new() }
+    }
+
+    /// Gives out the next sequence number.
+    pub(crate) fn issue(&mut self) -> u64 {
+        let sequence = self.issued;
+        self.issued += 1;
+        if self.issued - self.floor > self.keep + IDS_PER_BLOCK {
+            self.floor += IDS_PER_BLOCK;
+            self.blocks = self.blocks.split_off(&(self.floor / IDS_PER_BLOCK));
+        }
+        sequence
+    }
+
+    /// What is known of an id.
+    pub(crate) fn standing(&self, sequence: u64) -> Standing {
+        if sequence == 0 || sequence >= self.issued {
+            return Standing::NotIssued;
+        }
+        if sequence < self.floor {
+            return Standing::TooOld;
+        }
+        let (block, word, shift) = place(sequence);
+        let bits = self.blocks.get(&block).map_or(0, |words| (words[word] >> shift) & 3);
+        match bits {
+            0 => Standing::Unused,
+            1 => Standing::Settled(Verdict::NotRun),
+            2 => Standing::Settled(Verdict::Ran),
+            _ => Standing::Settled(Verdict::Unknown),
+        }
+    }
+
+    /// Records the verdict of an id.
+    pub(crate) fn settle(&mut self, sequence: u64, verdict: Verdict) {
+        self.issued = self.issued.max(sequence + 1);
+        if sequence < self.floor {
+            return;
+        }
+        let bits = match verdict {
+            Verdict::NotRun => 1,
+            Verdict::Ran => 2,
+            Verdict::Unknown => 3,
+        };
+        let (block, word, shift) = place(sequence);
+        let words = self.blocks.entry(block).or_default();
+        words[word] = (words[word] & !(3 << shift)) | (bits << shift);
+    }
+
+    /// Takes back the verdict of an id that was never in another's hands.
+    pub(crate) fn reopen(&mut self, sequence: u64) {
+        let (block, word, shift) = place(sequence);
+        if let Some(words) = self.blocks.get_mut(&block) {
+            words[word] &= !(3 << shift);
+        }
+    }
+
+    /// Takes in what the home handed over; verdicts that are already here stand.
+    pub(crate) fn merge(&mut self, image: &LedgerImage) {
+        self.issued = self.issued.max(image.issued);
+        self.floor = self.floor.max(image.floor);
+        for block in &image.blocks {
+            let words = self.blocks.entry(block.index).or_default();
+            for (word, new) in words.iter_mut().zip(&block.words) {
+                let low = (*word | *word >> 1) & LOW_BITS;
+                *word |= *new & !(low | low << 1);
+            }
+        }
+    }
+
+    /// A copy for the heir.
+    pub(crate) fn image(&self) -> LedgerImage {
+        let block = |(index, words): (&u64, &[u64; WORDS_PER_BLOCK])| Block {
+            index: *index,
+            words: words.to_vec(),
+        };
+        let blocks = self.blocks.iter().map(block).collect();
+        LedgerImage { issued: self.issued, floor: self.floor, blocks }
+    }
+}
+
+fn place(sequence: u64) -> (u64, usize, u64) {
+    let within = sequence % IDS_PER_BLOCK;
+    let word = (within / IDS_PER_WORD) as usize;
+    (sequence / IDS_PER_BLOCK, word, (within % IDS_PER_WORD) * 2)
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -4,12 +4,30 @@
 //! that a shell carries out. The same events in the same order give the same actions.
 
 mod action;
+mod attempts;
+mod backends;
+mod budget;
+mod calls;
+mod credits;
+mod drain;
 mod event;
+mod homes;
+mod ledger;
+mod lending;
 mod life;
 mod message;
+mod names;
+mod peers;
 mod policy;
+mod pump;
+mod queue;
+mod report;
 mod router;
+mod runtime;
+mod seat;
 mod settings;
+mod settle;
+mod table;
 mod view;
 
 pub use action::Action;
--- a/crates/route/src/message.rs
+++ b/crates/route/src/message.rs
@@ -159,6 +159,8 @@
         deadline: Duration,
         /// The request's body.
         body: Bytes,
+        /// Whether an earlier attempt may have run.
+        exposed: bool,
     },
     /// It is settled.
     Done {
--- /dev/null
+++ b/crates/route/src/queue.rs
@@ -0,0 +1,130 @@
+//! Waiting requests of one pool and lane.
+//!
+//! Client accounts share by weight: each has a virtual time that advances by the slot time it is
+//! given, divided by its weight. Those that are no more than a quantum ahead of the one furthest
+//! behind may go next, and among them the earliest deadline does. While nothing is saturated the
+//! order is therefore earliest deadline first.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use model::RequestId;
+use model::Time;
+
+/// Slot time in microseconds, for weight 1, by which an account may be ahead of another.
+const QUANTUM: u64 = 100_000;
+
+/// A waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Waiting {
+    /// When its caller gives up.
+    pub(crate) deadline: Time,
+    /// The request.
+    pub(crate) id: RequestId,
+}
+
+#[derive(Debug, Default)]
+struct Line {
+    spent: u64,
+    weight: u64,
+    work: u64,
+    order: BTreeSet<Waiting>,
+}
+
+/// Waiting requests of one pool and lane.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    lines: BTreeMap<usize, Line>,
+    active: BTreeSet<usize>,
+    floor: u64,
+    len: usize,
+    work: u64,
+    weights: u64,
+}
+
+impl Queue {
+    /// Number of waiting requests.
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Slot time in microseconds that is served before a new request of `account`.
+    pub(crate) fn ahead(&self, account: usize, weight: u32) -> u64 {
+        let Some(line) = self.lines.get(&account).filter(|line| !line.order.is_empty()) else {
+            return 0;
+        };
+        let own = line.work.saturating_mul(self.weights) / u64::from(weight.max(1));
+        own.min(self.work)
+    }
+
+    /// Expected slot time of all of them in microseconds.
+    pub(crate) fn work(&self) -> u64 {
+        self.work
+    }
+
+    /// Adds a request whose expected slot time is `cost` microseconds.
+    pub(crate) fn push(&mut self, account: usize, weight: u32, waiting: Waiting, cost: u64) {
+        let line = self.lines.entry(account).or_default();
+        if line.order.is_empty() {
+            line.weight = u64::from(weight.max(1));
+            line.spent = line.spent.max(self.floor);
+            self.active.insert(account);
+            self.weights += line.weight;
+        }
+        let new = line.order.insert(waiting);
+        assert!(new, "request {} is queued twice", waiting.id);
+        line.work += cost;
+        self.len += 1;
+        self.work += cost;
+    }
+
+    /// Takes a request out; whether it was there.
+    pub(crate) fn remove(&mut self, account: usize, waiting: Waiting, cost: u64) -> bool {
+        let Some(line) = self.lines.get_mut(&account) else { return false };
+        if !line.order.remove(&waiting) {
+            return false;
+        }
+        line.work = line.work.saturating_sub(cost);
+        if line.order.is_empty() {
+            self.active.remove(&account);
+            self.weights -= line.weight;
+        }
+        self.len -= 1;
+        self.work = self.work.saturating_sub(cost);
+        true
+    }
+
+    /// The request that goes next.
+    pub(crate) fn next(&mut self) -> Option<Waiting> {
+        let lines = &self.lines;
+        let least = self.active.iter().map(|account| lines[account].spent).min()?;
+        self.floor = self.floor.max(least);
+        let eligible = |account: &&usize| lines[*account].spent <= least + QUANTUM;
+        let heads = self.active.iter().filter(eligible).map(|account| &lines[account].order);
+        heads.filter_map(BTreeSet::first).min().copied()
+    }
+
+    /// The request that can wait longest.
+    pub(crate) fn latest(&self) -> Option<Waiting> {
+        let lines = self.active.iter().map(|account| &self.lines[account].order);
+        lines.filter_map(BTreeSet::last).max().copied()
+    }
+
+    /// Charges `account` with slot time, or gives some back.
+    pub(crate) fn charge(&mut self, account: usize, micros: i64) {
+        let Some(line) = self.lines.get_mut(&account) else { return };
+        let share = micros / i64::try_from(line.weight.max(1)).unwrap_or(i64::MAX);
+        line.spent = line.spent.saturating_add_signed(share);
+    }
+
+    /// All waiting requests, in no particular order.
+    pub(crate) fn all(&self) -> Vec<RequestId> {
+        let orders = self.lines.values().flat_map(|line| &line.order);
+        orders.map(|waiting| waiting.id).collect()
+    }
+
+    /// Accounts with waiting requests and their number.
+    pub(crate) fn lengths(&self) -> impl Iterator<Item = (usize, usize)> {
+        self.active.iter().map(|account| (*account, self.lines[account].order.len()))
+    }
+}
--- /dev/null
+++ b/crates/route/src/report.rs
@@ -0,0 +1,81 @@
+//! What operators can ask of the router.
+
+use crate::AnswerCount;
+use crate::BackendView;
+use crate::PeerView;
+use crate::QueueView;
+use crate::Router;
+use crate::Snapshot;
+use crate::Step;
+use crate::seat::Lane;
+use crate::seat::Pool;
+use crate::seat::Seat;
+use model::Class;
+use model::RequestId;
+
+impl Router {
+    /// The present state.
+    pub fn snapshot(&self) -> Snapshot {
+        let answer = |(key, count): (&(model::Verdict, crate::Reason), &u64)| AnswerCount {
+            verdict: key.0,
+            reason: key.1,
+            count: *count,
+        };
+        let peer = |known: &crate::peers::Known| PeerView {
+            incarnation: known.peer.incarnation,
+            reachable: known.down.is_none(),
+            draining: known.draining,
+        };
+        Snapshot {
+            revision: self.policy.revision,
+            draining: self.draining(),
+            requests: self.table.len(),
+            running: self.running,
+            forwarded: self.forwards.len(),
+            kept_bytes: self.table.kept_bytes(),
+            queues: self.pools.iter().flat_map(|pool| self.queue_views(pool)).collect(),
+            backends: self
+                .seat_index
+                .values()
+                .map(|s| self.backend_view(&self.seats[*s]))
+                .collect(),
+            peers: self.peers.iter().map(peer).collect(),
+            answers: self.totals.answers.iter().map(answer).collect(),
+            retries: self.totals.retries,
+            hedges: self.totals.hedges,
+            link_bytes: self.totals.link_bytes,
+        }
+    }
+
+    /// Path of a request through its chart, as far as it is kept.
+    pub fn explain(&self, id: RequestId) -> Option<Vec<Step>> {
+        self.table.get(id).map(|entry| entry.steps.clone())
+    }
+
+    fn queue_views(&self, pool: &Pool) -> Vec<QueueView> {
+        let mut views = Vec::new();
+        for (index, queue) in pool.queues.iter().enumerate() {
+            let urgent = index == Lane::Interactive as usize;
+            let class = if urgent { Class::Interactive } else { Class::Batch };
+            views.extend(queue.lengths().map(|(account, waiting)| QueueView {
+                pool: pool.id.clone(),
+                class,
+                account: self.names.accounts[account].id.clone(),
+                waiting,
+            }));
+        }
+        views
+    }
+
+    fn backend_view(&self, seat: &Seat) -> BackendView {
+        BackendView {
+            id: seat.id.clone(),
+            pool: self.pools[seat.pool].id.clone(),
+            state: seat.state,
+            lender: seat.lender,
+            held: seat.credits(self.settings.reserved_percent, self.now).0,
+            used: seat.used,
+            lent: seat.book.as_ref().map_or(0, crate::lending::Book::lent),
+        }
+    }
+}
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,56 +1,102 @@
-//! The state machine that the shell drives.
+//! The state machine that the shell drives: its parts, its timers and the way of events to them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 use crate::Action;
-use crate::Answer;
-use crate::AttemptResult;
-use crate::Backend;
-use crate::BackendView;
-use crate::Call;
 use crate::Event;
+use crate::Message;
+use crate::Peer;
 use crate::Policy;
+use crate::PoolId;
 use crate::Reason;
-use crate::RequestState;
-use crate::Reuse;
 use crate::Settings;
-use crate::Snapshot;
-use crate::Step;
 use crate::Ticket;
+use crate::budget::TokenBucket;
+use crate::drain::Drain;
+use crate::homes::Forward;
+use crate::homes::Inquiry;
+use crate::homes::Legacy;
+use crate::ledger::Ledger;
 use crate::life::Charts;
-use crate::life::RequestEvent;
+use crate::names::Names;
+use crate::peers::Peers;
+use crate::seat::Pool;
+use crate::seat::Seat;
+use crate::table::Table;
+use crate::table::Waiter;
 use model::BackendId;
 use model::Incarnation;
 use model::RegionId;
 use model::RequestId;
 use model::Time;
 use model::Verdict;
+use model::VmId;
 use model::ZoneId;
 
-#[derive(Debug)]
-struct Entry {
-    call: Call,
-    ticket: Ticket,
-    backend: BackendId,
-    state: RequestState,
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Timer {
+    Request(RequestId),
+    Forward(RequestId),
+    Inquiry(RequestId),
+    Seat(usize),
+    Upkeep,
+}
+
+/// Totals since the start.
+#[derive(Debug, Default)]
+pub(crate) struct Totals {
+    pub(crate) answers: BTreeMap<(Verdict, Reason), u64>,
+    pub(crate) retries: u64,
+    pub(crate) hedges: u64,
+    pub(crate) link_bytes: u64,
 }
 
 /// Request decisions of one run of an entry VM's process.
 #[derive(Debug)]
 pub struct Router {
-    _settings: Settings,
-    me: Incarnation,
-    charts: Charts,
-    next: u64,
-    policy: Arc<Policy>,
-    backends: Vec<Backend>,
-    entries: BTreeMap<RequestId, Entry>,
-    turn: usize,
-    draining: bool,
+    pub(crate) settings: Settings,
+    pub(crate) me: Incarnation,
+    pub(crate) zone: ZoneId,
+    pub(crate) region: RegionId,
+    pub(crate) rng: StdRng,
+    pub(crate) charts: Charts,
+    pub(crate) now: Time,
+    pub(crate) out: Vec<Action>,
+    pub(crate) policy: Arc<Policy>,
+    pub(crate) names: Names,
+    pub(crate) ledger: Ledger,
+    pub(crate) legacies: BTreeMap<Incarnation, Legacy>,
+    pub(crate) table: Table,
+    pub(crate) tickets: BTreeMap<Ticket, RequestId>,
+    pub(crate) forwards: BTreeMap<RequestId, Forward>,
+    pub(crate) inquiries: BTreeMap<RequestId, Inquiry>,
+    pub(crate) peers: Peers,
+    pub(crate) pools: Vec<Pool>,
+    pub(crate) pool_index: BTreeMap<PoolId, usize>,
+    pub(crate) seats: Vec<Seat>,
+    pub(crate) seat_index: BTreeMap<BackendId, usize>,
+    pub(crate) vacant: Vec<usize>,
+    pub(crate) borrowed: BTreeSet<usize>,
+    pub(crate) settling: BTreeSet<usize>,
+    pub(crate) lenders_due: Option<Time>,
+    pub(crate) turn: u64,
+    pub(crate) waiting: usize,
+    pub(crate) waiting_bytes: usize,
+    pub(crate) running: usize,
+    pub(crate) link: TokenBucket,
+    pub(crate) drain: Option<Drain>,
+    /// Requests in the table that belong to the heir.
+    pub(crate) moved: usize,
+    pub(crate) totals: Totals,
+    timers: BTreeSet<(Time, Timer)>,
 }
 
 impl Router {
@@ -58,150 +104,146 @@
     pub fn new(
         settings: Settings,
         me: Incarnation,
-        _zone: ZoneId,
-        _region: RegionId,
-        _seed: u64,
+        zone: ZoneId,
+        region: RegionId,
+        seed: u64,
     ) -> Router {
+        let own =
+            Peer { incarnation: me, vm: VmId::new(""), zone: zone.clone(), region: region.clone() };
         Router {
-            _settings: settings,
+            ledger: Ledger::new(settings.keep_ids),
+            link: TokenBucket::new(settings.link_rate, settings.link_rate),
+            settings,
             me,
+            zone,
+            region,
+            rng: StdRng::seed_from_u64(seed),
             charts: Charts::load(),
-            next: 1,
+            now: Time::ZERO,
+            out: Vec::new(),
             policy: Arc::default(),
-            backends: Vec::new(),
-            entries: BTreeMap::new(),
+            names: Names::default(),
+            legacies: BTreeMap::new(),
+            table: Table::default(),
+            tickets: BTreeMap::new(),
+            forwards: BTreeMap::new(),
+            inquiries: BTreeMap::new(),
+            peers: Peers::new(own),
+            pools: Vec::new(),
+            pool_index: BTreeMap::new(),
+            seats: Vec::new(),
+            seat_index: BTreeMap::new(),
+            vacant: Vec::new(),
+            borrowed: BTreeSet::new(),
+            settling: BTreeSet::new(),
+            lenders_due: None,
             turn: 0,
-            draining: false,
+            waiting: 0,
+            waiting_bytes: 0,
+            running: 0,
+            drain: None,
+            moved: 0,
+            totals: Totals::default(),
+            timers: BTreeSet::from([(Time::ZERO, Timer::Upkeep)]),
         }
     }
 
     /// Gives out a fresh id, whose home is this router.
     pub fn issue_id(&mut self) -> RequestId {
-        let sequence = self.next;
-        self.next += 1;
-        RequestId { home: self.me, sequence }
+        RequestId { home: self.me, sequence: self.ledger.issue() }
     }
 
     /// When to send [`Event::Tick`], if nothing else happens before.
     pub fn next_wake(&self) -> Option<Time> {
-        None
+        self.timers.first().map(|(time, _)| *time)
     }
 
-    /// The present state.
-    pub fn snapshot(&self) -> Snapshot {
-        let view = |b: &Backend| BackendView {
-            id: b.id.clone(),
-            pool: b.pool.clone(),
-            state: self.charts.backend.initial(),
-            lender: self.me,
-            held: b.slots,
-            used: 0,
-            lent: 0,
-        };
-        Snapshot {
-            revision: self.policy.revision,
-            draining: self.draining,
-            running: self.entries.len(),
-            backends: self.backends.iter().map(view).collect(),
-            ..Snapshot::default()
+    /// Decides about `event` and appends what is to be done to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        self.fire_timers();
+        match event {
+            Event::Call { ticket, call } => {
+                self.tickets.insert(ticket, call.id);
+                self.call(Waiter::Ticket(ticket), call);
+            }
+            Event::Hangup { ticket } => self.hang_up(ticket),
+            Event::Query { ticket, id } => {
+                self.tickets.insert(ticket, id);
+                self.query(Waiter::Ticket(ticket), id);
+            }
+            Event::Peer { from, message } => self.receive(from, message),
+            Event::PeerUp { peer } => self.peer_up(peer),
+            Event::PeerDown { peer, gone } => self.peer_down(peer, gone),
+            Event::Attempt { id, attempt, result } => self.attempt_ended(id, attempt, result),
+            Event::Backends { list } => self.list_backends(&list),
+            Event::BackendSign { backend, sign } => self.backend_sign(&backend, sign),
+            Event::Policy { policy } => self.apply_policy(policy),
+            Event::Drain => self.start_drain(),
+            Event::Tick => {}
         }
+        self.drain_step();
+        out.append(&mut self.out);
     }
 
-    /// Path of a request through its chart, as far as it is kept.
-    pub fn explain(&self, _id: RequestId) -> Option<Vec<Step>> {
-        None
+    fn fire_timers(&mut self) {
+        while let Some((time, timer)) = self.timers.first().copied() {
+            if time > self.now {
+                break;
+            }
+            self.timers.pop_first();
+            match timer {
+                Timer::Request(id) => self.request_due(id),
+                Timer::Forward(id) => self.forward_due(id),
+                Timer::Inquiry(id) => self.inquiry_due(id),
+                Timer::Seat(seat) => self.seat_due(seat),
+                Timer::Upkeep => self.upkeep(),
+            }
+        }
     }
 
-    /// Decides about `event` and appends what is to be done to `out`.
-    pub fn handle(&mut self, _now: Time, event: Event, out: &mut Vec<Action>) {
-        match event {
-            Event::Call { ticket, call } => self.call(ticket, call, out),
-            Event::Attempt { id, result, .. } => self.attempt(id, result, out),
-            Event::Backends { list } => self.backends = list,
-            Event::Policy { policy } => self.policy = policy,
-            Event::Drain => self.draining = true,
-            _ => {}
-        }
-        if self.draining && self.entries.is_empty() {
-            out.push(Action::Drained);
+    /// Work that is done again and again, whatever happens.
+    fn upkeep(&mut self) {
+        let interval = self.settings.credit_term / 4;
+        self.start_timer(self.now + interval, Timer::Upkeep);
+        let (keep, most) = (self.settings.keep, self.settings.keep_bytes);
+        while self.table.expire(self.now, keep, most) {}
+        self.keep_lenders();
+        self.renew_credits();
+        self.resend_handover();
+        for pool in 0..self.pools.len() {
+            self.pump(pool);
         }
+        self.check();
     }
 
-    fn call(&mut self, ticket: Ticket, call: Call, out: &mut Vec<Action>) {
-        let id = call.id;
-        let Some(service) = self.policy.services.get(&call.service) else {
-            return out.push(refuse(ticket, id, Reason::NoService, 404));
-        };
-        let usable = |b: &&Backend| b.pool == service.pool && !b.leaving;
-        let count = self.backends.iter().filter(usable).count();
-        if count == 0 {
-            return out.push(refuse(ticket, id, Reason::NoBackend, 503));
+    /// Asserts what must hold between any two events; bounded work a call.
+    fn check(&self) {
+        let waiting: usize = self.pools.iter().map(Pool::waiting).sum();
+        assert_eq!(waiting, self.waiting, "queued requests are miscounted");
+        for pool in &self.pools {
+            assert!(pool.firm <= pool.used[1], "batch slots are miscounted");
         }
-        self.turn += 1;
-        let chosen = self.backends.iter().filter(usable).nth(self.turn % count);
-        let Some(backend) = chosen.map(|b| b.id.clone()) else { return };
-        out.push(Action::Dispatch {
-            id,
-            attempt: 1,
-            backend: backend.clone(),
-            service: call.service.clone(),
-            body: call.body.clone(),
-            timeout: service.timeout,
-            reuse: Reuse::Proven,
-        });
-        let mut state = self.charts.request.initial();
-        self.charts.request.advance(&mut state, RequestEvent::Dispatch);
-        self.entries.insert(id, Entry { call, ticket, backend, state });
     }
 
-    fn attempt(&mut self, id: RequestId, result: AttemptResult, out: &mut Vec<Action>) {
-        let Some(mut entry) = self.entries.remove(&id) else { return };
-        let (verdict, reason, status, body) = match result {
-            AttemptResult::Answered { status, body } => {
-                (Verdict::Ran, Reason::Answered, status, body)
-            }
-            AttemptResult::NotSent { .. } | AttemptResult::TimedOut { sent: false } => {
-                (Verdict::NotRun, Reason::ConnectFailed, 503, Bytes::new())
-            }
-            AttemptResult::Broken { .. } => {
-                (Verdict::Unknown, Reason::ConnectionLost, 502, Bytes::new())
-            }
-            AttemptResult::TimedOut { sent: true } => {
-                (Verdict::Unknown, Reason::Timeout, 504, Bytes::new())
-            }
-        };
-        let event = match verdict {
-            Verdict::Ran => RequestEvent::Answer,
-            Verdict::NotRun => RequestEvent::Refuse,
-            Verdict::Unknown => RequestEvent::Lose,
-        };
-        self.charts.request.advance(&mut entry.state, event);
-        let answer = Answer {
-            id: entry.call.id,
-            verdict,
-            last: true,
-            reason,
-            retry: None,
-            status,
-            body,
-            backend: Some(entry.backend),
-            dependency: None,
-        };
-        out.push(Action::Answer { ticket: entry.ticket, answer });
+    pub(crate) fn start_timer(&mut self, at: Time, timer: Timer) {
+        self.timers.insert((at, timer));
+    }
+
+    pub(crate) fn stop_timer(&mut self, at: Time, timer: Timer) {
+        self.timers.remove(&(at, timer));
+    }
+
+    pub(crate) fn send(&mut self, to: Incarnation, message: Message) {
+        self.out.push(Action::Send { to, message });
     }
-}
 
-fn refuse(ticket: Ticket, id: RequestId, reason: Reason, status: u16) -> Action {
-    let answer = Answer {
-        id,
-        verdict: Verdict::NotRun,
-        last: true,
-        reason,
-        retry: Some(Duration::from_secs(1)),
-        status,
-        body: Bytes::new(),
-        backend: None,
-        dependency: None,
-    };
-    Action::Answer { ticket, answer }
+    /// `span`, made up to a quarter longer at random.
+    pub(crate) fn jitter(&mut self, span: Duration) -> Duration {
+        span.mul_f64(self.rng.random_range(1.0..1.25))
+    }
+
+    pub(crate) fn draining(&self) -> bool {
+        self.drain.is_some()
+    }
 }
--- /dev/null
+++ b/crates/route/src/runtime.rs
@@ -0,0 +1,60 @@
+//! Learned run times; declared ones are not trusted.
+
+use std::time::Duration;
+
+const GAIN: f64 = 1.0 / 16.0;
+const FIRST_GUESS_MICROS: f64 = 10_000.0;
+
+/// Moving mean and deviation of the run times of one service.
+#[derive(Clone, Debug)]
+pub(crate) struct RunTime {
+    mean: f64,
+    deviation: f64,
+    known: bool,
+}
+
+impl RunTime {
+    /// Nothing observed so far.
+    pub(crate) fn new() -> RunTime {
+        RunTime { mean: FIRST_GUESS_MICROS, deviation: FIRST_GUESS_MICROS / 2.0, known: false }
+    }
+
+    /// Takes in one run.
+    pub(crate) fn observe(&mut self, run: Duration) {
+        let micros = run.as_micros() as f64;
+        if !self.known {
+            self.known = true;
+            self.mean = micros;
+            self.deviation = micros / 2.0;
+            return;
+        }
+        let error = micros - self.mean;
+        self.mean += error * GAIN;
+        self.deviation += (error.abs() - self.deviation) * GAIN;
+    }
+
+    /// Whether any run was observed.
+    pub(crate) fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// Expected run time in microseconds.
+    pub(crate) fn mean_micros(&self) -> u64 {
+        self.mean as u64
+    }
+
+    /// Expected run time.
+    pub(crate) fn mean(&self) -> Duration {
+        Duration::from_micros(self.mean_micros())
+    }
+
+    /// Run time that few runs exceed.
+    pub(crate) fn tail(&self) -> Duration {
+        Duration::from_micros((self.mean + 3.0 * self.deviation) as u64)
+    }
+
+    /// How long `run` is in units of the mean.
+    pub(crate) fn ratio(&self, run: Duration) -> f64 {
+        run.as_micros() as f64 / self.mean.max(1.0)
+    }
+}
--- /dev/null
+++ b/crates/route/src/settle.rs
@@ -0,0 +1,272 @@
+//! How requests end, and their timers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::Action;
+use crate::Answer;
+use crate::Reason;
+use crate::RequestState;
+use crate::Router;
+use crate::calls::blank;
+use crate::ledger::Standing;
+use crate::life::RequestEvent;
+use crate::seat::Lane;
+use crate::table::Attempt;
+use crate::table::Entry;
+use model::RequestId;
+use model::Time;
+use model::Verdict;
+
+/// Time after the timeout at which an attempt that the shell did not report is given up.
+const REPORT_GRACE: Duration = Duration::from_secs(1);
+
+/// Multiple of a service's tail from which a run counts as a straggler.
+const STRAGGLER_TAILS: u32 = 2;
+
+const SOON: Duration = Duration::from_millis(500);
+
+impl Router {
+    /// What is known of an id that this router answers for and that is not in the table.
+    pub(crate) fn standing(&self, id: RequestId) -> Standing {
+        if id.home == self.me {
+            return self.ledger.standing(id.sequence);
+        }
+        let legacy = self.legacies.get(&id.home);
+        legacy.map_or(Standing::NotIssued, |legacy| legacy.ledger.standing(id.sequence))
+    }
+
+    /// Records the verdict of an id beyond the time for which its answer is kept.
+    pub(crate) fn record(&mut self, id: RequestId, verdict: Verdict) {
+        if id.home == self.me {
+            self.ledger.settle(id.sequence, verdict);
+        } else if let Some(legacy) = self.legacies.get_mut(&id.home) {
+            legacy.ledger.settle(id.sequence, verdict);
+        }
+    }
+
+    /// Ends a request that has not run; if it may have run, its verdict says so.
+    pub(crate) fn refuse(&mut self, id: RequestId, reason: Reason, retry: Option<Duration>) {
+        let Some(entry) = self.table.get(id) else { return };
+        if entry.state == RequestState::Queued {
+            self.dequeue(id);
+        }
+        let Some(entry) = self.table.get(id) else { return };
+        if entry.exposed {
+            return self.lose(id, reason);
+        }
+        assert!(entry.attempts.is_empty(), "request {id} is refused while it runs");
+        let mut answer = blank(id, Verdict::NotRun, reason);
+        answer.retry = retry;
+        self.finish(id, RequestEvent::Refuse, answer);
+    }
+
+    /// Ends a request that may have run.
+    pub(crate) fn lose(&mut self, id: RequestId, reason: Reason) {
+        let Some(entry) = self.table.get(id) else { return };
+        let idempotent = self.names.services[entry.service].policy.idempotent;
+        let mut answer = blank(id, Verdict::Unknown, reason);
+        answer.last = !idempotent;
+        answer.retry = idempotent.then_some(SOON);
+        self.finish(id, RequestEvent::Lose, answer);
+    }
+
+    /// Ends a request with the backend server's whole answer.
+    pub(crate) fn complete(&mut self, id: RequestId, seat: usize, status: u16, body: Bytes) {
+        let mut answer = blank(id, Verdict::Ran, Reason::Answered);
+        answer.status = status;
+        answer.body = body;
+        answer.backend = Some(self.seats[seat].id.clone());
+        self.finish(id, RequestEvent::Answer, answer);
+    }
+
+    fn finish(&mut self, id: RequestId, event: RequestEvent, mut answer: Answer) {
+        let reason = answer.reason;
+        let Some(entry) = self.table.get_mut(id) else { return };
+        if answer.backend.is_none() {
+            answer.backend = entry.steps.iter().rev().find_map(|step| step.backend.clone());
+        }
+        let waiters = std::mem::take(&mut entry.waiters);
+        if let Some(wake) = entry.wake.take() {
+            self.stop_timer(wake, crate::router::Timer::Request(id));
+        }
+        self.advance(id, event);
+        self.note(id, 0, None, Some(reason));
+        self.record(id, answer.verdict);
+        self.table.keep(id, answer.clone(), self.now);
+        for waiter in waiters {
+            self.deliver(waiter, answer.clone());
+        }
+    }
+
+    /// Stops all attempts of a request that may be run again, and ends it.
+    pub(crate) fn give_up(&mut self, id: RequestId, reason: Reason) {
+        self.stop_attempts(id);
+        self.lose(id, reason);
+    }
+
+    /// Stops all attempts of a request; it may have run afterwards.
+    pub(crate) fn stop_attempts(&mut self, id: RequestId) {
+        let Some(entry) = self.table.get_mut(id) else { return };
+        let attempts = std::mem::take(&mut entry.attempts);
+        entry.exposed |= !attempts.is_empty();
+        for attempt in attempts {
+            self.out.push(Action::Abort { id, attempt: attempt.number });
+            self.release(&attempt);
+        }
+    }
+
+    /// When something is due for a request.
+    pub(crate) fn request_wake(&self, entry: &Entry) -> Option<Time> {
+        match entry.state {
+            RequestState::Queued => Some(entry.deadline),
+            RequestState::Paused => Some(entry.resume.min(entry.deadline)),
+            RequestState::Running => self.running_wake(entry),
+            _ => None,
+        }
+    }
+
+    fn running_wake(&self, entry: &Entry) -> Option<Time> {
+        let service = &self.names.services[entry.service];
+        let timeout = service.policy.timeout + REPORT_GRACE;
+        let reports = entry.attempts.iter().map(|attempt| attempt.started + timeout);
+        let expiry = (!entry.waiters.is_empty()).then_some(entry.deadline);
+        let hedge = self.hedge_time(entry);
+        let limit = self.straggler_time(entry.service);
+        let fresh = entry.attempts.iter().filter(|a| a.lane.is_batch() && !a.straggler);
+        let slow = fresh.map(|attempt| attempt.started + limit);
+        reports.chain(expiry).chain(hedge).chain(slow).min()
+    }
+
+    /// Run time from which a run of `service` counts as a straggler.
+    pub(crate) fn straggler_time(&self, service: usize) -> Duration {
+        let service = &self.names.services[service];
+        if !service.run.is_known() {
+            return service.policy.timeout;
+        }
+        (service.run.tail() * STRAGGLER_TAILS).min(service.policy.timeout)
+    }
+
+    fn hedge_time(&self, entry: &Entry) -> Option<Time> {
+        let service = &self.names.services[entry.service];
+        let policy = &service.policy;
+        let [attempt] = entry.attempts.as_slice() else { return None };
+        let wanted = policy.hedge && policy.idempotent && service.run.is_known();
+        let due = attempt.started + service.run.tail();
+        (wanted && entry.tried == 1 && due > self.now).then_some(due)
+    }
+
+    /// The timer of a request fired.
+    pub(crate) fn request_due(&mut self, id: RequestId) {
+        let Some(entry) = self.table.get_mut(id) else { return };
+        entry.wake = None;
+        let (now, state, exposed) = (self.now, entry.state, entry.exposed);
+        let expired = now >= entry.deadline;
+        match state {
+            RequestState::Queued if expired => {
+                self.refuse(id, Reason::Expired, Some(Duration::ZERO));
+            }
+            RequestState::Paused if expired => {
+                let reason = if exposed { Reason::DeadlinePassed } else { Reason::Expired };
+                self.refuse(id, reason, Some(Duration::ZERO));
+            }
+            RequestState::Paused if now >= entry.resume => {
+                self.requeue(id);
+                self.pump_for(id);
+            }
+            RequestState::Running => self.running_due(id, expired),
+            _ => {}
+        }
+        self.set_request_timer(id);
+    }
+
+    fn running_due(&mut self, id: RequestId, expired: bool) {
+        self.find_unreported(id);
+        let Some(entry) = self.table.get(id) else { return };
+        if entry.state != RequestState::Running {
+            return;
+        }
+        let idempotent = self.names.services[entry.service].policy.idempotent;
+        if expired && idempotent {
+            return self.give_up(id, Reason::DeadlinePassed);
+        }
+        if expired {
+            return self.tell_waiters(id);
+        }
+        let due = entry.attempts.first().map(|attempt| attempt.started);
+        let tail = self.names.services[entry.service].run.tail();
+        let hedge = self.names.services[entry.service].policy.hedge && idempotent;
+        let slow = due.is_some_and(|started| self.now >= started + tail);
+        if hedge && slow && entry.attempts.len() == 1 && entry.tried == 1 {
+            self.hedge(id);
+        }
+        self.find_stragglers(id);
+    }
+
+    /// Answers everybody who waits for a request that goes on running.
+    fn tell_waiters(&mut self, id: RequestId) {
+        let Some(entry) = self.table.get_mut(id) else { return };
+        let waiters = std::mem::take(&mut entry.waiters);
+        let mut answer = blank(id, Verdict::Unknown, Reason::DeadlinePassed);
+        answer.last = false;
+        answer.retry = Some(SOON);
+        for waiter in waiters {
+            self.deliver(waiter, answer.clone());
+        }
+    }
+
+    /// Gives up attempts whose end the shell did not report.
+    fn find_unreported(&mut self, id: RequestId) {
+        let Some(entry) = self.table.get(id) else { return };
+        let timeout = self.names.services[entry.service].policy.timeout + REPORT_GRACE;
+        let late = |attempt: &&Attempt| self.now >= attempt.started + timeout;
+        let late: Vec<u32> = entry.attempts.iter().filter(late).map(|a| a.number).collect();
+        for attempt in late {
+            self.out.push(Action::Abort { id, attempt });
+            self.attempt_ended(id, attempt, crate::AttemptResult::TimedOut { sent: true });
+        }
+    }
+
+    /// Counts batch runs that have become stragglers, and stops those above the bound that may be
+    /// run again.
+    fn find_stragglers(&mut self, id: RequestId) {
+        let Some(entry) = self.table.get(id) else { return };
+        let limit = self.straggler_time(entry.service);
+        let now = self.now;
+        let (pool, stopped) = (entry.pool, entry.stopped);
+        let Some(entry) = self.table.get_mut(id) else { return };
+        let mut found = 0;
+        for attempt in &mut entry.attempts {
+            let slow = attempt.lane.is_batch() && now >= attempt.started + limit;
+            if slow && !attempt.straggler {
+                attempt.straggler = true;
+                found += 1;
+            }
+        }
+        let lane = entry.lane;
+        self.pools[pool].stragglers += found;
+        let over = self.pools[pool].stragglers > self.straggler_bound(pool);
+        if found > 0 && over && lane == Lane::Batch && stopped == 0 {
+            self.stop_straggler(id, limit);
+        }
+    }
+
+    fn stop_straggler(&mut self, id: RequestId, pause: Duration) {
+        self.stop_attempts(id);
+        self.advance(id, RequestEvent::Retry);
+        let pause = self.jitter(pause);
+        let resume = self.now + pause;
+        if let Some(entry) = self.table.get_mut(id) {
+            entry.stopped += 1;
+            entry.resume = resume;
+        }
+        self.note(id, 0, None, Some(Reason::Timeout));
+    }
+
+    /// Slots of a pool that stragglers may hold here.
+    pub(crate) fn straggler_bound(&self, pool: usize) -> u32 {
+        let pool = &self.pools[pool];
+        (pool.credits * self.settings.straggler_percent / 100).max(1)
+    }
+}
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -65,8 +65,8 @@
     pub pool: PoolId,
     /// Condition.
     pub state: BackendState,
-    /// Entry VM that lends its slots.
-    pub lender: Incarnation,
+    /// Entry VM that lends its slots, if one can be reached.
+    pub lender: Option<Incarnation>,
     /// Slot credits that this entry VM holds.
     pub held: u32,
     /// Slots that this entry VM uses.
