Decide about membership, shards and the configuration on one entry VM

Cause: entry needs the machine that turns heartbeats and store answers into who is within reach, who owns a shard and which revision is in force.

--- /dev/null
+++ b/crates/fleet/benches/spread.rs
@@ -0,0 +1,3 @@
+//! Spread of the configuration in simulated time.
+
+fn main() {}
--- /dev/null
+++ b/crates/fleet/src/apply.rs
@@ -0,0 +1,276 @@
+//! One change to the configuration: read, compare, swap, and settle what became of it.
+//!
+//! A write whose answer was lost is sent again as it was: it expects the same version, so only one
+//! of the two can take effect. If it then conflicts, the record tells whether the first one did,
+//! by the write id. So the outcome is known, or said to be unknown, and never guessed.
+
+use std::sync::Arc;
+
+use thiserror::Error;
+
+use crate::Record;
+use crate::RecordError;
+use crate::WriteId;
+use model::Revision;
+use model::Stamp;
+use model::Verdict;
+use text::Change;
+use text::Fault;
+
+/// Store calls without an answer after which a change is given up.
+const MAX_LOST: u32 = 6;
+
+/// What to do next for a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Read the stored value.
+    Read,
+    /// Set the stored value if its version is still the same.
+    Write {
+        /// Expected version; 0 stands for an absent key.
+        expect: u64,
+        /// The new value.
+        value: String,
+    },
+    /// Nothing: this came of it.
+    Finished(Outcome),
+}
+
+/// The store's answer to a [`Step`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The stored value.
+    Value {
+        /// Version of the key; 0 if it is absent.
+        version: u64,
+        /// The value, if there is one.
+        value: Option<String>,
+    },
+    /// The write took effect.
+    Written,
+    /// The version was another one.
+    Conflict,
+    /// There was no answer.
+    Lost,
+}
+
+/// What came of a change.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Outcome {
+    /// It is stored.
+    #[error("revision {revision} is stored")]
+    Applied {
+        /// Its revision.
+        revision: Revision,
+        /// What it changed.
+        changes: Vec<Change>,
+    },
+    /// The text says what is already in force.
+    #[error("revision {revision} already says this")]
+    Unchanged {
+        /// The revision in force.
+        revision: Revision,
+    },
+    /// Somebody else changed the configuration first. Nothing was stored.
+    #[error("{} changed the configuration first, to revision {revision}", authors.join(", "))]
+    Raced {
+        /// The revision in force.
+        revision: Revision,
+        /// Who changed it.
+        authors: Vec<String>,
+        /// What they changed.
+        theirs: Vec<Change>,
+    },
+    /// There is no configuration to change. Nothing was stored.
+    #[error("the store holds no configuration, where revision {base} was expected")]
+    Missing {
+        /// The expected revision.
+        base: Revision,
+    },
+    /// The text is faulty. Nothing was stored.
+    #[error("the text has {} faults", faults.len())]
+    Refused {
+        /// What is wrong.
+        faults: Vec<Fault>,
+    },
+    /// The store did not answer before anything was written.
+    #[error("the store did not answer; nothing was changed")]
+    Unreachable,
+    /// The store did not answer after something was written.
+    #[error("the store did not answer; whether the change is stored is unknown")]
+    Unsettled,
+    /// The stored value cannot be used.
+    #[error(transparent)]
+    Record(RecordError),
+}
+
+impl Outcome {
+    /// Whether the change took effect.
+    pub fn verdict(&self) -> Verdict {
+        match self {
+            Outcome::Applied { .. } | Outcome::Unchanged { .. } => Verdict::Ran,
+            Outcome::Unsettled => Verdict::Unknown,
+            _ => Verdict::NotRun,
+        }
+    }
+}
+
+/// A new text and who proposes it.
+#[derive(Clone, Debug)]
+struct Proposal {
+    text: Arc<str>,
+    base: Option<Revision>,
+    author: String,
+    write: WriteId,
+    at: Stamp,
+}
+
+/// The record that a write builds on, if there is one.
+#[derive(Clone, Debug)]
+struct Base {
+    record: Option<Record>,
+}
+
+/// The machine of one change to the configuration.
+#[derive(Clone, Debug)]
+pub struct Apply {
+    proposal: Proposal,
+    base: Option<Base>,
+    /// Whether a conflict has to be explained.
+    settling: bool,
+    lost: u32,
+    next: Step,
+}
+
+impl Apply {
+    /// Starts to replace the configuration by `text`, if it still has the revision `base`.
+    ///
+    /// Without a base, the change builds on whatever is stored when it begins.
+    pub fn new(
+        text: &str,
+        base: Option<Revision>,
+        author: &str,
+        write: WriteId,
+        at: Stamp,
+    ) -> Apply {
+        let next = match text::parse("text", text) {
+            Ok(_) => Step::Read,
+            Err(faults) => Step::Finished(Outcome::Refused { faults }),
+        };
+        let author = author.to_owned();
+        let proposal = Proposal { text: Arc::from(text), base, author, write, at };
+        Apply { proposal, base: None, settling: false, lost: 0, next }
+    }
+
+    /// What to do now.
+    pub fn step(&self) -> &Step {
+        &self.next
+    }
+
+    /// Takes the answer to the step.
+    pub fn answer(&mut self, answer: Answer) {
+        if matches!(self.next, Step::Finished(_)) {
+            return;
+        }
+        match answer {
+            Answer::Lost => self.lose(),
+            Answer::Value { version, value } => self.read(version, value.as_deref()),
+            Answer::Written => self.written(),
+            Answer::Conflict => {
+                self.settling = true;
+                self.next = Step::Read;
+            }
+        }
+    }
+
+    fn lose(&mut self) {
+        self.lost += 1;
+        if self.lost >= MAX_LOST {
+            let outcome = match self.base {
+                Some(_) => Outcome::Unsettled,
+                None => Outcome::Unreachable,
+            };
+            self.next = Step::Finished(outcome);
+        }
+    }
+
+    fn written(&mut self) {
+        let old = self.base.as_ref().and_then(|base| base.record.as_ref());
+        let revision = Revision(old.map_or(0, |record| record.revision.0) + 1);
+        let changes = changes(old.map_or("", |record| &record.text), &self.proposal.text);
+        self.next = Step::Finished(Outcome::Applied { revision, changes });
+    }
+
+    fn read(&mut self, version: u64, value: Option<&str>) {
+        let record = match value.map(Record::decode).transpose() {
+            Ok(record) => record,
+            Err(error) => {
+                self.next = Step::Finished(Outcome::Record(error));
+                return;
+            }
+        };
+        self.next = match (&self.base, self.settling) {
+            (Some(base), true) => Step::Finished(self.explain(base, record.as_ref())),
+            _ => self.propose(version, record),
+        };
+    }
+
+    /// What became of a write that conflicted.
+    fn explain(&self, base: &Base, record: Option<&Record>) -> Outcome {
+        let Some(record) = record else { return Outcome::Unsettled };
+        let old = base.record.as_ref();
+        let text = old.map_or("", |record| &record.text);
+        if let Some(revision) = record.revision_of(self.proposal.write) {
+            return Outcome::Applied { revision, changes: changes(text, &self.proposal.text) };
+        }
+        let from = old.map_or(Revision(0), |record| record.revision);
+        match record.write_of(Revision(from.0 + 1)) {
+            Some(_) => raced(from, text, record),
+            None => Outcome::Unsettled,
+        }
+    }
+
+    fn propose(&mut self, version: u64, record: Option<Record>) -> Step {
+        let proposal = &self.proposal;
+        let revision = record.as_ref().map_or(Revision(0), |record| record.revision);
+        match (proposal.base, &record) {
+            (Some(base), Some(record)) if base != revision => {
+                let text = record.text_at(base).unwrap_or_default();
+                return Step::Finished(raced(base, &text, record));
+            }
+            (Some(base), None) if base != revision => {
+                return Step::Finished(Outcome::Missing { base });
+            }
+            _ => {}
+        }
+        if record.as_ref().is_some_and(|record| record.text == proposal.text) {
+            return Step::Finished(Outcome::Unchanged { revision });
+        }
+        let Proposal { text, author, write, at, .. } = proposal;
+        let next = match &record {
+            Some(record) => record.next(*write, author, *at, text),
+            None => Record::first(*write, author, *at, text),
+        };
+        match next.encode() {
+            Ok(value) => {
+                self.base = Some(Base { record });
+                Step::Write { expect: version, value }
+            }
+            Err(error) => Step::Finished(Outcome::Record(error)),
+        }
+    }
+}
+
+fn raced(base: Revision, old: &str, record: &Record) -> Outcome {
+    Outcome::Raced {
+        revision: record.revision,
+        authors: record.authors_since(base),
+        theirs: changes(old, &record.text),
+    }
+}
+
+fn changes(old: &str, new: &str) -> Vec<Change> {
+    let old = text::parse("old", old).unwrap_or_default();
+    let new = text::parse("new", new).unwrap_or_default();
+    text::diff(&old, &new)
+}
--- /dev/null
+++ b/crates/fleet/src/record.rs
@@ -0,0 +1,225 @@
+//! The stored value of the configuration: the text in force and its history.
+//!
+//! The value is a line of JSON, which holds the revision, who wrote it and how to get back to
+//! earlier revisions, followed by the text as it is. The oldest history goes when the value would
+//! grow beyond its bound.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::Splice;
+use crate::spread::apply;
+use crate::spread::splice;
+use model::Revision;
+use model::Stamp;
+
+/// Largest stored value, in bytes.
+const MAX_RECORD_BYTES: usize = 1_000_000;
+/// Part of the value that history may take, in bytes.
+const MAX_PAST_BYTES: usize = 250_000;
+/// Revisions kept before the one in force.
+const MAX_PAST: usize = 200;
+
+/// Names one attempt to change the configuration, drawn at random by its author's program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct WriteId(pub u64);
+
+impl fmt::Display for WriteId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Why a stored value cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum RecordError {
+    /// The value is not a record.
+    #[error("stored configuration does not parse: {reason}")]
+    Syntax {
+        /// What the parser said.
+        reason: String,
+    },
+    /// The value would be larger than the store holds.
+    #[error("configuration takes {bytes} bytes in the store, which holds {most}")]
+    TooLarge {
+        /// Size of the value.
+        bytes: usize,
+        /// Largest value.
+        most: usize,
+    },
+}
+
+/// The configuration as it is stored.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Its revision, from 1.
+    pub revision: Revision,
+    /// The attempt that wrote it.
+    pub write: WriteId,
+    /// Who wrote it.
+    pub author: String,
+    /// When it was written.
+    pub at: Stamp,
+    /// What it says.
+    pub text: Arc<str>,
+    /// Earlier revisions, the latest first.
+    pub past: VecDeque<Past>,
+}
+
+/// An earlier revision of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Past {
+    /// Its revision.
+    pub revision: Revision,
+    /// The attempt that wrote it.
+    pub write: WriteId,
+    /// Who wrote it.
+    pub author: String,
+    /// When it was written.
+    pub at: Stamp,
+    /// Leads back to it from the revision after it.
+    pub back: Splice,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Head {
+    revision: Revision,
+    write: WriteId,
+    author: String,
+    at: Stamp,
+    past: VecDeque<Past>,
+}
+
+impl Record {
+    /// The first record.
+    pub fn first(write: WriteId, author: &str, at: Stamp, text: &Arc<str>) -> Record {
+        Record {
+            revision: Revision(1),
+            write,
+            author: author.to_owned(),
+            at,
+            text: text.clone(),
+            past: VecDeque::new(),
+        }
+    }
+
+    /// The record that follows this one.
+    pub fn next(&self, write: WriteId, author: &str, at: Stamp, text: &Arc<str>) -> Record {
+        let mut past = self.past.clone();
+        past.push_front(Past {
+            revision: self.revision,
+            write: self.write,
+            author: self.author.clone(),
+            at: self.at,
+            back: splice(Revision(self.revision.0 + 1), text, &self.text),
+        });
+        trim(&mut past);
+        Record {
+            revision: Revision(self.revision.0 + 1),
+            write,
+            author: author.to_owned(),
+            at,
+            text: text.clone(),
+            past,
+        }
+    }
+
+    /// The stored value.
+    ///
+    /// # Errors
+    ///
+    /// [`RecordError::TooLarge`].
+    pub fn encode(&self) -> Result<String, RecordError> {
+        let head = Head {
+            revision: self.revision,
+            write: self.write,
+            author: self.author.clone(),
+            at: self.at,
+            past: self.past.clone(),
+        };
+        let head = serde_json::to_string(&head).map_err(syntax)?;
+        let value = [&head, "\n", &self.text].concat();
+        if value.len() > MAX_RECORD_BYTES {
+            return Err(RecordError::TooLarge { bytes: value.len(), most: MAX_RECORD_BYTES });
+        }
+        Ok(value)
+    }
+
+    /// Reads a stored value.
+    ///
+    /// # Errors
+    ///
+    /// [`RecordError::Syntax`].
+    pub fn decode(value: &str) -> Result<Record, RecordError> {
+        let (head, text) = value.split_once('\n').unwrap_or((value, ""));
+        let head: Head = serde_json::from_str(head).map_err(syntax)?;
+        Ok(Record {
+            revision: head.revision,
+            write: head.write,
+            author: head.author,
+            at: head.at,
+            text: Arc::from(text),
+            past: head.past,
+        })
+    }
+
+    /// The text of a kept revision.
+    pub fn text_at(&self, revision: Revision) -> Option<Arc<str>> {
+        let mut text = self.text.clone();
+        if revision == self.revision {
+            return Some(text);
+        }
+        for past in &self.past {
+            text = apply(&text, &past.back)?;
+            if past.revision == revision {
+                return Some(text);
+            }
+        }
+        None
+    }
+
+    /// The attempt that wrote a kept revision.
+    pub fn write_of(&self, revision: Revision) -> Option<WriteId> {
+        if revision == self.revision {
+            return Some(self.write);
+        }
+        self.past.iter().find(|past| past.revision == revision).map(|past| past.write)
+    }
+
+    /// The kept revision that an attempt wrote.
+    pub fn revision_of(&self, write: WriteId) -> Option<Revision> {
+        if write == self.write {
+            return Some(self.revision);
+        }
+        self.past.iter().find(|past| past.write == write).map(|past| past.revision)
+    }
+
+    /// Authors of the kept revisions after `revision`, the latest first.
+    pub fn authors_since(&self, revision: Revision) -> Vec<String> {
+        let last = (self.revision, &self.author);
+        let past = self.past.iter().map(|past| (past.revision, &past.author));
+        let later = [last].into_iter().chain(past).filter(|(r, _)| *r > revision);
+        let mut authors: Vec<String> = later.map(|(_, author)| author.clone()).collect();
+        authors.dedup();
+        authors
+    }
+}
+
+fn trim(past: &mut VecDeque<Past>) {
+    past.truncate(MAX_PAST);
+    let size = |p: &Past| p.author.len() + 2 * p.back.put.len() + 200;
+    let mut total: usize = past.iter().map(size).sum();
+    while total > MAX_PAST_BYTES {
+        total -= past.pop_back().map_or(total, |p| size(&p));
+    }
+}
+
+fn syntax(error: serde_json::Error) -> RecordError {
+    RecordError::Syntax { reason: error.to_string() }
+}
--- /dev/null
+++ b/crates/fleet/src/shard.rs
@@ -0,0 +1,93 @@
+//! Ownership of one shard as this entry VM holds it.
+
+use std::sync::LazyLock;
+
+use strum::AsRefStr;
+use strum::Display;
+use strum::VariantArray;
+
+use chart::Machine;
+use model::Epoch;
+use model::Time;
+
+/// State of one shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, AsRefStr, Display, VariantArray)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum ShardState {
+    /// Not ours.
+    Free,
+    /// A claim has no outcome so far.
+    Claiming,
+    /// Ours.
+    Owned,
+    /// No longer ours; the store's key has not been deleted yet.
+    Releasing,
+}
+
+/// What changes the state of one shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, AsRefStr, Display, VariantArray)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum ShardEvent {
+    /// A claim is made.
+    Claim,
+    /// The claim took effect.
+    Won,
+    /// Another member owns the shard, or the outcome is not known.
+    Refused,
+    /// We let go.
+    Release,
+    /// The key is deleted.
+    Released,
+    /// The lease lapsed.
+    Lapse,
+}
+
+static SHARD: LazyLock<Machine<ShardState, ShardEvent>> =
+    LazyLock::new(|| Machine::embedded(include_str!("../charts/shard.json")));
+
+/// One shard.
+#[derive(Clone, Debug)]
+pub(crate) struct Holding {
+    state: ShardState,
+    epoch: Epoch,
+    /// Since when the shard would be better placed elsewhere.
+    pub(crate) surplus: Option<Time>,
+    /// When it may be claimed again.
+    pub(crate) retry: Time,
+    /// Lease under which the last claim was made.
+    pub(crate) term: u64,
+}
+
+impl Default for Holding {
+    fn default() -> Holding {
+        Holding {
+            state: SHARD.initial(),
+            epoch: Epoch(0),
+            surplus: None,
+            retry: Time::ZERO,
+            term: 0,
+        }
+    }
+}
+
+impl Holding {
+    pub(crate) fn state(&self) -> ShardState {
+        self.state
+    }
+
+    /// The epoch of an owned shard.
+    pub(crate) fn owned(&self) -> Option<Epoch> {
+        (self.state == ShardState::Owned).then_some(self.epoch)
+    }
+
+    pub(crate) fn advance(&mut self, event: ShardEvent) {
+        SHARD.advance(&mut self.state, event);
+        self.surplus = None;
+    }
+
+    pub(crate) fn win(&mut self, epoch: Epoch) {
+        assert!(epoch > self.epoch, "epoch fell from {} to {epoch}", self.epoch);
+        self.advance(ShardEvent::Won);
+        self.epoch = epoch;
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/snapshot.rs
@@ -0,0 +1,105 @@
+//! What one entry VM shows of its view.
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::Fleet;
+use crate::Member;
+use crate::MemberState;
+use crate::Ownership;
+use crate::TextState;
+use crate::machine::Life;
+use model::Incarnation;
+use model::Revision;
+
+/// One member in a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct MemberView {
+    /// The member.
+    pub member: Member,
+    /// Its state.
+    pub state: MemberState,
+    /// Whether it is within reach, directly or through others.
+    pub reachable: bool,
+    /// Time since anybody heard it; nothing if nobody did.
+    pub silence: Option<Duration>,
+    /// Highest revision that it is known to have in force.
+    pub revision: Revision,
+}
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct StoreHealth {
+    /// Whether the last call got an answer.
+    pub healthy: bool,
+    /// Time since that changed.
+    pub since: Duration,
+    /// Time since the last answer.
+    pub answered: Option<Duration>,
+    /// Whether this entry VM holds a lease.
+    pub lease: bool,
+}
+
+/// What one entry VM knows of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Snapshot {
+    /// The entry VM.
+    pub me: Incarnation,
+    /// All members that it remembers.
+    pub members: Vec<MemberView>,
+    /// Owners of shards.
+    pub owners: Vec<Ownership>,
+    /// The revision in force here, or 0.
+    pub revision: Revision,
+    /// How it compares with the highest revision known.
+    pub text: TextState,
+    /// Highest revision that is known to exist.
+    pub highest: Revision,
+    /// Age of the store's word that no revision is above the one in force; nothing if there was
+    /// none.
+    pub checked: Option<Duration>,
+    /// Whether this entry VM can vouch that its configuration is current.
+    pub current: bool,
+    /// How the store answers.
+    pub store: StoreHealth,
+    /// Whether this entry VM takes no new work.
+    pub leaving: bool,
+}
+
+impl Fleet {
+    /// What this entry VM knows of the fleet, as of the last event.
+    pub fn snapshot(&self) -> Snapshot {
+        let checked = self.spread.checked().map(|at| self.now.since(at));
+        let latest = self.spread.highest() == self.spread.revision();
+        Snapshot {
+            me: self.me.incarnation,
+            members: self.view.members.values().map(|peer| self.show(peer)).collect(),
+            owners: self.view.owners.values().map(|o| o.ownership.clone()).collect(),
+            revision: self.spread.revision(),
+            text: self.spread.state(),
+            highest: self.spread.highest(),
+            checked,
+            current: latest && checked.is_some_and(|age| age <= self.pace().vouch()),
+            store: StoreHealth {
+                healthy: self.calls.is_healthy(),
+                since: self.now.since(self.calls.since()),
+                answered: self.calls.answered().map(|at| self.now.since(at)),
+                lease: self.lease.is_some_and(|lease| self.now < lease.until),
+            },
+            leaving: self.life != Life::Serving,
+        }
+    }
+
+    fn show(&self, peer: &crate::view::Peer) -> MemberView {
+        let mine = peer.member.incarnation == self.me.incarnation;
+        let silence = peer.last().map(|at| self.now.since(at));
+        MemberView {
+            member: peer.member.clone(),
+            state: peer.state,
+            reachable: peer.reachable,
+            silence: if mine { Some(Duration::ZERO) } else { silence },
+            revision: peer.revision,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/spread.rs
@@ -0,0 +1,211 @@
+//! The configuration on one entry VM: which revision is in force, and how current that is.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::LazyLock;
+
+use serde::Serialize;
+use strum::AsRefStr;
+use strum::Display;
+use strum::VariantArray;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Body;
+use crate::Splice;
+use crate::tuning::FETCH_TIMEOUT;
+use crate::tuning::KEPT_TEXTS;
+use chart::Machine;
+use model::Incarnation;
+use model::Revision;
+use model::Time;
+
+/// State of the configuration on one entry VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, AsRefStr, Display, VariantArray)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum TextState {
+    /// None is in force.
+    Absent,
+    /// A higher revision is known to exist.
+    Behind,
+    /// A peer has been asked for it.
+    Fetching,
+    /// No higher revision is known.
+    Current,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, AsRefStr, Display, VariantArray)]
+#[strum(serialize_all = "snake_case")]
+enum TextEvent {
+    /// A higher revision is known to exist.
+    Seen,
+    /// A peer is asked.
+    Ask,
+    /// The peer did not answer.
+    Expired,
+    /// A higher revision is here.
+    Arrived,
+}
+
+static REVISION: LazyLock<Machine<TextState, TextEvent>> =
+    LazyLock::new(|| Machine::embedded(include_str!("../charts/revision.json")));
+
+#[derive(Clone, Debug)]
+struct Fetch {
+    from: Incarnation,
+    sent: Time,
+}
+
+/// The configuration on one entry VM.
+#[derive(Clone, Debug)]
+pub(crate) struct Spread {
+    state: TextState,
+    revision: Revision,
+    /// The latest texts, the one in force last.
+    kept: BTreeMap<Revision, Arc<str>>,
+    /// Highest revision known to exist.
+    highest: Revision,
+    fetch: Option<Fetch>,
+    checked: Option<Time>,
+}
+
+impl Default for Spread {
+    fn default() -> Spread {
+        Spread {
+            state: REVISION.initial(),
+            revision: Revision(0),
+            kept: BTreeMap::new(),
+            highest: Revision(0),
+            fetch: None,
+            checked: None,
+        }
+    }
+}
+
+impl Spread {
+    /// The revision in force, or 0.
+    pub(crate) fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    pub(crate) fn state(&self) -> TextState {
+        self.state
+    }
+
+    pub(crate) fn highest(&self) -> Revision {
+        self.highest
+    }
+
+    /// When the store's word was given that no revision was above the one in force.
+    pub(crate) fn checked(&self) -> Option<Time> {
+        self.checked
+    }
+
+    /// Puts a text in force if its revision is higher. Tells whether it did.
+    pub(crate) fn adopt(&mut self, revision: Revision, text: &Arc<str>) -> bool {
+        if revision <= self.revision {
+            return false;
+        }
+        let before = self.revision;
+        self.revision = revision;
+        self.kept.insert(revision, text.clone());
+        while self.kept.len() > KEPT_TEXTS {
+            self.kept.pop_first();
+        }
+        self.fetch = None;
+        REVISION.advance(&mut self.state, TextEvent::Arrived);
+        assert!(self.revision > before, "revision in force fell");
+        let highest = self.highest.max(revision);
+        self.note(highest);
+        true
+    }
+
+    /// Learns that a revision exists.
+    pub(crate) fn note(&mut self, revision: Revision) {
+        self.highest = self.highest.max(revision);
+        if self.highest > self.revision {
+            REVISION.advance(&mut self.state, TextEvent::Seen);
+        }
+    }
+
+    /// Whether to ask `from`, which has a higher revision, for its text; if so, it is asked.
+    pub(crate) fn ask(&mut self, from: Incarnation, now: Time) -> bool {
+        if self.state != TextState::Behind {
+            return false;
+        }
+        self.fetch = Some(Fetch { from, sent: now });
+        REVISION.advance(&mut self.state, TextEvent::Ask);
+        true
+    }
+
+    /// Gives up a fetch that is overdue, or whose peer is down.
+    pub(crate) fn expire(&mut self, now: Time, is_down: impl Fn(Incarnation) -> bool) {
+        let Some(fetch) = &self.fetch else { return };
+        if now.since(fetch.sent) > FETCH_TIMEOUT || is_down(fetch.from) {
+            self.fetch = None;
+            REVISION.advance(&mut self.state, TextEvent::Expired);
+        }
+    }
+
+    /// Takes the store's word, given at `at`, that no revision is above `revision`.
+    pub(crate) fn confirm(&mut self, revision: Revision, at: Time) {
+        if revision <= self.revision && self.revision > Revision(0) {
+            self.checked = self.checked.max(Some(at));
+        }
+    }
+
+    /// The text in force, for a peer that has the revision `have`.
+    pub(crate) fn body(&self, have: Revision) -> Option<Body> {
+        let text = self.kept.get(&self.revision)?;
+        match self.kept.get(&have) {
+            Some(base) => Some(Body::Splice(splice(have, base, text))),
+            None => Some(Body::Whole(text.clone())),
+        }
+    }
+
+    /// The text that a peer sent, if the text it builds on is kept.
+    pub(crate) fn restore(&self, body: &Body) -> Option<Arc<str>> {
+        match body {
+            Body::Whole(text) => Some(text.clone()),
+            Body::Splice(splice) => apply(self.kept.get(&splice.base)?, splice),
+        }
+    }
+
+    /// Checks that the text in force is the highest kept one.
+    pub(crate) fn check(&self) {
+        let last = self.kept.last_key_value().map_or(Revision(0), |(revision, _)| *revision);
+        assert!(last == self.revision, "revision {} in force, {last} kept", self.revision);
+        let behind = self.highest > self.revision;
+        let said = matches!(self.state, TextState::Behind | TextState::Fetching);
+        assert!(behind == said, "revision state {} at {}", self.state, self.revision);
+    }
+}
+
+/// The difference between two texts as one replaced range.
+pub(crate) fn splice(base: Revision, old: &str, new: &str) -> Splice {
+    let pairs = old.bytes().zip(new.bytes());
+    let mut at = pairs.take_while(|(a, b)| a == b).count();
+    while !old.is_char_boundary(at) || !new.is_char_boundary(at) {
+        at -= 1;
+    }
+    let pairs = old[at..].bytes().rev().zip(new[at..].bytes().rev());
+    let mut same = pairs.take_while(|(a, b)| a == b).count();
+    while !old.is_char_boundary(old.len() - same) || !new.is_char_boundary(new.len() - same) {
+        same -= 1;
+    }
+    Splice {
+        base,
+        at: at as u64,
+        cut: (old.len() - same - at) as u64,
+        put: Arc::from(&new[at..new.len() - same]),
+        sum: xxh3_64(new.as_bytes()),
+    }
+}
+
+/// The text that a difference leads to, if it belongs to `old`.
+pub(crate) fn apply(old: &str, splice: &Splice) -> Option<Arc<str>> {
+    let at = usize::try_from(splice.at).ok()?;
+    let end = at.checked_add(usize::try_from(splice.cut).ok()?)?;
+    let text = [old.get(..at)?, &splice.put, old.get(end..)?].concat();
+    (xxh3_64(text.as_bytes()) == splice.sum).then(|| Arc::from(text))
+}
--- /dev/null
+++ b/crates/fleet/src/tree.rs
@@ -0,0 +1,82 @@
+//! Whom a member sends heartbeats to.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::Fleet;
+use crate::tuning::NEAR_SILENCE;
+use crate::view::Peer;
+use model::Incarnation;
+use model::RegionId;
+use model::Time;
+use model::ZoneId;
+
+/// Members of another zone or region that are tried until one is heard.
+const MAX_CONTACTS: usize = 4;
+
+impl Fleet {
+    /// Whether this member relays for its availability zone.
+    pub fn is_relay(&self) -> bool {
+        let zone = &self.me.zone;
+        self.view.relay(|member| member.zone == *zone) == Some(self.me.incarnation)
+    }
+
+    /// Whether this member relays for its region.
+    pub(crate) fn is_region_relay(&self) -> bool {
+        let region = &self.me.region;
+        self.view.relay(|member| member.region == *region) == Some(self.me.incarnation)
+    }
+
+    /// The members that this one sends heartbeats to.
+    pub(crate) fn targets(&self) -> BTreeSet<Incarnation> {
+        let others = || {
+            let members = self.view.members.values();
+            members.filter(|p| !p.is_gone() && p.member.incarnation != self.me.incarnation)
+        };
+        let mut targets = BTreeSet::new();
+        targets.extend(others().filter(|p| p.member.zone == self.me.zone).map(incarnation));
+        if self.is_relay() {
+            let region = others().filter(|p| p.member.region == self.me.region);
+            let mut zones: BTreeMap<&ZoneId, Vec<&Peer>> = BTreeMap::new();
+            for peer in region.filter(|p| p.member.zone != self.me.zone) {
+                zones.entry(&peer.member.zone).or_default().push(peer);
+            }
+            for peers in zones.values() {
+                targets.extend(contacts(peers, self.now));
+            }
+        }
+        if self.is_region_relay() {
+            let mut regions: BTreeMap<&RegionId, Vec<&Peer>> = BTreeMap::new();
+            for peer in others().filter(|p| p.member.region != self.me.region) {
+                regions.entry(&peer.member.region).or_default().push(peer);
+            }
+            for peers in regions.values() {
+                targets.extend(contacts(peers, self.now));
+            }
+        }
+        targets.extend(others().filter(|p| is_heard(p, self.now)).map(incarnation));
+        targets
+    }
+}
+
+/// Members to try, in order, up to the first that is heard.
+fn contacts(peers: &[&Peer], now: Time) -> Vec<Incarnation> {
+    let mut order: Vec<&Peer> = peers.to_vec();
+    order.sort_by_key(|p| (!p.is_eligible(), p.member.incarnation));
+    let mut chosen = Vec::new();
+    for peer in order.into_iter().take(MAX_CONTACTS) {
+        chosen.push(peer.member.incarnation);
+        if is_heard(peer, now) {
+            break;
+        }
+    }
+    chosen
+}
+
+fn is_heard(peer: &Peer, now: Time) -> bool {
+    peer.heard.is_some_and(|at| now.since(at) < NEAR_SILENCE)
+}
+
+fn incarnation(peer: &Peer) -> Incarnation {
+    peer.member.incarnation
+}
