Stand in for the store, the backend servers and the VM list

Cause: the store client and the shells need something to talk to that fails on request. Change: StoreServer (range, put, txn, leases, watches as streamed JSON), BackendPool (POST /run, GET /ready, executions by id), VmServer (GET /v1/vms with a lag), and fake::send as a plain client.

--- /dev/null
+++ b/crates/fake/src/http/mod.rs
@@ -0,0 +1,14 @@
+//! What all stand-ins share: a listener, its connections and their answers.
+
+mod body;
+mod link;
+mod server;
+
+pub(crate) use body::Body;
+pub(crate) use body::json;
+pub(crate) use body::read;
+pub(crate) use body::status;
+pub use server::Address;
+pub(crate) use server::Handler;
+pub(crate) use server::Hangup;
+pub(crate) use server::Server;
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -1,1 +1,36 @@
 //! Small stand-ins for the platform, with faults.
+//!
+//! Each stand-in is an HTTP server on a loopback port of its own, run on the caller's tokio
+//! runtime until it is dropped. Faults are set while it runs; what it does at random follows from
+//! a seed. The stand-ins keep records of what they were asked and what they did, against which a
+//! test checks the answers that its callers got.
+
+mod backend;
+mod client;
+mod http;
+mod store;
+mod vms;
+
+pub use backend::ATTEMPT_HEADER;
+pub use backend::Answer;
+pub use backend::Backend;
+pub use backend::BackendCounts;
+pub use backend::BackendFaults;
+pub use backend::BackendOptions;
+pub use backend::BackendPool;
+pub use backend::REQUEST_HEADER;
+pub use backend::ServiceTime;
+pub use backend::VERDICT_HEADER;
+pub use backend::digest;
+pub use client::Connection;
+pub use client::Reply;
+pub use client::get;
+pub use client::post;
+pub use client::send;
+pub use http::Address;
+pub use store::CallKind;
+pub use store::Loss;
+pub use store::StoreFaults;
+pub use store::StoreServer;
+pub use vms::Place;
+pub use vms::VmServer;
--- /dev/null
+++ b/crates/fake/src/store/kv.rs
@@ -0,0 +1,299 @@
+//! Keys, their history and leases, without a clock or a socket.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::ops::Bound;
+use std::time::Duration;
+
+use bytes::Bytes;
+use thiserror::Error;
+
+use model::Time;
+
+/// A value of a key, or its deletion.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Version {
+    pub(crate) revision: u64,
+    pub(crate) created: u64,
+    pub(crate) lease: i64,
+    /// None if the key was deleted.
+    pub(crate) value: Option<Bytes>,
+}
+
+/// A key with one of its versions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Record {
+    pub(crate) key: Bytes,
+    pub(crate) version: Version,
+}
+
+/// Keys from `start` to before `end`; `start` alone without one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Span {
+    pub(crate) start: Bytes,
+    pub(crate) end: Option<Bytes>,
+}
+
+impl Span {
+    pub(crate) fn contains(&self, key: &[u8]) -> bool {
+        match &self.end {
+            None => self.start == key,
+            Some(end) => *key >= *self.start && (end.as_ref() == [0] || *key < **end),
+        }
+    }
+
+    fn bounds(&self) -> (Bound<&[u8]>, Bound<&[u8]>) {
+        let start = Bound::Included(self.start.as_ref());
+        match &self.end {
+            None => (start, Bound::Included(self.start.as_ref())),
+            Some(end) if end.as_ref() == [0] => (start, Bound::Unbounded),
+            Some(end) if end < &self.start => (start, Bound::Excluded(self.start.as_ref())),
+            Some(end) => (start, Bound::Excluded(end.as_ref())),
+        }
+    }
+}
+
+/// One operation of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Operation {
+    Range { span: Span, revision: u64 },
+    Put { key: Bytes, value: Bytes, lease: i64 },
+    Delete { span: Span },
+}
+
+/// Result of one operation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    Range(Vec<Record>),
+    Put,
+    Delete(usize),
+}
+
+/// Why the store refuses a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(crate) enum Refusal {
+    #[error("etcdserver: mvcc: required revision has been compacted")]
+    Compacted,
+    #[error("etcdserver: mvcc: required revision is a future revision")]
+    Future,
+    #[error("etcdserver: requested lease not found")]
+    NoLease,
+    #[error("etcdserver: lease already exists")]
+    LeaseExists,
+    #[error("etcdserver: request is too large")]
+    TooLarge,
+}
+
+#[derive(Debug)]
+struct Lease {
+    ttl: Duration,
+    expires: Time,
+    keys: BTreeSet<Bytes>,
+}
+
+/// The whole content of the store.
+#[derive(Debug)]
+pub(crate) struct Kv {
+    keys: BTreeMap<Bytes, Vec<Version>>,
+    changes: BTreeMap<u64, Vec<Record>>,
+    leases: BTreeMap<i64, Lease>,
+    revision: u64,
+    compacted: u64,
+    next_lease: i64,
+}
+
+/// Largest value.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+
+impl Kv {
+    pub(crate) fn new() -> Kv {
+        Kv {
+            keys: BTreeMap::new(),
+            changes: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            revision: 1,
+            compacted: 0,
+            next_lease: 1,
+        }
+    }
+
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub(crate) fn compacted(&self) -> u64 {
+        self.compacted
+    }
+
+    /// Version of a key; 0 if it is absent.
+    pub(crate) fn mod_revision(&self, key: &[u8]) -> u64 {
+        let last = self.keys.get(key).and_then(|versions| versions.last());
+        last.filter(|last| last.value.is_some()).map_or(0, |last| last.revision)
+    }
+
+    /// Runs operations at one revision.
+    pub(crate) fn apply(&mut self, operations: &[Operation]) -> Result<Vec<Outcome>, Refusal> {
+        for operation in operations {
+            self.check(operation)?;
+        }
+        let mut records = Vec::new();
+        let next = self.revision + 1;
+        let outcomes =
+            operations.iter().map(|operation| self.run(operation, next, &mut records)).collect();
+        self.commit(records);
+        Ok(outcomes)
+    }
+
+    /// Changes under a span from a revision on, one list for each revision.
+    pub(crate) fn changes(&self, span: &Span, from: u64) -> Vec<Vec<Record>> {
+        let within = |records: &Vec<Record>| -> Vec<Record> {
+            records.iter().filter(|record| span.contains(&record.key)).cloned().collect()
+        };
+        let lists = self.changes.range(from..).map(|(_, records)| within(records));
+        lists.filter(|records| !records.is_empty()).collect()
+    }
+
+    /// Forgets versions that were replaced before a revision.
+    pub(crate) fn compact(&mut self, revision: u64) {
+        self.compacted = self.compacted.max(revision.min(self.revision));
+        let compacted = self.compacted;
+        self.changes = self.changes.split_off(&compacted);
+        for versions in self.keys.values_mut() {
+            let keep = versions.iter().rposition(|version| version.revision <= compacted);
+            versions.drain(..keep.unwrap_or(0));
+        }
+        self.keys.retain(|_, versions| {
+            versions.len() > 1
+                || versions.iter().any(|last| last.value.is_some() || last.revision > compacted)
+        });
+    }
+
+    pub(crate) fn grant(&mut self, now: Time, id: i64, ttl: Duration) -> Result<i64, Refusal> {
+        let id = if id == 0 { self.next_lease } else { id };
+        if self.leases.contains_key(&id) {
+            return Err(Refusal::LeaseExists);
+        }
+        self.next_lease = self.next_lease.max(id) + 1;
+        self.leases.insert(id, Lease { ttl, expires: now + ttl, keys: BTreeSet::new() });
+        Ok(id)
+    }
+
+    /// Renews a lease; none if it is gone.
+    pub(crate) fn keep_alive(&mut self, now: Time, id: i64) -> Option<Duration> {
+        let lease = self.leases.get_mut(&id)?;
+        lease.expires = now + lease.ttl;
+        Some(lease.ttl)
+    }
+
+    pub(crate) fn revoke(&mut self, id: i64) -> Result<(), Refusal> {
+        let lease = self.leases.remove(&id).ok_or(Refusal::NoLease)?;
+        let mut records = Vec::new();
+        let next = self.revision + 1;
+        for key in lease.keys {
+            self.remove(&key, next, &mut records);
+        }
+        self.commit(records);
+        Ok(())
+    }
+
+    /// Ends the leases whose time has passed; says whether keys vanished.
+    pub(crate) fn expire(&mut self, now: Time) -> bool {
+        let before = self.revision;
+        let due = self.leases.iter().filter(|(_, lease)| lease.expires <= now);
+        let due: Vec<i64> = due.map(|(&id, _)| id).collect();
+        for id in due {
+            // Nothing else removes leases between the two lines.
+            let _ = self.revoke(id);
+        }
+        self.revision > before
+    }
+
+    pub(crate) fn leases(&self) -> Vec<i64> {
+        self.leases.keys().copied().collect()
+    }
+
+    fn check(&self, operation: &Operation) -> Result<(), Refusal> {
+        match operation {
+            Operation::Range { revision, .. } if *revision > self.revision => Err(Refusal::Future),
+            Operation::Range { revision, .. } if *revision != 0 && *revision < self.compacted => {
+                Err(Refusal::Compacted)
+            }
+            Operation::Put { value, .. } if value.len() > MAX_VALUE_BYTES => Err(Refusal::TooLarge),
+            Operation::Put { lease, .. } if *lease != 0 && !self.leases.contains_key(lease) => {
+                Err(Refusal::NoLease)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn run(&mut self, operation: &Operation, next: u64, records: &mut Vec<Record>) -> Outcome {
+        match operation {
+            Operation::Range { span, revision } => Outcome::Range(self.range(span, *revision)),
+            Operation::Put { key, value, lease } => {
+                self.put(key, value, *lease, next, records);
+                Outcome::Put
+            }
+            Operation::Delete { span } => {
+                let found = self.range(span, 0);
+                for record in &found {
+                    self.remove(&record.key, next, records);
+                }
+                Outcome::Delete(found.len())
+            }
+        }
+    }
+
+    fn range(&self, span: &Span, revision: u64) -> Vec<Record> {
+        let at = if revision == 0 { u64::MAX } else { revision };
+        let held = self.keys.range::<[u8], _>(span.bounds()).filter_map(|(key, versions)| {
+            let version = versions.iter().rev().find(|version| version.revision <= at)?;
+            version.value.as_ref()?;
+            Some(Record { key: key.clone(), version: version.clone() })
+        });
+        held.collect()
+    }
+
+    fn put(
+        &mut self,
+        key: &Bytes,
+        value: &Bytes,
+        lease: i64,
+        next: u64,
+        records: &mut Vec<Record>,
+    ) {
+        self.detach(key);
+        if let Some(lease) = self.leases.get_mut(&lease) {
+            lease.keys.insert(key.clone());
+        }
+        let versions = self.keys.entry(key.clone()).or_default();
+        let last = versions.last().filter(|last| last.value.is_some());
+        let created = last.map_or(next, |last| last.created);
+        let version = Version { revision: next, created, lease, value: Some(value.clone()) };
+        versions.push(version.clone());
+        records.push(Record { key: key.clone(), version });
+    }
+
+    fn remove(&mut self, key: &Bytes, next: u64, records: &mut Vec<Record>) {
+        self.detach(key);
+        let version = Version { revision: next, created: 0, lease: 0, value: None };
+        self.keys.entry(key.clone()).or_default().push(version.clone());
+        records.push(Record { key: key.clone(), version });
+    }
+
+    /// Takes a key from the lease that it was set under.
+    fn detach(&mut self, key: &Bytes) {
+        let last = self.keys.get(key).and_then(|versions| versions.last());
+        let lease = last.map_or(0, |last| last.lease);
+        if let Some(lease) = self.leases.get_mut(&lease) {
+            lease.keys.remove(key);
+        }
+    }
+
+    fn commit(&mut self, records: Vec<Record>) {
+        if records.is_empty() {
+            return;
+        }
+        self.revision += 1;
+        self.changes.insert(self.revision, records);
+    }
+}
--- /dev/null
+++ b/crates/fake/src/store/mod.rs
@@ -0,0 +1,14 @@
+//! The key-value store.
+
+mod answer;
+mod faults;
+mod feeder;
+mod gateway;
+mod kv;
+mod record;
+mod server;
+
+pub use faults::Loss;
+pub use faults::StoreFaults;
+pub use record::CallKind;
+pub use server::StoreServer;
