--- /dev/null
+++ b/crates/gang/src/accept.rs
@@ -0,0 +1,263 @@
+//! Calls: submission, cancellation, status.
+
+use crate::Action;
+use crate::Event;
+use crate::JobEvent;
+use crate::JobSpec;
+use crate::JobState;
+use crate::Reply;
+use crate::Shard;
+use crate::Ticket;
+use crate::commit::Mark;
+use crate::job::Aim;
+use crate::job::Job;
+use crate::page::Record;
+use crate::page::Stage;
+use crate::place::fleet::Fleet;
+use crate::place::need::Extent;
+use model::GangShape;
+use model::JobId;
+use model::Time;
+use model::Verdict;
+
+fn refuse(ticket: Ticket, verdict: Verdict, reason: &str, out: &mut Vec<Action>) {
+    let reply = Reply::Refused { verdict, reason: reason.to_owned() };
+    out.push(Action::Reply { ticket, reply });
+}
+
+fn accept(ticket: Ticket, durable: bool, out: &mut Vec<Action>) {
+    out.push(Action::Reply { ticket, reply: Reply::Accepted { durable } });
+}
+
+/// Why no set of the listed workers could hold a shape, all of them being free.
+pub(crate) fn obstacle(fleet: &Fleet, shape: &GangShape) -> Option<String> {
+    let best = fleet.largest;
+    if shape.tasks == 0 {
+        return Some("the gang has no tasks".to_owned());
+    }
+    if best.tasks(shape) == 0 {
+        return Some("no worker is large enough for one task".to_owned());
+    }
+    let Some(extent) = Extent::of(shape, &best, fleet.rack_size()) else {
+        return Some(format!("no {} is large enough for the gang", shape.adjacency));
+    };
+    let zones = fleet.layout.zones.iter();
+    let room = zones.map(|zone| zone_room(fleet, shape, zone.first, zone.racks)).max();
+    let room = room.unwrap_or_default();
+    match extent {
+        Extent::Workers { .. } if room.rack < shape.tasks => {
+            Some(format!("no rack holds more than {} of its {} tasks", room.rack, shape.tasks))
+        }
+        _ if room.zone < shape.tasks => {
+            let zone = room.zone;
+            Some(format!(
+                "no availability zone holds more than {zone} of its {} tasks",
+                shape.tasks
+            ))
+        }
+        _ => None,
+    }
+}
+
+/// How many tasks fit into empty workers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Room {
+    zone: u32,
+    rack: u32,
+}
+
+fn zone_room(fleet: &Fleet, shape: &GangShape, first: u32, racks: u32) -> Room {
+    let mut room = Room::default();
+    for rack in first..first + racks {
+        let positions = rack * fleet.rack_size()..(rack + 1) * fleet.rack_size();
+        let workers = positions.filter_map(|position| fleet.at(position));
+        let workers = workers.filter(|worker| worker.state != crate::WorkerState::Gone);
+        let tasks = workers.map(|worker| worker.whole().tasks(shape)).sum();
+        room.rack = room.rack.max(tasks);
+        room.zone += tasks;
+    }
+    room
+}
+
+impl Shard {
+    /// Answers calls after ownership was lost.
+    pub(crate) fn refuse_fenced(&self, event: &Event, out: &mut Vec<Action>) {
+        let reason = "another entry VM owns the placement shard; repeat the call";
+        if let Event::Submit { ticket, .. }
+        | Event::Cancel { ticket, .. }
+        | Event::Query { ticket, .. } = event
+        {
+            refuse(*ticket, Verdict::NotRun, reason, out);
+        }
+    }
+
+    /// Takes a submission.
+    pub(crate) fn submit(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        spec: JobSpec,
+        durable: bool,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(job) = self.jobs.get_mut(&spec.id) {
+            match job.durable || !durable {
+                true => accept(ticket, job.durable, out),
+                false => job.tickets.push(ticket),
+            }
+            return;
+        }
+        if let Some(reason) = self.objection(&spec) {
+            refuse(ticket, Verdict::NotRun, &reason, out);
+            return;
+        }
+        if durable && self.pages.down {
+            refuse(ticket, Verdict::NotRun, "the store does not answer", out);
+            return;
+        }
+        let id = spec.id;
+        let record = Record::new(spec, self.stamp(now));
+        let Some(page) = self.pages.assign(now, &record) else {
+            refuse(ticket, Verdict::NotRun, "too many submissions wait for the store", out);
+            return;
+        };
+        let urgent = record.spec.priority == model::Priority::Urgent;
+        let mut job = Job::new(record, page, now);
+        job.accepted = !durable;
+        job.note(self.stamp(now), "submitted");
+        if durable {
+            job.tickets.push(ticket);
+        } else {
+            accept(ticket, false, out);
+        }
+        self.jobs.insert(id, job);
+        self.store(now, id, urgent, Some(Mark::Accepted { ticket, job: id }));
+        if !durable {
+            self.enqueue(id);
+        }
+    }
+
+    /// Why a job cannot be accepted.
+    fn objection(&self, spec: &JobSpec) -> Option<String> {
+        if !self.loaded || !self.listed {
+            return Some("the placement shard is being read; repeat the call".to_owned());
+        }
+        let Some(account) = self.policy.accounts.get(&spec.account) else {
+            return Some(format!("client account {} is not configured", spec.account));
+        };
+        let total = spec.shape.total();
+        if total > account.quota {
+            let quota = account.quota;
+            return Some(format!("the gang takes {total} accelerators, the quota is {quota}"));
+        }
+        obstacle(&self.fleet, &spec.shape)
+    }
+
+    /// Takes a cancellation.
+    pub(crate) fn cancel(&mut self, now: Time, ticket: Ticket, id: JobId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            refuse(ticket, Verdict::Unknown, &self.stranger(id), out);
+            return;
+        };
+        if !self.pages.claimed(job.page) && job.durable {
+            refuse(ticket, Verdict::Unknown, "ownership of the job is being settled; repeat", out);
+            return;
+        }
+        if job.state.is_final() || job.state == JobState::Finishing {
+            let verdict = job.verdict().unwrap_or(Verdict::Ran);
+            let reason = format!("the job has ended: {}", job.state);
+            refuse(ticket, verdict, &reason, out);
+            return;
+        }
+        job.record.cancel = true;
+        self.stop_for_cancel(now, id, out);
+        self.store(now, id, false, Some(Mark::Cancel { ticket }));
+    }
+
+    /// Does what a cancellation needs.
+    pub(crate) fn stop_for_cancel(&mut self, now: Time, id: JobId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let reason = "cancelled by the caller";
+        match job.state {
+            JobState::Queued => self.end(now, id, JobEvent::Cancelled, Stage::Cancelled, reason),
+            JobState::Leasing => {
+                self.drop_gang(now, id, reason, out);
+                self.end(now, id, JobEvent::Cancelled, Stage::Cancelled, reason);
+            }
+            JobState::Committing
+            | JobState::Starting
+            | JobState::Running
+            | JobState::Preempting
+            | JobState::Recovering => self.break_gang(now, id, Aim::Cancel, reason, out),
+            JobState::Stopping => job.aim = Aim::Cancel,
+            _ => {}
+        }
+    }
+
+    /// Describes a job.
+    pub(crate) fn query(&mut self, ticket: Ticket, id: JobId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else {
+            refuse(ticket, Verdict::Unknown, &self.stranger(id), out);
+            return;
+        };
+        let reply =
+            Reply::Status { state: job.state, verdict: job.verdict(), reason: job.reason.clone() };
+        out.push(Action::Reply { ticket, reply });
+    }
+
+    fn stranger(&self, id: JobId) -> String {
+        match self.loaded {
+            true => format!("job {id} is not known here"),
+            false => "the placement shard is being read; repeat the call".to_owned(),
+        }
+    }
+
+    /// Acts on marks that are true now.
+    pub(crate) fn on_mark(&mut self, now: Time, mark: Mark, out: &mut Vec<Action>) {
+        match mark {
+            Mark::Accepted { job, .. } => self.on_accepted(job, out),
+            Mark::Cancel { ticket } => accept(ticket, true, out),
+            Mark::Placed { job, attempt } => self.on_committed(now, job, attempt, out),
+            Mark::Vacated { job, attempt } => self.on_vacated(now, job, attempt),
+            Mark::Ended { job } => self.on_ended(now, job, out),
+        }
+    }
+
+    fn on_accepted(&mut self, id: JobId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.durable = true;
+        for ticket in std::mem::take(&mut job.tickets) {
+            accept(ticket, true, out);
+        }
+        if !std::mem::replace(&mut job.accepted, true) && job.state == JobState::Queued {
+            self.enqueue(id);
+        }
+    }
+
+    /// Acts on marks that certainly did not reach the store.
+    pub(crate) fn on_refused(&mut self, now: Time, mark: Mark, out: &mut Vec<Action>) {
+        match mark {
+            Mark::Accepted { job, .. } => self.withdraw(now, job, out),
+            Mark::Cancel { ticket } => accept(ticket, false, out),
+            Mark::Placed { .. } | Mark::Vacated { .. } | Mark::Ended { .. } => {}
+        }
+    }
+
+    fn withdraw(&mut self, now: Time, id: JobId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.accepted {
+            // Volatile: it runs on, and its page is written when the store is back.
+            let ticket = Ticket(0);
+            self.store(now, id, false, Some(Mark::Accepted { ticket, job: id }));
+            return;
+        }
+        let reason = "the store is not available, so the job was not accepted";
+        for ticket in std::mem::take(&mut job.tickets) {
+            refuse(ticket, Verdict::NotRun, reason, out);
+        }
+        let page = job.page;
+        if let Some(job) = self.jobs.remove(&id) {
+            self.pages.remove(now, page, &job.record);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gang/src/guarantee.rs
@@ -0,0 +1,265 @@
+//! Guaranteed blocks of client accounts.
+//!
+//! A guarantee is an aligned block of some level. While its account does not use it, it has no
+//! place: it only has to fit, together with all others, into the room that is left, and whoever
+//! runs there meanwhile can be preempted. With the account's first job it is bound to a block, and
+//! freed with the last. Buddy blocks fit exactly if, from the largest level down, each level finds
+//! enough blocks among its own and the halves of larger ones, as in HiveD (OSDI 2020).
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::Policy;
+use crate::place::fleet::Fleet;
+use crate::place::need::Extent;
+use crate::place::take::Block;
+use crate::preempt::Asker;
+use model::AccountId;
+use model::JobId;
+use model::WorkerId;
+
+/// A guaranteed block in use by its account.
+#[derive(Clone, Debug)]
+pub(crate) struct Cell {
+    /// Where it is.
+    pub(crate) block: Block,
+    /// The account's jobs in it.
+    pub(crate) jobs: BTreeSet<JobId>,
+}
+
+/// Guarantees of one account.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Share {
+    /// Promised blocks by level.
+    pub(crate) promised: BTreeMap<u32, u32>,
+    /// Blocks in use.
+    pub(crate) cells: Vec<Cell>,
+}
+
+impl Share {
+    fn used(&self, level: u32) -> u32 {
+        self.cells.iter().filter(|cell| cell.block.level == level).count() as u32
+    }
+
+    /// Levels of which a block is left, smallest first.
+    pub(crate) fn unbound(&self) -> impl Iterator<Item = u32> {
+        let left = self.promised.iter().filter(|(level, count)| **count > self.used(**level));
+        left.map(|(level, _)| *level)
+    }
+}
+
+/// Guaranteed blocks of all accounts.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Guarantees {
+    /// By account.
+    pub(crate) shares: BTreeMap<AccountId, Share>,
+}
+
+/// How many of the `wanted` blocks by level do not fit into the maximal blocks counted in `room`.
+pub(crate) fn shortage(room: &[u32], wanted: &[u32]) -> Vec<u32> {
+    let levels = room.len().max(wanted.len());
+    let at = |list: &[u32], level: usize| list.get(level).copied().unwrap_or(0);
+    let mut short = vec![0; levels];
+    let mut carry: u64 = 0;
+    for level in (0..levels).rev() {
+        let have = 2 * carry + u64::from(at(room, level));
+        let want = u64::from(at(wanted, level));
+        short[level] = want.saturating_sub(have) as u32;
+        carry = have.saturating_sub(want);
+    }
+    short
+}
+
+impl Guarantees {
+    /// Takes over the promises of a policy; blocks in use stay where they are.
+    pub(crate) fn promise(&mut self, policy: &Policy, fleet: &Fleet) {
+        for share in self.shares.values_mut() {
+            share.promised.clear();
+        }
+        for (account, terms) in &policy.accounts {
+            for item in &terms.guaranteed {
+                let extent = Extent::of(&item.shape, &fleet.largest, fleet.rack_size());
+                let level = extent.and_then(|extent| extent.level(fleet.layout.width));
+                // A shape that fits nowhere stays promised, above every level that exists.
+                let level = level.unwrap_or(fleet.room.top() + 1);
+                let share = self.shares.entry(account.clone()).or_default();
+                *share.promised.entry(level).or_default() += item.count;
+            }
+        }
+        self.shares.retain(|_, share| !share.promised.is_empty() || !share.cells.is_empty());
+    }
+
+    /// Promised blocks not in use, by level.
+    pub(crate) fn wanted(&self) -> Vec<u32> {
+        let mut wanted = Vec::new();
+        for share in self.shares.values() {
+            for (&level, &count) in &share.promised {
+                let level = level as usize;
+                if wanted.len() <= level {
+                    wanted.resize(level + 1, 0);
+                }
+                wanted[level] += count.saturating_sub(share.used(level as u32));
+            }
+        }
+        wanted
+    }
+
+    /// How many promised blocks cannot be reclaimed.
+    pub(crate) fn missing(&self, fleet: &Fleet) -> u32 {
+        shortage(&fleet.room.counts(), &self.wanted()).iter().sum()
+    }
+
+    /// The block of `level` that is cheapest to vacate and leaves room for all other guarantees.
+    pub(crate) fn choose(&self, fleet: &Fleet, level: u32, asker: &Asker) -> Option<Block> {
+        let counts = fleet.room.counts();
+        let mut wanted = self.wanted();
+        let before: u32 = shortage(&counts, &wanted).iter().sum();
+        *wanted.get_mut(level as usize)? -= 1;
+        let mut best: Option<(u64, Block)> = None;
+        for from in level..=fleet.room.top() {
+            if fleet.room.blocks(from).is_empty() || !fits(&counts, &wanted, level, from, before) {
+                continue;
+            }
+            for &first in fleet.room.blocks(from) {
+                for index in 0..1_u32 << (from - level) {
+                    let block = Block { first: first + (index << level), level };
+                    let Some(loss) = vacate(fleet, &block, asker) else { continue };
+                    if best.is_none_or(|(least, _)| loss < least) {
+                        best = Some((loss, block));
+                    }
+                    if loss == 0 {
+                        return Some(block);
+                    }
+                }
+            }
+        }
+        best.map(|(_, block)| block)
+    }
+
+    /// Binds a guarantee to a block.
+    pub(crate) fn bind(
+        &mut self,
+        fleet: &mut Fleet,
+        account: &AccountId,
+        block: Block,
+        jobs: BTreeSet<JobId>,
+    ) {
+        let width = fleet.layout.width;
+        for position in block.positions(width) {
+            fleet.update(position, |worker| worker.bound |= block.mask(width));
+        }
+        let share = self.shares.entry(account.clone()).or_default();
+        share.cells.push(Cell { block, jobs });
+    }
+
+    /// Takes a job out of its guarantee, and frees the block with the last.
+    ///
+    /// Whether a freed block lies on a worker that does not count towards guarantees now.
+    pub(crate) fn leave(&mut self, fleet: &mut Fleet, account: &AccountId, job: JobId) -> bool {
+        let Some(share) = self.shares.get_mut(account) else { return false };
+        let mut unsound = false;
+        let width = fleet.layout.width;
+        for cell in &mut share.cells {
+            if cell.jobs.remove(&job) && cell.jobs.is_empty() {
+                for position in cell.block.positions(width) {
+                    unsound |= fleet.at(position).is_none_or(|worker| !worker.sound());
+                    fleet.update(position, |worker| worker.bound &= !cell.block.mask(width));
+                }
+            }
+        }
+        share.cells.retain(|cell| !cell.jobs.is_empty());
+        unsound
+    }
+}
+
+/// A block in use, by the workers that it lies on.
+#[derive(Clone, Debug)]
+pub(crate) struct Site {
+    account: AccountId,
+    workers: Vec<WorkerId>,
+    block: Block,
+    width: u32,
+    jobs: BTreeSet<JobId>,
+}
+
+impl Guarantees {
+    /// All blocks in use, by the workers that they lie on.
+    pub(crate) fn sites(&self, fleet: &Fleet) -> Vec<Site> {
+        let width = fleet.layout.width;
+        let mut sites = Vec::new();
+        for (account, share) in &self.shares {
+            for cell in &share.cells {
+                let workers = cell.block.positions(width).filter_map(|p| fleet.at(p));
+                sites.push(Site {
+                    account: account.clone(),
+                    workers: workers.map(|worker| worker.info.id.clone()).collect(),
+                    block: cell.block,
+                    width,
+                    jobs: cell.jobs.clone(),
+                });
+            }
+        }
+        sites
+    }
+
+    /// Finds blocks again after the workers were laid out anew.
+    ///
+    /// Returns the jobs whose block is no longer one; they run on as borrowers.
+    pub(crate) fn settle(&mut self, fleet: &mut Fleet, sites: &[Site]) -> BTreeSet<JobId> {
+        for share in self.shares.values_mut() {
+            share.cells.clear();
+        }
+        let mut lost = BTreeSet::new();
+        for site in sites {
+            match site.again(fleet) {
+                Some(block) => {
+                    self.bind(fleet, &site.account, block, site.jobs.clone());
+                }
+                None => lost.extend(site.jobs.iter().copied()),
+            }
+        }
+        lost
+    }
+}
+
+impl Site {
+    fn again(&self, fleet: &Fleet) -> Option<Block> {
+        let width = fleet.layout.width;
+        let start = fleet.position(self.workers.first()?)?;
+        let kept = (start..).zip(&self.workers).all(|(p, w)| fleet.position(w) == Some(p));
+        let first = (start << width) + (self.block.first & ((1 << width) - 1));
+        let aligned = first.is_multiple_of(1 << self.block.level);
+        let size = self.block.positions(width).len();
+        let whole = kept && aligned && width == self.width && size == self.workers.len();
+        whole.then_some(Block { first, level: self.block.level })
+    }
+}
+
+fn fits(counts: &[u32], wanted: &[u32], level: u32, from: u32, before: u32) -> bool {
+    let mut counts = counts.to_vec();
+    counts[from as usize] -= 1;
+    for halved in level..from {
+        counts[halved as usize] += 1;
+    }
+    shortage(&counts, wanted).iter().sum::<u32>() <= before
+}
+
+/// Work lost when a block is vacated; `None` if it cannot be.
+fn vacate(fleet: &Fleet, block: &Block, asker: &Asker) -> Option<u64> {
+    let width = fleet.layout.width;
+    let mask = block.mask(width);
+    let mut loss = 0;
+    for position in block.positions(width) {
+        let worker = fleet.at(position)?;
+        if worker.claimed & mask != 0 || !worker.usable() {
+            return None;
+        }
+        for holder in worker.holders.iter().filter(|holder| holder.mask & mask != 0) {
+            if !asker.may_take(holder) {
+                return None;
+            }
+            loss += asker.loss(holder);
+        }
+    }
+    Some(loss)
+}
--- /dev/null
+++ b/crates/gang/src/health.rs
@@ -0,0 +1,35 @@
+//! Workers that fail what they start.
+//!
+//! A failure counts against a worker only while the job has failed nowhere else: a job that fails
+//! on several workers is suspected itself, and its strikes are taken back. A quarantined worker is
+//! tried with one job at a time, after pauses that double.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use model::JobId;
+use model::Time;
+
+/// Failures and probes of one worker.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Health {
+    /// Different jobs that failed here since one ended well.
+    pub(crate) strikes: BTreeSet<JobId>,
+    /// Pause before the next probe, zero while not quarantined.
+    pub(crate) gap: Duration,
+    /// When the next probe is due.
+    pub(crate) probe: Time,
+}
+
+impl Health {
+    /// Forgets failures after a task ended well.
+    pub(crate) fn pass(&mut self) {
+        *self = Health::default();
+    }
+
+    /// Begins or lengthens the quarantine.
+    pub(crate) fn confine(&mut self, now: Time, first: Duration, most: Duration) {
+        self.gap = if self.gap.is_zero() { first } else { (self.gap * 2).min(most) };
+        self.probe = now + self.gap;
+    }
+}
--- /dev/null
+++ b/crates/gang/src/job.rs
@@ -0,0 +1,242 @@
+//! A job in memory.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::Attempt;
+use crate::Explanation;
+use crate::JobEvent;
+use crate::JobState;
+use crate::Step;
+use crate::Ticket;
+use crate::page::Record;
+use crate::page::Stage;
+use crate::place::need::Slot;
+use crate::preempt::Plan;
+use crate::queue::Class;
+use crate::state::JOB;
+use model::Stamp;
+use model::Time;
+use model::Verdict;
+use model::WorkerId;
+
+/// Steps of a path that are kept: the first half and the last half.
+const PATH: usize = 24;
+
+/// What one worker has of a gang.
+#[derive(Clone, Debug)]
+pub(crate) struct Hold {
+    /// The worker.
+    pub(crate) worker: WorkerId,
+    /// What is taken there.
+    pub(crate) slot: Slot,
+    /// Whether the lease is held.
+    pub(crate) leased: bool,
+    /// Whether the tasks were started.
+    pub(crate) started: bool,
+    /// Whether nothing of the attempt is left there.
+    pub(crate) gone: bool,
+    /// Whether all tasks ended well.
+    pub(crate) done: bool,
+    /// When the lease or start was last answered; reports taken before may not show it.
+    pub(crate) acked: Time,
+    /// When a report last showed it.
+    pub(crate) confirmed: Time,
+    /// When its life was last extended.
+    pub(crate) extended: Time,
+    /// How long it lives from then.
+    pub(crate) life: Duration,
+    /// When it was last told to stop.
+    pub(crate) stopped: Time,
+    /// When its last checkpoint was complete.
+    pub(crate) saved: Time,
+}
+
+impl Hold {
+    /// A hold that is to be asked for.
+    pub(crate) fn new(worker: WorkerId, slot: Slot, now: Time, life: Duration) -> Hold {
+        Hold {
+            worker,
+            slot,
+            leased: false,
+            started: false,
+            gone: false,
+            done: false,
+            acked: Time::ZERO,
+            confirmed: Time::ZERO,
+            extended: now,
+            life,
+            stopped: Time::NEVER,
+            saved: Time::ZERO,
+        }
+    }
+}
+
+/// One attempt to run a job.
+#[derive(Clone, Debug)]
+pub(crate) struct Gang {
+    /// Its fencing number.
+    pub(crate) attempt: Attempt,
+    /// Its parts.
+    pub(crate) holds: Vec<Hold>,
+    /// When it began to run.
+    pub(crate) began: Time,
+    /// When its leases lapse unless tasks are started.
+    pub(crate) expires: Time,
+    /// When its checkpoint was asked for.
+    pub(crate) asked: Time,
+}
+
+impl Gang {
+    /// The part at a worker.
+    pub(crate) fn part(&mut self, worker: &WorkerId) -> Option<&mut Hold> {
+        self.holds.iter_mut().find(|hold| hold.worker == *worker)
+    }
+
+    /// When the part that was silent longest last answered.
+    pub(crate) fn heard(&self) -> Time {
+        self.holds.iter().map(|hold| hold.confirmed).min().unwrap_or(Time::NEVER)
+    }
+}
+
+/// What follows once a stopped gang is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Aim {
+    /// It waits again, or is unknown if it may not run again.
+    Again,
+    /// It waits again: this attempt has started nothing.
+    Retry,
+    /// It is cancelled.
+    Cancel,
+    /// It failed for good.
+    Fail,
+}
+
+/// A job in memory.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    /// What is stored, or is about to be.
+    pub(crate) record: Record,
+    /// Its page.
+    pub(crate) page: usize,
+    /// Its state by the job chart.
+    pub(crate) state: JobState,
+    /// Why it is in that state, or what it waits for.
+    pub(crate) reason: String,
+    /// Its path through the chart.
+    pub(crate) path: Vec<Step>,
+    /// Since when it waits to run.
+    pub(crate) since: Time,
+    /// Earliest time of the next placement.
+    pub(crate) after: Time,
+    /// When it needs attention.
+    pub(crate) deadline: Time,
+    /// Whether its acceptance is in the store.
+    pub(crate) durable: bool,
+    /// Whether it may be placed: accepted in the store, or volatile by the caller's wish.
+    pub(crate) accepted: bool,
+    /// Calls that wait for its acceptance.
+    pub(crate) tickets: Vec<Ticket>,
+    /// Its highest attempt so far, stored or not.
+    pub(crate) tried: Attempt,
+    /// Its attempt in progress.
+    pub(crate) gang: Option<Gang>,
+    /// What follows once its gang is gone.
+    pub(crate) aim: Aim,
+    /// Whether its gang is gone and that is being stored.
+    pub(crate) vacating: bool,
+    /// Whether tasks of any attempt may have been started.
+    pub(crate) ran: bool,
+    /// Where it goes once others have made room.
+    pub(crate) plan: Option<Plan>,
+    /// Whether it is in a bound guarantee.
+    pub(crate) guaranteed: bool,
+    /// Workers that it failed on.
+    pub(crate) failed: BTreeSet<WorkerId>,
+    /// Since when no set of workers could hold it.
+    pub(crate) ruled: Time,
+    /// Class under which it is queued.
+    pub(crate) class: Option<Class>,
+}
+
+impl Job {
+    /// A job that was just submitted or read.
+    pub(crate) fn new(record: Record, page: usize, now: Time) -> Job {
+        Job {
+            state: JOB.initial(),
+            reason: record.reason.clone(),
+            path: Vec::new(),
+            since: now,
+            after: Time::ZERO,
+            deadline: Time::NEVER,
+            durable: false,
+            accepted: false,
+            tickets: Vec::new(),
+            tried: record.attempt,
+            gang: None,
+            aim: Aim::Again,
+            vacating: false,
+            ran: record.started,
+            plan: None,
+            guaranteed: false,
+            failed: BTreeSet::new(),
+            ruled: Time::NEVER,
+            class: None,
+            record,
+            page,
+        }
+    }
+
+    /// Moves it along its chart.
+    ///
+    /// # Panics
+    ///
+    /// The chart has no such transition.
+    pub(crate) fn step(&mut self, event: JobEvent, at: Stamp, reason: &str) {
+        JOB.advance(&mut self.state, event);
+        self.note(at, reason);
+    }
+
+    /// Adds its state to its path.
+    pub(crate) fn note(&mut self, at: Stamp, reason: &str) {
+        reason.clone_into(&mut self.reason);
+        self.path.push(Step { state: self.state, at, reason: reason.to_owned() });
+        if self.path.len() > PATH {
+            self.path.remove(PATH / 2);
+        }
+    }
+
+    /// What is stored about it once its gang is gone.
+    pub(crate) fn outcome(&self) -> Stage {
+        match self.aim {
+            Aim::Cancel => Stage::Cancelled,
+            Aim::Fail => Stage::Failed,
+            Aim::Retry => Stage::Queued,
+            Aim::Again if self.record.spec.rerunnable() => Stage::Queued,
+            Aim::Again => Stage::Unknown,
+        }
+    }
+
+    /// Whether it ran, once that is settled.
+    pub(crate) fn verdict(&self) -> Option<Verdict> {
+        match self.record.stage {
+            Stage::Queued | Stage::Placed => None,
+            Stage::Done | Stage::Failed => Some(Verdict::Ran),
+            Stage::Unknown => Some(Verdict::Unknown),
+            Stage::Cancelled | Stage::Impossible if self.record.started => Some(Verdict::Unknown),
+            Stage::Cancelled | Stage::Impossible => Some(Verdict::NotRun),
+        }
+    }
+
+    /// How it came to its state.
+    pub(crate) fn explain(&self) -> Explanation {
+        Explanation {
+            state: self.state,
+            verdict: self.verdict(),
+            attempt: self.tried,
+            parts: self.record.parts.clone(),
+            reason: self.reason.clone(),
+            path: self.path.clone(),
+        }
+    }
+}
--- a/crates/gang/src/lib.rs
+++ b/crates/gang/src/lib.rs
@@ -4,14 +4,35 @@
 //! part of one. It is a deterministic state machine: events and the time go in, actions come out,
 //! and the caller connects it to the store and to the workers.
 
+mod accept;
 mod action;
+mod commit;
 mod event;
+mod guarantee;
+mod health;
+mod job;
+mod learn;
+mod lease;
+mod pace;
+mod page;
+mod place;
 mod policy;
+mod preempt;
+mod queue;
+mod quota;
+mod recover;
+mod renew;
+mod report;
+mod reserve;
+mod room;
+mod schedule;
 mod settings;
 mod shard;
 mod snapshot;
 mod spec;
 mod state;
+mod stop;
+mod view;
 
 pub use action::Action;
 pub use action::LeaseRef;
@@ -30,10 +51,18 @@
 pub use event::WorkerReport;
 pub use event::WriteId;
 pub use event::WriteResult;
+pub use page::PageError;
+pub use page::PageValue;
+pub use page::Record;
+pub use page::Stage;
+pub use page::page_prefix;
 pub use policy::AccountPolicy;
 pub use policy::Guaranteed;
 pub use policy::Policy;
 pub use policy::ServicePolicy;
+pub use quota::Ledger;
+pub use quota::Parts;
+pub use quota::QuotaError;
 pub use settings::Settings;
 pub use shard::Shard;
 pub use snapshot::Explanation;
--- /dev/null
+++ b/crates/gang/src/place/search.rs
@@ -0,0 +1,353 @@
+//! Finds free blocks, best fit first.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::WorkerState;
+use crate::place::fleet::Cores;
+use crate::place::fleet::Fleet;
+use crate::place::fleet::Worker;
+use crate::place::layout::ZoneSpan;
+use crate::place::need::Extent;
+use crate::place::need::Resources;
+use crate::place::need::Slot;
+use crate::place::tree::level_of;
+use crate::place::tree::low_bits;
+use model::GangShape;
+
+/// Blocks of one level that are looked at before the next level.
+const TRIES: usize = 64;
+
+/// A gang to be placed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Query<'a> {
+    /// What it needs.
+    pub(crate) shape: &'a GangShape,
+    /// The kind of block it takes.
+    pub(crate) extent: Extent,
+    /// Positions that it must not use.
+    pub(crate) avoid: &'a BTreeSet<u32>,
+    /// Whether it may run on a worker that is being probed.
+    pub(crate) probe: bool,
+}
+
+impl Query<'_> {
+    /// Whether the gang may use a worker at all.
+    pub(crate) fn admits(&self, position: u32, worker: &Worker) -> bool {
+        let probe = worker.state != WorkerState::Probing || self.probe;
+        probe && !self.avoid.contains(&position)
+    }
+
+    /// What `tasks` of its tasks take.
+    pub(crate) fn takes(&self, tasks: u32) -> Resources {
+        Resources {
+            accelerators: tasks.saturating_mul(self.shape.accelerators),
+            millicores: tasks.saturating_mul(self.shape.millicores),
+            memory: tasks.saturating_mul(self.shape.memory_mib),
+        }
+    }
+}
+
+/// Finds free accelerators for a gang.
+pub(crate) fn find(fleet: &Fleet, query: &Query) -> Option<Vec<Slot>> {
+    match query.extent {
+        Extent::Worker { accelerators: 0 } => find_cores(fleet, query),
+        Extent::Worker { accelerators } => find_block(fleet, query, accelerators),
+        Extent::Workers { count } => find_workers(fleet, query, count),
+        Extent::Racks { count } => find_racks(fleet, query, count),
+        Extent::Spread if query.shape.accelerators == 0 => spread_cores(fleet, query),
+        Extent::Spread => fleet.layout.zones.iter().find_map(|zone| spread(fleet, query, zone)),
+    }
+}
+
+fn find_cores(fleet: &Fleet, query: &Query) -> Option<Vec<Slot>> {
+    let tasks = query.shape.tasks;
+    let least = Cores { millicores: query.takes(tasks).millicores, position: 0 };
+    let fits = |cores: &&Cores| {
+        fleet.at(cores.position).is_some_and(|worker| {
+            query.admits(cores.position, worker) && worker.spare(0).tasks(query.shape) >= tasks
+        })
+    };
+    let cores = fleet.cores.range(least..).take(TRIES).find(fits)?;
+    Some(vec![Slot { position: cores.position, mask: 0, first: 0, tasks }])
+}
+
+fn spread_cores(fleet: &Fleet, query: &Query) -> Option<Vec<Slot>> {
+    fleet.layout.zones.iter().find_map(|zone| {
+        let inside = |position: u32| {
+            let rack = fleet.layout.rack(position);
+            (zone.first..zone.first + zone.racks).contains(&rack)
+        };
+        let mut filler = Filler::new(query);
+        for cores in fleet.cores.iter().rev().filter(|cores| inside(cores.position)) {
+            let Some(worker) = fleet.at(cores.position) else { continue };
+            if query.admits(cores.position, worker) {
+                filler.add(cores.position, 0, worker.spare(0).tasks(query.shape));
+            }
+            if filler.done() {
+                return filler.finish();
+            }
+        }
+        None
+    })
+}
+
+fn find_block(fleet: &Fleet, query: &Query, accelerators: u32) -> Option<Vec<Slot>> {
+    let wanted = query.takes(query.shape.tasks);
+    let fits = |position: u32| {
+        fleet.at(position).is_some_and(|worker| {
+            query.admits(position, worker)
+                && worker.millicores >= wanted.millicores
+                && worker.memory >= wanted.memory
+        })
+    };
+    let slot = |position, mask| Slot { position, mask, first: 0, tasks: query.shape.tasks };
+    let width = fleet.free.width();
+    for level in level_of(accelerators)..=fleet.free.top() {
+        for &first in fleet.free.blocks(level).iter().take(TRIES) {
+            let position = first >> width;
+            if fits(position) {
+                let offset = first - (position << width);
+                return Some(vec![slot(position, low_bits(accelerators) << offset)]);
+            }
+        }
+    }
+    if accelerators.is_power_of_two() {
+        return None;
+    }
+    fleet.iter().find_map(|seat| {
+        let mask = run_in(fleet.free.mask(seat.position), accelerators)?;
+        fits(seat.position).then(|| vec![slot(seat.position, mask)])
+    })
+}
+
+/// The lowest `count` consecutive bits of `mask`.
+pub(crate) fn run_in(mask: u64, count: u32) -> Option<u64> {
+    let wanted = low_bits(count);
+    (0..=u64::BITS.saturating_sub(count)).map(|at| wanted << at).find(|run| mask & run == *run)
+}
+
+/// Whether a worker is wholly free and may be used.
+fn is_open(fleet: &Fleet, query: &Query, position: u32) -> bool {
+    fleet.at(position).is_some_and(|worker| {
+        worker.info.accelerators > 0
+            && fleet.free.mask(position) == worker.all()
+            && worker.spare(worker.info.accelerators).tasks(query.shape) > 0
+            && query.admits(position, worker)
+    })
+}
+
+fn find_workers(fleet: &Fleet, query: &Query, count: u32) -> Option<Vec<Slot>> {
+    let width = fleet.free.width();
+    for level in width + level_of(count)..=fleet.free.top() {
+        for &first in fleet.free.blocks(level).iter().take(TRIES) {
+            let start = first >> width;
+            let found = fill(fleet, query, start..start + count);
+            if found.is_some() {
+                return found;
+            }
+        }
+    }
+    let mut best: Option<Run> = None;
+    for zone in &fleet.layout.zones {
+        for rack in zone.first..zone.first + zone.racks {
+            let run = best_run(fleet, query, rack, count);
+            best = [best, run].into_iter().flatten().min_by_key(|run| run.length);
+        }
+    }
+    let run = best?;
+    fill(fleet, query, run.start..run.start + run.length)
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    start: u32,
+    length: u32,
+}
+
+fn best_run(fleet: &Fleet, query: &Query, rack: u32, count: u32) -> Option<Run> {
+    let base = rack << fleet.layout.depth;
+    let mut best: Option<Run> = None;
+    let mut open = Run { start: base, length: 0 };
+    for position in base..=base + fleet.rack_size() {
+        let inside = position < base + fleet.rack_size();
+        if inside && is_open(fleet, query, position) {
+            open.length += 1;
+            continue;
+        }
+        let better = best.is_none_or(|best| open.length < best.length);
+        if open.length >= count && better && holds(fleet, query, &open) {
+            best = Some(open);
+        }
+        open = Run { start: position + 1, length: 0 };
+    }
+    best
+}
+
+fn holds(fleet: &Fleet, query: &Query, run: &Run) -> bool {
+    fill(fleet, query, run.start..run.start + run.length).is_some()
+}
+
+fn find_racks(fleet: &Fleet, query: &Query, count: u32) -> Option<Vec<Slot>> {
+    let least = count.div_ceil(fleet.rack_size());
+    let zones = fleet.layout.zones.iter();
+    let open: Vec<RackRow> = zones.map(|zone| RackRow::new(fleet, query, zone)).collect();
+    for racks in least..=least + 1 {
+        let windows = open.iter().flat_map(|row| row.windows(racks));
+        let enough = windows.filter(|window| window.open >= count);
+        let best = enough.min_by_key(|window| window.open);
+        if let Some(window) = best {
+            let size = fleet.rack_size();
+            let found = fill(fleet, query, window.rack * size..(window.rack + racks) * size);
+            if found.is_some() {
+                return found;
+            }
+        }
+    }
+    None
+}
+
+/// Wholly free workers by rack of one availability zone.
+struct RackRow {
+    first: u32,
+    open: Vec<u32>,
+}
+
+struct RackWindow {
+    rack: u32,
+    open: u32,
+}
+
+impl RackRow {
+    fn new(fleet: &Fleet, query: &Query, zone: &ZoneSpan) -> RackRow {
+        let size = fleet.rack_size();
+        let count = |rack: u32| {
+            let positions = rack * size..(rack + 1) * size;
+            positions.filter(|position| is_open(fleet, query, *position)).count() as u32
+        };
+        let open = (zone.first..zone.first + zone.racks).map(count).collect();
+        RackRow { first: zone.first, open }
+    }
+
+    fn windows(&self, racks: u32) -> impl Iterator<Item = RackWindow> {
+        self.open.windows(racks as usize).enumerate().map(|(index, window)| RackWindow {
+            rack: self.first + index as u32,
+            open: window.iter().sum(),
+        })
+    }
+}
+
+/// Puts all tasks on the wholly free workers among `positions`, in order.
+fn fill(fleet: &Fleet, query: &Query, positions: impl Iterator<Item = u32>) -> Option<Vec<Slot>> {
+    let mut filler = Filler::new(query);
+    for position in positions {
+        if !is_open(fleet, query, position) {
+            continue;
+        }
+        let Some(worker) = fleet.at(position) else { continue };
+        let spare = worker.spare(worker.info.accelerators);
+        filler.add(position, worker.all(), spare.tasks(query.shape));
+        if filler.done() {
+            return filler.finish();
+        }
+    }
+    None
+}
+
+fn spread(fleet: &Fleet, query: &Query, zone: &ZoneSpan) -> Option<Vec<Slot>> {
+    let each = query.shape.accelerators;
+    let width = fleet.free.width();
+    let size = fleet.rack_size();
+    let inside = zone.first * size..(zone.first + zone.racks) * size;
+    let mut masks: BTreeMap<u32, u64> = BTreeMap::new();
+    let mut found = 0;
+    for level in level_of(each)..=fleet.free.top() {
+        for &first in fleet.free.blocks(level) {
+            if found >= query.shape.tasks {
+                break;
+            }
+            let workers = 1_u32 << level.saturating_sub(width);
+            for position in first >> width..(first >> width) + workers {
+                if found >= query.shape.tasks || !inside.contains(&position) {
+                    continue;
+                }
+                let Some(worker) = fleet.at(position) else { continue };
+                if !query.admits(position, worker) {
+                    continue;
+                }
+                let offset = if level < width { first - (position << width) } else { 0 };
+                let block = low_bits(1 << level.min(width)) << offset;
+                let entry = masks.entry(position).or_default();
+                let before = tasks_in(query, worker, *entry);
+                *entry |= block;
+                found += tasks_in(query, worker, *entry) - before;
+            }
+        }
+    }
+    let mut filler = Filler::new(query);
+    for (position, mask) in masks {
+        let Some(worker) = fleet.at(position) else { continue };
+        filler.add(position, mask, tasks_in(query, worker, mask));
+    }
+    filler.finish()
+}
+
+/// How many tasks fit on accelerators of one worker, each on adjacent ones.
+pub(crate) fn tasks_in(query: &Query, worker: &Worker, mask: u64) -> u32 {
+    runs_in(mask, query.shape.accelerators).min(worker.spare(u32::MAX).tasks(query.shape))
+}
+
+/// How many separate runs of `count` consecutive bits `mask` has.
+pub(crate) fn runs_in(mask: u64, count: u32) -> u32 {
+    let mut rest = mask;
+    let mut runs = 0;
+    while let Some(run) = run_in(rest, count) {
+        rest &= !run;
+        runs += 1;
+    }
+    runs
+}
+
+/// Hands out tasks to workers in order.
+pub(crate) struct Filler<'a> {
+    query: &'a Query<'a>,
+    slots: Vec<Slot>,
+    next: u32,
+}
+
+impl<'a> Filler<'a> {
+    /// Nothing handed out yet.
+    pub(crate) fn new(query: &'a Query<'a>) -> Filler<'a> {
+        Filler { query, slots: Vec::new(), next: 0 }
+    }
+
+    /// Whether all tasks have a worker.
+    pub(crate) fn done(&self) -> bool {
+        self.next >= self.query.shape.tasks
+    }
+
+    /// Puts up to `room` tasks on accelerators out of `mask`.
+    pub(crate) fn add(&mut self, position: u32, mask: u64, room: u32) {
+        let tasks = room.min(self.query.shape.tasks - self.next);
+        if tasks == 0 {
+            return;
+        }
+        let mut rest = mask;
+        let mut taken = 0;
+        for _ in 0..tasks {
+            if self.query.shape.accelerators == 0 {
+                break;
+            }
+            let Some(run) = run_in(rest, self.query.shape.accelerators) else { return };
+            rest &= !run;
+            taken |= run;
+        }
+        self.slots.push(Slot { position, mask: taken, first: self.next, tasks });
+        self.next += tasks;
+    }
+
+    /// The slots, if all tasks have a worker.
+    pub(crate) fn finish(self) -> Option<Vec<Slot>> {
+        (self.next >= self.query.shape.tasks).then_some(self.slots)
+    }
+}
--- /dev/null
+++ b/crates/gang/src/place/take.rs
@@ -0,0 +1,296 @@
+//! Finds the blocks whose jobs lose the least work when they make room.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::WorkerState;
+use crate::place::fleet::Fleet;
+use crate::place::fleet::Holder;
+use crate::place::fleet::Worker;
+use crate::place::need::Extent;
+use crate::place::need::Slot;
+use crate::place::search::Filler;
+use crate::place::search::Query;
+use crate::place::search::runs_in;
+use crate::place::tree::level_of;
+use crate::place::tree::low_bits;
+use crate::preempt::Asker;
+use crate::preempt::Plan;
+use model::JobId;
+
+/// Candidates that are compared exactly, after a rough comparison of all.
+const FINALISTS: usize = 8;
+
+/// An aligned block of accelerators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Block {
+    /// First accelerator on the line.
+    pub(crate) first: u32,
+    /// It has `2^level` accelerators.
+    pub(crate) level: u32,
+}
+
+impl Block {
+    /// Positions of its workers.
+    pub(crate) fn positions(&self, width: u32) -> std::ops::Range<u32> {
+        let start = self.first >> width;
+        start..start + (1 << self.level.saturating_sub(width))
+    }
+
+    /// Its accelerators at one of its positions.
+    pub(crate) fn mask(&self, width: u32) -> u64 {
+        let offset = self.first & ((1 << width) - 1);
+        low_bits(1 << self.level.min(width)) << offset
+    }
+}
+
+/// Where room may be made.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Region {
+    /// Anywhere but in bound guarantees.
+    Open,
+    /// In a bound guarantee.
+    Cell(Block),
+}
+
+/// A request for room.
+pub(crate) struct Taker<'a> {
+    /// The workers.
+    pub(crate) fleet: &'a Fleet,
+    /// The gang.
+    pub(crate) query: &'a Query<'a>,
+    /// Where to look.
+    pub(crate) region: Region,
+    /// Who asks.
+    pub(crate) asker: Asker,
+}
+
+struct Choice {
+    loss: u64,
+    positions: Vec<u32>,
+}
+
+impl Taker<'_> {
+    /// The plan that loses the least work; one without victims if there is free room.
+    pub(crate) fn find(&self) -> Option<Plan> {
+        match self.query.extent {
+            Extent::Worker { accelerators } => self.find_block(accelerators),
+            Extent::Workers { count } => self.find_workers(count),
+            Extent::Racks { count } => self.find_racks(count),
+            Extent::Spread => self.find_spread(),
+        }
+    }
+
+    fn positions(&self) -> std::ops::Range<u32> {
+        match self.region {
+            Region::Open => 0..1 << self.fleet.layout.height,
+            Region::Cell(block) => block.positions(self.fleet.layout.width),
+        }
+    }
+
+    /// Accelerators that are free or can be had.
+    fn reach(&self, position: u32, worker: &Worker) -> u64 {
+        if worker.state != WorkerState::Ready || !worker.usable() {
+            return 0;
+        }
+        let region = match self.region {
+            Region::Open => !worker.bound,
+            Region::Cell(block) => block.mask(self.fleet.layout.width),
+        };
+        let fixed = worker.holders.iter().filter(|h| !self.asker.may_take(h));
+        let fixed = fixed.fold(0, |mask, holder| mask | holder.mask);
+        if !self.query.admits(position, worker) {
+            return 0;
+        }
+        worker.all() & region & !worker.claimed & !fixed
+    }
+
+    fn loss_in(&self, worker: &Worker, mask: u64) -> u64 {
+        let holders = worker.holders.iter().filter(|h| h.mask & mask != 0);
+        holders.map(|h| self.asker.loss(h)).sum()
+    }
+
+    fn find_block(&self, accelerators: u32) -> Option<Plan> {
+        let size = 1_u32 << level_of(accelerators);
+        let wanted = low_bits(accelerators);
+        let mut best: Option<(u64, Slot)> = None;
+        for position in self.positions() {
+            let Some(worker) = self.fleet.at(position) else { continue };
+            let reach = self.reach(position, worker);
+            let starts = (0..worker.info.accelerators.max(1)).step_by(size as usize);
+            for mask in starts.map(|at| wanted << at) {
+                if reach & mask != mask {
+                    continue;
+                }
+                let loss = self.loss_in(worker, mask);
+                if best.is_some_and(|(least, _)| loss >= least) {
+                    continue;
+                }
+                let slot = Slot { position, mask, first: 0, tasks: self.query.shape.tasks };
+                if self.victims(&slot).is_some() {
+                    best = Some((loss, slot));
+                }
+            }
+            if best.is_some_and(|(least, _)| least == 0) {
+                break;
+            }
+        }
+        self.plan(vec![best?.1])
+    }
+
+    fn find_workers(&self, count: u32) -> Option<Plan> {
+        let costs = self.worker_costs();
+        let size = self.fleet.rack_size();
+        let mut choices = Vec::new();
+        for rack in self.racks() {
+            for start in rack * size..=(rack + 1) * size - count.min(size) {
+                let window: Vec<u32> = (start..start + count).collect();
+                let costs: Option<Vec<u64>> =
+                    window.iter().map(|p| costs.get(p).copied()).collect();
+                let Some(costs) = costs else { continue };
+                choices.push(Choice { loss: costs.iter().sum(), positions: window });
+            }
+        }
+        self.best_of(choices)
+    }
+
+    fn find_racks(&self, count: u32) -> Option<Plan> {
+        let costs = self.worker_costs();
+        let size = self.fleet.rack_size();
+        let least = count.div_ceil(size);
+        for racks in least..=least + 1 {
+            let mut choices = Vec::new();
+            for zone in &self.fleet.layout.zones {
+                let last = (zone.first + zone.racks).saturating_sub(racks);
+                for rack in zone.first..=last.max(zone.first) {
+                    let within = costs.range(rack * size..(rack + racks) * size);
+                    let mut found: Vec<(u64, u32)> = within.map(|(p, cost)| (*cost, *p)).collect();
+                    if rack > last || found.len() < count as usize {
+                        continue;
+                    }
+                    found.sort_unstable();
+                    found.truncate(count as usize);
+                    let loss = found.iter().map(|(cost, _)| cost).sum();
+                    let mut positions: Vec<u32> = found.into_iter().map(|(_, p)| p).collect();
+                    positions.sort_unstable();
+                    choices.push(Choice { loss, positions });
+                }
+            }
+            let best = self.best_of(choices);
+            if best.is_some() {
+                return best;
+            }
+        }
+        None
+    }
+
+    fn find_spread(&self) -> Option<Plan> {
+        let size = self.fleet.rack_size();
+        for zone in &self.fleet.layout.zones {
+            let inside = zone.first * size..(zone.first + zone.racks) * size;
+            let mut order: Vec<(u64, u32)> = Vec::new();
+            for position in self.positions().filter(|position| inside.contains(position)) {
+                let Some(worker) = self.fleet.at(position) else { continue };
+                let reach = self.reach(position, worker);
+                order.push((self.loss_in(worker, reach), position));
+            }
+            order.sort_unstable();
+            let mut filler = Filler::new(self.query);
+            for (_, position) in order {
+                let Some(worker) = self.fleet.at(position) else { continue };
+                let reach = self.reach(position, worker);
+                filler.add(position, reach, self.room_in(worker, reach));
+                if filler.done() {
+                    break;
+                }
+            }
+            let plan = filler.finish().and_then(|slots| self.plan(slots));
+            if plan.is_some() {
+                return plan;
+            }
+        }
+        None
+    }
+
+    fn room_in(&self, worker: &Worker, reach: u64) -> u32 {
+        let runs = match self.query.shape.accelerators {
+            0 => u32::MAX,
+            each => runs_in(reach, each),
+        };
+        runs.min(worker.whole().tasks(self.query.shape))
+    }
+
+    fn racks(&self) -> Vec<u32> {
+        let zones = self.fleet.layout.zones.iter();
+        let all = zones.flat_map(|zone| zone.first..zone.first + zone.racks);
+        let positions = self.positions();
+        let size = self.fleet.rack_size();
+        all.filter(|rack| rack * size < positions.end && (rack + 1) * size > positions.start)
+            .collect()
+    }
+
+    /// Work lost by worker, for those that can be had whole.
+    fn worker_costs(&self) -> BTreeMap<u32, u64> {
+        let mut costs = BTreeMap::new();
+        for position in self.positions() {
+            let Some(worker) = self.fleet.at(position) else { continue };
+            let all = worker.all();
+            if all != 0 && self.reach(position, worker) == all {
+                costs.insert(position, self.loss_in(worker, all));
+            }
+        }
+        costs
+    }
+
+    fn best_of(&self, mut choices: Vec<Choice>) -> Option<Plan> {
+        choices.sort_by_key(|choice| choice.loss);
+        let plans = choices.iter().take(FINALISTS).filter_map(|choice| {
+            let mut filler = Filler::new(self.query);
+            for &position in &choice.positions {
+                let worker = self.fleet.at(position)?;
+                filler.add(position, worker.all(), worker.whole().tasks(self.query.shape));
+            }
+            filler.finish().and_then(|slots| self.plan(slots))
+        });
+        plans.min_by_key(|plan| plan.loss)
+    }
+
+    fn plan(&self, slots: Vec<Slot>) -> Option<Plan> {
+        let mut losses: BTreeMap<JobId, u64> = BTreeMap::new();
+        for slot in &slots {
+            for victim in self.victims(slot)? {
+                losses.insert(victim.job, self.asker.loss(&victim));
+            }
+        }
+        let loss = losses.values().sum();
+        Some(Plan { slots, victims: losses.into_keys().collect::<BTreeSet<_>>(), loss })
+    }
+
+    /// Who has to leave a worker so that the slot's accelerators, cores and memory are free.
+    fn victims(&self, slot: &Slot) -> Option<Vec<Holder>> {
+        let worker = self.fleet.at(slot.position)?;
+        let mut rest: Vec<&Holder> = worker.holders.iter().collect();
+        rest.sort_by_key(|h| (h.mask & slot.mask == 0, self.asker.loss(h)));
+        let wanted = self.query.takes(slot.tasks);
+        let mut millicores = worker.millicores;
+        let mut memory = worker.memory;
+        let mut victims = Vec::new();
+        for holder in rest {
+            let short = millicores < wanted.millicores || memory < wanted.memory;
+            if holder.mask & slot.mask == 0 && !short {
+                break;
+            }
+            if !self.asker.may_take(holder) {
+                if holder.mask & slot.mask != 0 {
+                    return None;
+                }
+                continue;
+            }
+            millicores += holder.takes.millicores;
+            memory += holder.takes.memory;
+            victims.push(*holder);
+        }
+        let enough = millicores >= wanted.millicores && memory >= wanted.memory;
+        enough.then_some(victims)
+    }
+}
--- /dev/null
+++ b/crates/gang/src/renew.rs
@@ -0,0 +1,80 @@
+//! Renewals, one message a worker.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::Action;
+use crate::JobState;
+use crate::LeaseRef;
+use crate::Shard;
+use crate::WorkerEvent;
+use crate::WorkerState;
+use crate::shard::Timer;
+use model::JobId;
+use model::Time;
+use model::WorkerId;
+
+impl Shard {
+    /// Begins renewals at a worker, at a time of its own.
+    pub(crate) fn begin_renewals(&mut self, now: Time, worker: &WorkerId) {
+        let Some(position) = self.fleet.position(worker) else { return };
+        if self.fleet.at(position).is_none_or(|worker| worker.renew != Time::NEVER) {
+            return;
+        }
+        let share = self.rng.random_range(0.5..1.0);
+        let due = now + self.settings.renew.mul_f64(share);
+        self.fleet.update(position, |worker| worker.renew = due);
+        self.alarm(due, Timer::Worker(worker.clone()));
+    }
+
+    /// A worker's alarm has come.
+    pub(crate) fn on_worker_due(&mut self, now: Time, worker: &WorkerId, out: &mut Vec<Action>) {
+        let Some(position) = self.fleet.position(worker) else { return };
+        let Some(entry) = self.fleet.at(position) else { return };
+        let (avoid, renew, probe) = (entry.avoid, entry.renew, entry.health.probe);
+        if avoid != Time::ZERO && avoid <= now {
+            self.fleet.update(position, |worker| worker.avoid = Time::ZERO);
+            self.stirred = true;
+        }
+        let quarantined =
+            self.fleet.at(position).is_some_and(|w| w.state == WorkerState::Quarantined);
+        if quarantined && probe <= now && self.fleet.step(position, WorkerEvent::Probed) {
+            self.stirred = true;
+        }
+        if renew <= now {
+            self.renew(now, worker, position, out);
+        }
+    }
+
+    fn renew(&mut self, now: Time, worker: &WorkerId, position: u32, out: &mut Vec<Action>) {
+        let Some(entry) = self.fleet.at(position) else { return };
+        let silent = entry.state == WorkerState::Silent;
+        let jobs: Vec<JobId> = entry.holders.iter().map(|holder| holder.job).collect();
+        let leases: Vec<LeaseRef> =
+            jobs.iter().filter_map(|job| self.renewable(now, *job, worker)).collect();
+        if jobs.is_empty() && !silent {
+            self.fleet.update(position, |worker| worker.renew = Time::NEVER);
+            return;
+        }
+        let next = now + self.settings.renew;
+        self.fleet.update(position, |worker| worker.renew = next);
+        self.alarm(next, Timer::Worker(worker.clone()));
+        let ttl = if leases.is_empty() { Duration::ZERO } else { self.settings.lease };
+        out.push(Action::Renew { worker: worker.clone(), leases, ttl });
+    }
+
+    /// The lease of a job whose gang is whole.
+    fn renewable(&mut self, now: Time, id: JobId, worker: &WorkerId) -> Option<LeaseRef> {
+        let job = self.jobs.get_mut(&id)?;
+        let whole =
+            matches!(job.state, JobState::Running | JobState::Preempting | JobState::Finishing);
+        let gang = job.gang.as_mut().filter(|_| whole)?;
+        if gang.heard() + self.settings.lost <= now {
+            return None;
+        }
+        let attempt = gang.attempt;
+        gang.part(worker)?.extended = now;
+        Some(LeaseRef { job: id, attempt })
+    }
+}
--- /dev/null
+++ b/crates/gang/src/room.rs
@@ -0,0 +1,162 @@
+//! Makes room: the jobs in a plan are checkpointed and stopped, and its accelerators are kept.
+
+use crate::Action;
+use crate::JobEvent;
+use crate::JobState;
+use crate::Shard;
+use crate::job::Aim;
+use crate::preempt::Plan;
+use crate::preempt::Rank;
+use model::JobId;
+use model::Time;
+
+impl Shard {
+    /// Keeps a plan's accelerators for a job and has the jobs there leave.
+    pub(crate) fn make_room(&mut self, now: Time, id: JobId, plan: Plan, out: &mut Vec<Action>) {
+        for slot in &plan.slots {
+            self.fleet.update(slot.position, |worker| {
+                assert!(worker.claimed & slot.mask == 0, "{} is claimed twice", worker.info.id);
+                worker.claimed |= slot.mask;
+            });
+        }
+        let victims = plan.victims.clone();
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.reason = format!("waits for {} jobs to make room", victims.len());
+            job.plan = Some(plan);
+        }
+        self.planned.insert(id);
+        for victim in victims {
+            self.preempt(now, victim, id, out);
+        }
+    }
+
+    fn preempt(&mut self, now: Time, victim: JobId, by: JobId, out: &mut Vec<Action>) {
+        let reason = format!("makes room for job {by}");
+        let Some(job) = self.jobs.get_mut(&victim) else { return };
+        match job.state {
+            JobState::Leasing => self.drop_gang(now, victim, &reason, out),
+            JobState::Committing => self.break_gang(now, victim, Aim::Retry, &reason, out),
+            JobState::Starting | JobState::Recovering => {
+                self.break_gang(now, victim, Aim::Again, &reason, out);
+            }
+            JobState::Running if job.record.spec.checkpoint => {
+                self.checkpoint(now, victim, &reason, out);
+            }
+            JobState::Running => self.break_gang(now, victim, Aim::Again, &reason, out),
+            _ => {}
+        }
+    }
+
+    fn checkpoint(&mut self, now: Time, victim: JobId, reason: &str, out: &mut Vec<Action>) {
+        self.step(now, victim, JobEvent::Preempted, reason);
+        let grace = self.settings.grace;
+        let Some(gang) = self.jobs.get_mut(&victim).and_then(|job| job.gang.as_mut()) else {
+            return;
+        };
+        gang.asked = now;
+        let attempt = gang.attempt;
+        for hold in &gang.holds {
+            let worker = hold.worker.clone();
+            out.push(Action::Checkpoint { worker, job: victim, attempt });
+        }
+        self.set_deadline(victim, now + grace);
+    }
+
+    /// Stops a preempted gang whose time for a checkpoint is over.
+    pub(crate) fn save_or_stop(&mut self, now: Time, id: JobId, out: &mut Vec<Action>) {
+        let reason = self.jobs.get(&id).map(|job| job.reason.clone()).unwrap_or_default();
+        self.break_gang(now, id, Aim::Again, &reason, out);
+    }
+
+    /// Stops a preempted gang early once its checkpoint is complete.
+    pub(crate) fn when_saved(&mut self, now: Time, id: JobId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(gang) = &job.gang else { return };
+        let saved = gang.holds.iter().all(|hold| hold.saved >= gang.asked);
+        if job.state == JobState::Preempting && saved {
+            self.save_or_stop(now, id, out);
+        }
+    }
+
+    /// Places the jobs for which room has been made.
+    pub(crate) fn follow_plans(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.planned.is_empty() {
+            return;
+        }
+        for id in self.planned.clone() {
+            let Some(plan) = self.jobs.get(&id).and_then(|job| job.plan.clone()) else { continue };
+            if !self.is_vacant(id, &plan) {
+                continue;
+            }
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let spec = &job.record.spec;
+            let rank = match job.guaranteed {
+                true => Rank::Guaranteed,
+                false => Rank::borrowed(spec.priority, spec.rerunnable()),
+            };
+            let guaranteed = job.guaranteed;
+            self.unclaim(id);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.guaranteed = guaranteed;
+            }
+            self.place(now, id, plan.slots, rank, out);
+        }
+    }
+
+    fn is_vacant(&self, id: JobId, plan: &Plan) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return false };
+        let shape = job.record.spec.shape;
+        plan.slots.iter().all(|slot| {
+            self.fleet.at(slot.position).is_some_and(|worker| {
+                let spare = worker.spare(u32::MAX);
+                worker.held & slot.mask == 0 && spare.tasks(&shape) >= slot.tasks
+            })
+        })
+    }
+
+    /// Gives back the accelerators that were kept for a plan.
+    fn unclaim(&mut self, id: JobId) {
+        self.planned.remove(&id);
+        let Some(plan) = self.jobs.get_mut(&id).and_then(|job| job.plan.take()) else { return };
+        for slot in &plan.slots {
+            self.fleet.update(slot.position, |worker| worker.claimed &= !slot.mask);
+        }
+        self.stirred = true;
+    }
+
+    /// Gives up a plan.
+    pub(crate) fn drop_plan(&mut self, id: JobId) {
+        if !self.planned.contains(&id) {
+            return;
+        }
+        self.unclaim(id);
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if std::mem::take(&mut job.guaranteed) {
+            let account = job.record.spec.account.clone();
+            self.excused |= self.guarantees.leave(&mut self.fleet, &account, id);
+        }
+    }
+
+    /// Gives up the plans that use a worker.
+    pub(crate) fn drop_plans_on(&mut self, position: u32) {
+        for id in self.planned.clone() {
+            let plan = self.jobs.get(&id).and_then(|job| job.plan.as_ref());
+            if plan.is_some_and(|plan| plan.slots.iter().any(|slot| slot.position == position)) {
+                self.drop_plan(id);
+            }
+        }
+    }
+
+    /// Gives up the plans that use workers which take no new work.
+    pub(crate) fn drop_broken_plans(&mut self) {
+        let broken: Vec<u32> = self
+            .fleet
+            .iter()
+            .filter(|seat| seat.worker.claimed != 0 && !seat.worker.sound())
+            .map(|seat| seat.position)
+            .collect();
+        for position in broken {
+            self.drop_plans_on(position);
+        }
+    }
+}
--- a/crates/gang/src/settings.rs
+++ b/crates/gang/src/settings.rs
@@ -39,6 +39,8 @@
     pub probe_max: Duration,
     /// Wait after which a blocked gang gets a reservation.
     pub patience: Duration,
+    /// Time after which a job that no set of workers can hold is ended.
+    pub rule: Duration,
     /// Most placements tried at one event.
     pub batch: usize,
 }
@@ -46,11 +48,11 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
-            hold: Duration::from_secs(6),
+            hold: Duration::from_secs(10),
             lease: Duration::from_secs(30),
             renew: Duration::from_secs(8),
             lost: Duration::from_secs(20),
-            flight: Duration::from_secs(3),
+            flight: Duration::from_secs(2),
             retry: Duration::from_secs(2),
             grace: Duration::from_millis(900),
             gather: Duration::from_millis(50),
@@ -63,6 +65,7 @@
             probe: Duration::from_secs(30),
             probe_max: Duration::from_secs(3_600),
             patience: Duration::from_secs(30),
+            rule: Duration::from_secs(300),
             batch: 256,
         }
     }
--- a/crates/gang/src/shard.rs
+++ b/crates/gang/src/shard.rs
@@ -1,29 +1,99 @@
 //! The decision machine of one placement shard.
+//!
+//! Who renews: the shard that owns the jobs renews the leases of every gang that is whole, one
+//! message a worker, whether or not the store answers. A gang of which one part has not been
+//! confirmed for [`Settings::lost`] is not renewed any more and is stopped. A renewal names the
+//! attempt, and a worker renews only a lease that it still holds for that attempt, so whatever an
+//! owner sends after a pause is harmless: its leases have lapsed or belong to a higher attempt, its
+//! page writes expect an outdated version, and its leases of new attempts carry its lower epoch.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 use crate::Action;
 use crate::Event;
 use crate::Explanation;
-use crate::Reply;
+use crate::JobEvent;
+use crate::Policy;
 use crate::Settings;
-use crate::Snapshot;
+use crate::StoredPage;
+use crate::commit::Mark;
+use crate::commit::Pages;
+use crate::guarantee::Guarantees;
+use crate::job::Job;
+use crate::learn::Learned;
+use crate::place::fleet::Fleet;
+use crate::queue::Class;
+use crate::queue::Queue;
+use crate::queue::Waiting;
+use crate::reserve::Reservation;
+use model::AccountId;
 use model::Epoch;
 use model::Incarnation;
 use model::JobId;
 use model::ShardId;
+use model::Stamp;
 use model::Time;
-use model::Verdict;
+use model::WorkerId;
+
+/// Something that needs attention at a time.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Timer {
+    /// A job's deadline.
+    Job(JobId),
+    /// A worker's renewal, probe or end of avoidance.
+    Worker(WorkerId),
+    /// A scheduling pass.
+    Pass,
+    /// Removal of jobs that ended long ago.
+    Purge,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Alarm {
+    at: Time,
+    timer: Timer,
+}
 
 /// The decision machine of one placement shard.
 #[derive(Debug)]
 pub struct Shard {
-    settings: Settings,
-    shard: ShardId,
-    me: Incarnation,
-    epoch: Epoch,
-    seed: u64,
-    jobs: BTreeMap<JobId, Explanation>,
+    pub(crate) settings: Settings,
+    pub(crate) epoch: Epoch,
+    pub(crate) rng: SmallRng,
+    pub(crate) policy: Arc<Policy>,
+    pub(crate) grants: BTreeMap<AccountId, u32>,
+    pub(crate) pages: Pages,
+    pub(crate) fleet: Fleet,
+    pub(crate) guarantees: Guarantees,
+    pub(crate) jobs: BTreeMap<JobId, Job>,
+    pub(crate) queue: Queue,
+    pub(crate) usage: BTreeMap<AccountId, u32>,
+    pub(crate) learned: Learned,
+    pub(crate) reservation: Option<Reservation>,
+    /// Jobs with a plan that waits for others to make room.
+    pub(crate) planned: BTreeSet<JobId>,
+    /// Pages that wait for the first list of workers.
+    pub(crate) unread: Option<Vec<StoredPage>>,
+    pub(crate) loaded: bool,
+    pub(crate) listed: bool,
+    /// Whether the list of workers changed since all waiting jobs were looked at.
+    pub(crate) relisted: bool,
+    pub(crate) fenced: bool,
+    /// Whether something changed that may let a job be placed.
+    pub(crate) stirred: bool,
+    pub(crate) passed: Time,
+    /// Guarantees that cannot be reclaimed, at the last check.
+    pub(crate) missing: u32,
+    /// Whether a fault or a new policy may have changed what can be reclaimed.
+    pub(crate) excused: bool,
+    alarms: BTreeSet<Alarm>,
+    stamp: Stamp,
+    stamped: Time,
 }
 
 impl Shard {
@@ -35,35 +105,217 @@
         epoch: Epoch,
         seed: u64,
     ) -> Shard {
-        Shard { settings, shard, me, epoch, seed, jobs: BTreeMap::new() }
+        let pages = Pages::new(&settings, shard, me, epoch, seed);
+        Shard {
+            settings,
+            epoch,
+            rng: SmallRng::seed_from_u64(seed),
+            policy: Arc::new(Policy::default()),
+            grants: BTreeMap::new(),
+            pages,
+            fleet: Fleet::new(),
+            guarantees: Guarantees::default(),
+            jobs: BTreeMap::new(),
+            queue: Queue::default(),
+            usage: BTreeMap::new(),
+            learned: Learned::default(),
+            reservation: None,
+            planned: BTreeSet::new(),
+            unread: None,
+            loaded: false,
+            listed: false,
+            relisted: false,
+            fenced: false,
+            stirred: false,
+            passed: Time::ZERO,
+            missing: 0,
+            excused: false,
+            alarms: BTreeSet::new(),
+            stamp: Stamp::default(),
+            stamped: Time::ZERO,
+        }
     }
 
     /// Takes an event and appends what is to be done.
-    pub fn handle(&mut self, _now: Time, event: Event, out: &mut Vec<Action>) {
-        match event {
-            Event::Submit { ticket, .. }
-            | Event::Cancel { ticket, .. }
-            | Event::Query { ticket, .. } => {
-                let reason = "the shard does not accept jobs yet".to_owned();
-                let reply = Reply::Refused { verdict: Verdict::NotRun, reason };
-                out.push(Action::Reply { ticket, reply });
-            }
-            _ => {}
+    ///
+    /// # Panics
+    ///
+    /// An invariant is broken.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        if self.fenced {
+            self.refuse_fenced(&event, out);
+            return;
+        }
+        self.apply(now, event, out);
+        self.ring(now, out);
+        self.follow_plans(now, out);
+        self.schedule(now, out);
+        if self.fenced {
+            return;
         }
+        let jobs = &self.jobs;
+        self.pages.flush(now, |job| jobs.get(job).map(|job| &job.record), out);
+        self.check();
     }
 
     /// When the shard next has to be given a tick.
     pub fn next_wake(&self) -> Option<Time> {
-        None
-    }
-
-    /// State of the shard.
-    pub fn snapshot(&self) -> Snapshot {
-        Snapshot::default()
+        if self.fenced {
+            return None;
+        }
+        let alarm = self.alarms.first().map(|alarm| alarm.at);
+        [alarm, self.pages.next_wake()].into_iter().flatten().min()
     }
 
     /// How a job came to its present state.
     pub fn explain(&self, job: JobId) -> Option<Explanation> {
-        self.jobs.get(&job).cloned()
+        self.jobs.get(&job).map(Job::explain)
+    }
+
+    fn apply(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Pages { pages, at } => self.read_pages(now, pages, at, out),
+            Event::Submit { ticket, job, at, durable } => {
+                self.set_stamp(now, at);
+                self.submit(now, ticket, job, durable, out);
+            }
+            Event::Cancel { ticket, job } => self.cancel(now, ticket, job, out),
+            Event::Query { ticket, job } => self.query(ticket, job, out),
+            Event::Written { write, result } => {
+                let outcome = self.pages.written(now, write, result);
+                self.settle_pages(now, outcome, out);
+            }
+            Event::PageRead { key, result } => {
+                let outcome = self.pages.page_read(now, &key, result);
+                self.settle_pages(now, outcome, out);
+            }
+            Event::Leased { worker, job, attempt, result } => {
+                self.on_leased(now, &worker, job, attempt, result, out);
+            }
+            Event::Started { worker, job, attempt, result } => {
+                self.on_started(now, &worker, job, attempt, result, out);
+            }
+            Event::Report { worker, report } => self.on_report(now, &worker, &report, out),
+            Event::WorkerSilent { worker } => self.on_silent(now, &worker),
+            Event::Workers { list } => self.on_workers(now, &list, out),
+            Event::Policy { policy } => self.on_policy(policy),
+            Event::Grants { grants } => {
+                self.grants = grants.into_iter().map(|g| (g.account, g.accelerators)).collect();
+                self.stirred = true;
+            }
+            Event::Fenced => self.fenced = true,
+            Event::Tick => {}
+        }
+    }
+
+    fn on_policy(&mut self, policy: Arc<Policy>) {
+        self.policy = policy;
+        self.guarantees.promise(&self.policy, &self.fleet);
+        self.excused = true;
+        self.stirred = true;
+    }
+
+    fn ring(&mut self, now: Time, out: &mut Vec<Action>) {
+        while self.alarms.first().is_some_and(|alarm| alarm.at <= now) {
+            let Some(alarm) = self.alarms.pop_first() else { return };
+            match alarm.timer {
+                Timer::Job(job) => self.on_deadline(now, job, out),
+                Timer::Worker(worker) => self.on_worker_due(now, &worker, out),
+                Timer::Pass => self.stirred = true,
+                Timer::Purge => self.purge(now),
+            }
+        }
+    }
+
+    /// Sets an alarm.
+    pub(crate) fn alarm(&mut self, at: Time, timer: Timer) {
+        if at != Time::NEVER {
+            self.alarms.insert(Alarm { at, timer });
+        }
+    }
+
+    /// Sets a job's only deadline.
+    pub(crate) fn set_deadline(&mut self, job: JobId, at: Time) {
+        let Some(entry) = self.jobs.get_mut(&job) else { return };
+        let old = std::mem::replace(&mut entry.deadline, at);
+        self.alarms.remove(&Alarm { at: old, timer: Timer::Job(job) });
+        self.alarm(at, Timer::Job(job));
+    }
+
+    /// Wall-clock time.
+    pub(crate) fn stamp(&self, now: Time) -> Stamp {
+        Stamp(self.stamp.0 + now.since(self.stamped).as_millis() as u64)
+    }
+
+    /// Takes a reading of the wall clock.
+    pub(crate) fn set_stamp(&mut self, now: Time, at: Stamp) {
+        self.stamp = at;
+        self.stamped = now;
+    }
+
+    /// Moves a job along its chart.
+    pub(crate) fn step(&mut self, now: Time, job: JobId, event: JobEvent, reason: &str) {
+        let at = self.stamp(now);
+        if let Some(job) = self.jobs.get_mut(&job) {
+            job.step(event, at, reason);
+        }
+    }
+
+    /// Has a job's page written soon.
+    pub(crate) fn store(&mut self, now: Time, job: JobId, urgent: bool, mark: Option<Mark>) {
+        if let Some(entry) = self.jobs.get(&job) {
+            self.pages.touch(now, entry.page, urgent, mark);
+        }
+    }
+
+    /// Puts a job into the queue.
+    pub(crate) fn enqueue(&mut self, job: JobId) {
+        let Some(entry) = self.jobs.get_mut(&job) else { return };
+        let class = Class::new(&entry.record.spec, !entry.failed.is_empty());
+        entry.class = Some(class.clone());
+        self.queue.insert(class, Waiting { since: entry.since, job });
+        self.stirred = true;
+    }
+
+    /// Takes a job out of the queue.
+    pub(crate) fn dequeue(&mut self, job: JobId) {
+        let Some(entry) = self.jobs.get_mut(&job) else { return };
+        if let Some(class) = entry.class.take() {
+            self.queue.remove(&class, &Waiting { since: entry.since, job });
+        }
+    }
+
+    fn purge(&mut self, now: Time) {
+        let at = self.stamp(now);
+        let keep = self.settings.keep;
+        let stale = self.jobs.iter().filter(|(_, job)| job.record.is_stale(at, keep));
+        let stale: Vec<JobId> = stale.map(|(id, _)| *id).collect();
+        for id in stale {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            if self.pages.claimed(job.page) {
+                self.pages.remove(now, job.page, &job.record);
+                self.jobs.remove(&id);
+            }
+        }
+        self.alarm(now + PURGE, Timer::Purge);
+    }
+
+    /// Asserts what must hold after every event.
+    fn check(&mut self) {
+        let missing = self.guarantees.missing(&self.fleet);
+        assert!(
+            self.excused || missing <= self.missing,
+            "a decision made {missing} guarantees unreclaimable, {} before",
+            self.missing,
+        );
+        self.missing = missing;
+        self.excused = false;
+        for job in &self.planned {
+            let planned = self.jobs.get(job).is_some_and(|job| job.plan.is_some());
+            assert!(planned, "job {job} has no plan");
+        }
     }
 }
+
+/// Time between removals of jobs that ended long ago.
+pub(crate) const PURGE: std::time::Duration = std::time::Duration::from_secs(60);
--- a/crates/gang/src/snapshot.rs
+++ b/crates/gang/src/snapshot.rs
@@ -45,6 +45,8 @@
     pub fragmentation: f64,
     /// Jobs of which it is unknown whether they ran.
     pub unknown: Vec<JobId>,
+    /// Pages that cannot be decoded; they are left alone.
+    pub unreadable: Vec<String>,
     /// Whether the last answer of the store is missing or was a failure.
     pub store_down: bool,
     /// Whether ownership is lost.
--- /dev/null
+++ b/crates/trial/src/lib.rs
@@ -0,0 +1,398 @@
+//! Plays the store, the workers and the network for owners of one shard, with faults.
+//!
+//! Everything happens at a simulated time out of one ordered queue, and every choice comes from a
+//! seeded generator, so a seed names one schedule.
+
+pub mod sample;
+mod store;
+mod verdicts;
+mod worker;
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use gang::Action;
+use gang::Attempt;
+use gang::Event;
+use gang::JobSpec;
+use gang::Policy;
+use gang::Reply;
+use gang::Settings;
+use gang::Shard;
+use gang::StoredPage;
+use gang::Ticket;
+use gang::WorkerInfo;
+use model::Epoch;
+use model::Incarnation;
+use model::JobId;
+use model::ShardId;
+use model::Stamp;
+use model::Time;
+use model::WorkerId;
+
+pub use store::Store;
+pub use verdicts::Fate;
+pub use worker::Worker;
+
+const TRACE: usize = 400;
+const CHECK: Duration = Duration::from_millis(100);
+
+/// How often things go wrong, from 0 to 1 for each message.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// A write takes effect and its answer is lost.
+    pub lost_answer: f64,
+    /// A write takes effect only after its answer was given up.
+    pub late_effect: f64,
+    /// A message to a worker, or its answer, is lost.
+    pub lost_message: f64,
+}
+
+/// One process that owns, or believes that it owns, the shard.
+pub struct Owner {
+    /// Its decisions.
+    pub shard: Shard,
+    /// Its epoch.
+    pub epoch: Epoch,
+    /// Whether it has died.
+    pub dead: bool,
+    /// Until when it does not run.
+    pub paused: Time,
+    waiting: VecDeque<Event>,
+    wake: Time,
+}
+
+enum Happening {
+    Tell { owner: usize, event: Event },
+    Wake { owner: usize },
+    Order { owner: usize, worker: WorkerId, action: Action },
+    Call { owner: usize, action: Action },
+    Effect { action: Action },
+    Look { worker: WorkerId },
+    Begin { owner: usize },
+}
+
+/// The world around the owners of one shard.
+pub struct World {
+    /// The time.
+    pub now: Time,
+    /// All owners so far.
+    pub owners: Vec<Owner>,
+    /// The store.
+    pub store: Store,
+    /// The workers.
+    pub workers: BTreeMap<WorkerId, Worker>,
+    /// What became of each job, as the workers and callers saw it.
+    pub fates: BTreeMap<JobId, Fate>,
+    /// Faults in force.
+    pub faults: Faults,
+    /// The configuration.
+    pub policy: Arc<Policy>,
+    /// Times and bounds.
+    pub settings: Settings,
+    /// Chooses what goes wrong.
+    pub rng: SmallRng,
+    /// Times at which a page write was sent.
+    pub writes: Vec<Time>,
+    /// Times at which a page read was sent.
+    pub reads: Vec<Time>,
+    /// What happened lately.
+    pub trace: VecDeque<String>,
+    queue: BTreeMap<(Time, u64), Happening>,
+    sequence: u64,
+    tickets: BTreeMap<Ticket, JobId>,
+    channels: BTreeMap<(usize, WorkerId), Time>,
+    checked: Time,
+}
+
+impl World {
+    /// A world with workers and no owner.
+    pub fn new(seed: u64, settings: Settings, policy: Policy, list: &[WorkerInfo]) -> World {
+        let workers = list.iter().map(|info| (info.id.clone(), Worker::new(info.clone())));
+        World {
+            now: Time::from_millis(3_600_000),
+            owners: Vec::new(),
+            store: Store::default(),
+            workers: workers.collect(),
+            fates: BTreeMap::new(),
+            faults: Faults::default(),
+            policy: Arc::new(policy),
+            settings,
+            rng: SmallRng::seed_from_u64(seed),
+            writes: Vec::new(),
+            reads: Vec::new(),
+            trace: VecDeque::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            tickets: BTreeMap::new(),
+            channels: BTreeMap::new(),
+            checked: Time::ZERO,
+        }
+    }
+
+    /// Notes something for the trace of a failing seed.
+    pub fn log(&mut self, text: String) {
+        if self.trace.len() == TRACE {
+            self.trace.pop_front();
+        }
+        self.trace.push_back(format!("{} {text}", self.now));
+    }
+
+    fn at(&mut self, time: Time, what: Happening) {
+        self.sequence += 1;
+        self.queue.insert((time, self.sequence), what);
+    }
+
+    fn after(&mut self, span: Duration, what: Happening) {
+        let time = self.now + span;
+        self.at(time, what);
+    }
+
+    fn delay(&mut self) -> Duration {
+        Duration::from_micros(self.rng.random_range(500..8_000))
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        share > 0.0 && self.rng.random_bool(share)
+    }
+
+    /// Starts a new owner, which reads the pages first; its number.
+    pub fn begin(&mut self) -> usize {
+        let number = self.owners.len();
+        let epoch = Epoch(number as u64 + 1);
+        let me = Incarnation(0x1000 + number as u64);
+        let shard =
+            Shard::new(self.settings.clone(), ShardId::new("z"), me, epoch, number as u64 + 7);
+        self.owners.push(Owner {
+            shard,
+            epoch,
+            dead: false,
+            paused: Time::ZERO,
+            waiting: VecDeque::new(),
+            wake: Time::NEVER,
+        });
+        self.log(format!("owner {number} begins"));
+        self.after(Duration::from_millis(5), Happening::Begin { owner: number });
+        number
+    }
+
+    /// The latest owner.
+    pub fn last(&self) -> usize {
+        self.owners.len() - 1
+    }
+
+    /// Kills an owner.
+    pub fn kill(&mut self, owner: usize) {
+        self.log(format!("owner {owner} dies"));
+        self.owners[owner].dead = true;
+    }
+
+    /// Pauses an owner.
+    pub fn pause(&mut self, owner: usize, span: Duration) {
+        self.log(format!("owner {owner} pauses for {span:?}"));
+        self.owners[owner].paused = self.now + span;
+        let at = self.now + span;
+        self.at(at, Happening::Wake { owner });
+    }
+
+    /// The VM list.
+    pub fn list(&self) -> Vec<WorkerInfo> {
+        self.workers.values().filter(|w| !w.unlisted).map(|w| w.info.clone()).collect()
+    }
+
+    /// Sends the VM list to all owners.
+    pub fn send_list(&mut self) {
+        for owner in 0..self.owners.len() {
+            let list = self.list();
+            self.tell(owner, Event::Workers { list });
+        }
+    }
+
+    /// Submits a job that runs for `run` to the latest owner.
+    pub fn submit(&mut self, spec: JobSpec, run: Duration, durable: bool) {
+        let ticket = Ticket(1_000_000 + self.tickets.len() as u64);
+        self.tickets.insert(ticket, spec.id);
+        self.fates.insert(spec.id, Fate::new(spec.clone(), run, self.now));
+        let at = self.wall();
+        let owner = self.last();
+        self.tell(owner, Event::Submit { ticket, job: spec, at, durable });
+    }
+
+    /// Cancels a job at the latest owner.
+    pub fn cancel(&mut self, job: JobId) {
+        let ticket = Ticket(2_000_000 + self.sequence);
+        let owner = self.last();
+        self.tell(owner, Event::Cancel { ticket, job });
+    }
+
+    fn wall(&self) -> Stamp {
+        Stamp(1_700_000_000_000 + self.now.micros() / 1_000)
+    }
+
+    /// Gives an event to an owner now.
+    pub fn tell(&mut self, owner: usize, event: Event) {
+        let entry = &mut self.owners[owner];
+        if entry.dead {
+            return;
+        }
+        if entry.paused > self.now {
+            entry.waiting.push_back(event);
+            return;
+        }
+        let mut out = Vec::new();
+        entry.shard.handle(self.now, event, &mut out);
+        let wake = entry.shard.next_wake().unwrap_or(Time::NEVER);
+        if wake != Time::NEVER && (wake < entry.wake || entry.wake <= self.now) {
+            let at = wake.max(self.now);
+            entry.wake = at;
+            self.at(at, Happening::Wake { owner });
+        }
+        for action in out {
+            self.act(owner, action);
+        }
+    }
+
+    fn act(&mut self, owner: usize, action: Action) {
+        match action {
+            Action::Write { .. } | Action::Read { .. } => {
+                match action {
+                    Action::Write { .. } => self.writes.push(self.now),
+                    _ => self.reads.push(self.now),
+                }
+                let span = self.delay();
+                self.after(span, Happening::Call { owner, action });
+            }
+            Action::Reply { ticket, reply } => self.replied(ticket, reply),
+            other => {
+                let Some(worker) = worker_of(&other).cloned() else { return };
+                let span = self.delay();
+                let channel = self.channels.entry((owner, worker.clone())).or_default();
+                let at = (self.now + span).max(*channel);
+                *channel = at;
+                self.at(at, Happening::Order { owner, worker, action: other });
+            }
+        }
+    }
+
+    fn replied(&mut self, ticket: Ticket, reply: Reply) {
+        let Some(fate) = self.tickets.get(&ticket).and_then(|job| self.fates.get_mut(job)) else {
+            return;
+        };
+        fate.replied(&reply);
+    }
+
+    /// Runs until a time.
+    pub fn run_until(&mut self, until: Time) {
+        while let Some(entry) = self.queue.first_entry() {
+            let at = entry.key().0;
+            if at > until {
+                break;
+            }
+            let what = entry.remove();
+            self.now = at;
+            self.happen(what);
+            if self.now >= self.checked + CHECK {
+                self.checked = self.now;
+                self.check_gangs();
+            }
+        }
+        self.now = until;
+    }
+
+    /// Runs for a while.
+    pub fn run_for(&mut self, span: Duration) {
+        self.run_until(self.now + span);
+    }
+
+    fn happen(&mut self, what: Happening) {
+        match what {
+            Happening::Tell { owner, event } => self.tell(owner, event),
+            Happening::Wake { owner } => self.wake(owner),
+            Happening::Order { owner, worker, action } => self.order(owner, &worker, action),
+            Happening::Call { owner, action } => self.call(owner, action),
+            Happening::Effect { action } => drop(self.store.apply(&action)),
+            Happening::Look { worker } => self.look(&worker),
+            Happening::Begin { owner } => self.read_all(owner),
+        }
+    }
+
+    fn wake(&mut self, owner: usize) {
+        if self.owners[owner].paused > self.now {
+            return;
+        }
+        while let Some(event) = self.owners[owner].waiting.pop_front() {
+            self.tell(owner, event);
+        }
+        self.owners[owner].wake = Time::NEVER;
+        self.tell(owner, Event::Tick);
+    }
+
+    fn read_all(&mut self, owner: usize) {
+        if self.store.down(self.now) {
+            self.after(Duration::from_millis(500), Happening::Begin { owner });
+            return;
+        }
+        let pages: Vec<StoredPage> = self.store.pages();
+        let at = self.wall();
+        let policy = Arc::clone(&self.policy);
+        self.tell(owner, Event::Policy { policy });
+        let list = self.list();
+        self.tell(owner, Event::Pages { pages, at });
+        self.tell(owner, Event::Workers { list });
+    }
+
+    fn call(&mut self, owner: usize, action: Action) {
+        let faults = self.faults;
+        let late = self.chance(faults.late_effect);
+        let lost = self.chance(faults.lost_answer);
+        let event = match (&action, self.store.down(self.now)) {
+            (_, true) => store::unavailable(&action),
+            (Action::Write { .. }, false) if late => {
+                let span = Duration::from_millis(self.rng.random_range(1..2_000));
+                let effect = action.clone();
+                self.after(span, Happening::Effect { action: effect });
+                store::unknown(&action)
+            }
+            (Action::Write { .. }, false) if lost => {
+                self.store.apply(&action);
+                store::unknown(&action)
+            }
+            _ => self.store.apply(&action),
+        };
+        let span = self.delay();
+        self.after(span, Happening::Tell { owner, event });
+    }
+}
+
+/// The worker that an action is for.
+pub fn worker_of(action: &Action) -> Option<&WorkerId> {
+    match action {
+        Action::Lease { worker, .. }
+        | Action::Release { worker, .. }
+        | Action::Start { worker, .. }
+        | Action::Stop { worker, .. }
+        | Action::Checkpoint { worker, .. }
+        | Action::Throttle { worker, .. }
+        | Action::Renew { worker, .. } => Some(worker),
+        Action::Write { .. } | Action::Read { .. } | Action::Reply { .. } => None,
+    }
+}
+
+/// The attempt that an action is about.
+pub fn attempt_of(action: &Action) -> Option<(JobId, Attempt)> {
+    match action {
+        Action::Lease { job, attempt, .. }
+        | Action::Release { job, attempt, .. }
+        | Action::Start { job, attempt, .. }
+        | Action::Stop { job, attempt, .. }
+        | Action::Checkpoint { job, attempt, .. }
+        | Action::Throttle { job, attempt, .. } => Some((*job, *attempt)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/trial/src/store.rs
@@ -0,0 +1,99 @@
+//! A key-value store with compare-and-swap.
+
+use std::collections::BTreeMap;
+
+use gang::Action;
+use gang::Event;
+use gang::ReadResult;
+use gang::StoredPage;
+use gang::WriteResult;
+use model::Time;
+
+#[derive(Clone, Debug)]
+struct Entry {
+    version: u64,
+    value: Vec<u8>,
+}
+
+/// A key-value store with compare-and-swap.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    /// Until when it does not answer.
+    pub outage: Time,
+    /// Largest value so far, in bytes.
+    pub largest: usize,
+    entries: BTreeMap<String, Entry>,
+    clock: u64,
+}
+
+impl Store {
+    /// Whether it is down.
+    pub fn down(&self, now: Time) -> bool {
+        now < self.outage
+    }
+
+    /// All pages.
+    pub fn pages(&self) -> Vec<StoredPage> {
+        let page = |(key, entry): (&String, &Entry)| StoredPage {
+            key: key.clone(),
+            version: entry.version,
+            value: entry.value.clone(),
+        };
+        self.entries.iter().map(page).collect()
+    }
+
+    /// Does a write or a read; the answer.
+    pub fn apply(&mut self, action: &Action) -> Event {
+        match action {
+            Action::Write { write, key, expect, value } => {
+                let result = self.write(key, *expect, value);
+                Event::Written { write: *write, result }
+            }
+            Action::Read { key } => {
+                let result = match self.entries.get(key) {
+                    Some(e) => ReadResult::Found { version: e.version, value: e.value.clone() },
+                    None => ReadResult::Absent,
+                };
+                Event::PageRead { key: key.clone(), result }
+            }
+            _ => Event::Tick,
+        }
+    }
+
+    fn write(&mut self, key: &str, expect: u64, value: &[u8]) -> WriteResult {
+        let found = self.entries.get(key);
+        let version = found.map_or(0, |entry| entry.version);
+        if version != expect {
+            let value = found.map(|entry| entry.value.clone()).unwrap_or_default();
+            return WriteResult::Conflict { version, value };
+        }
+        self.clock += 1;
+        self.largest = self.largest.max(value.len());
+        let entry = Entry { version: self.clock, value: value.to_vec() };
+        self.entries.insert(key.to_owned(), entry);
+        WriteResult::Committed { version: self.clock }
+    }
+}
+
+/// The answer of a store that is down.
+pub fn unavailable(action: &Action) -> Event {
+    match action {
+        Action::Write { write, .. } => {
+            Event::Written { write: *write, result: WriteResult::Unavailable }
+        }
+        Action::Read { key } => {
+            Event::PageRead { key: key.clone(), result: ReadResult::Unavailable }
+        }
+        _ => Event::Tick,
+    }
+}
+
+/// A lost answer.
+pub fn unknown(action: &Action) -> Event {
+    match action {
+        Action::Write { write, .. } => {
+            Event::Written { write: *write, result: WriteResult::Unknown }
+        }
+        other => unavailable(other),
+    }
+}
--- /dev/null
+++ b/crates/trial/src/verdicts.rs
@@ -0,0 +1,177 @@
+//! What must hold for jobs, judged from the workers' and the callers' side.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::World;
+use gang::Attempt;
+use gang::JobSpec;
+use gang::JobState;
+use gang::Reply;
+use model::JobId;
+use model::Time;
+use model::Verdict;
+use model::WorkerId;
+
+/// What became of a job, as workers and callers saw it.
+#[derive(Clone, Debug)]
+pub struct Fate {
+    /// The job.
+    pub spec: JobSpec,
+    /// How long it runs.
+    pub run: Duration,
+    /// When it was submitted.
+    pub submitted: Time,
+    /// Whether it fails wherever it runs.
+    pub doomed: bool,
+    /// What the caller was told about its submission.
+    pub reply: Option<Reply>,
+    /// Workers asked for leases, by attempt.
+    pub parts: BTreeMap<Attempt, BTreeSet<WorkerId>>,
+    /// Workers that started tasks, by attempt.
+    pub starts: BTreeMap<Attempt, BTreeSet<WorkerId>>,
+    /// When all parts of an attempt ran for the first time.
+    pub ran: Option<Time>,
+    /// Workers on which tasks ended, by attempt.
+    pub ends: BTreeMap<Attempt, BTreeSet<WorkerId>>,
+    partial: Option<Time>,
+}
+
+impl Fate {
+    /// A job that was just submitted.
+    pub fn new(spec: JobSpec, run: Duration, now: Time) -> Fate {
+        Fate {
+            spec,
+            run,
+            submitted: now,
+            doomed: false,
+            reply: None,
+            parts: BTreeMap::new(),
+            starts: BTreeMap::new(),
+            ran: None,
+            ends: BTreeMap::new(),
+            partial: None,
+        }
+    }
+
+    /// How long it has still to run.
+    pub fn left(&self) -> Duration {
+        self.run
+    }
+
+    /// Takes the reply to its submission.
+    pub fn replied(&mut self, reply: &Reply) {
+        self.reply = Some(reply.clone());
+    }
+
+    fn refused(&self) -> bool {
+        matches!(self.reply, Some(Reply::Refused { verdict: Verdict::NotRun, .. }))
+    }
+
+    fn kept(&self) -> bool {
+        matches!(self.reply, Some(Reply::Accepted { durable: true }))
+    }
+}
+
+impl World {
+    pub(crate) fn expect_part(&mut self, job: JobId, attempt: Attempt, worker: &WorkerId) {
+        if let Some(fate) = self.fates.get_mut(&job) {
+            fate.parts.entry(attempt).or_default().insert(worker.clone());
+        }
+    }
+
+    pub(crate) fn started(&mut self, job: JobId, attempt: Attempt, worker: &WorkerId) {
+        let now = self.now;
+        let Some(fate) = self.fates.get_mut(&job) else { return };
+        fate.starts.entry(attempt).or_default().insert(worker.clone());
+        assert!(!fate.refused(), "job {job} was refused as not run, and runs");
+        let attempts = fate.starts.len();
+        assert!(
+            fate.spec.idempotent || fate.spec.checkpoint || attempts == 1,
+            "job {job} may run once and was started in {attempts} attempts",
+        );
+        if fate.starts[&attempt] == fate.parts[&attempt] {
+            fate.ran.get_or_insert(now);
+        }
+    }
+
+    pub(crate) fn ended(&mut self, job: JobId, attempt: Attempt, worker: &WorkerId) {
+        if let Some(fate) = self.fates.get_mut(&job) {
+            fate.ends.entry(attempt).or_default().insert(worker.clone());
+        }
+    }
+
+    /// Longest time that a part of a gang may run without the rest.
+    pub fn bound(&self) -> Duration {
+        self.settings.lost + self.settings.lease + self.settings.flight
+    }
+
+    /// Checks that every gang runs whole, or has not been partial for longer than the bound.
+    pub(crate) fn check_gangs(&mut self) {
+        let now = self.now;
+        let bound = self.bound();
+        let mut running: BTreeMap<(JobId, Attempt), BTreeSet<WorkerId>> = BTreeMap::new();
+        for (id, worker) in self.workers.iter_mut().filter(|(_, worker)| !worker.down) {
+            worker.lapse(now);
+            for (job, lease) in &worker.leases {
+                if lease.tasks.is_some() {
+                    running.entry((*job, lease.attempt)).or_default().insert(id.clone());
+                }
+            }
+        }
+        let mut partial = BTreeSet::new();
+        for ((job, attempt), workers) in &running {
+            let Some(fate) = self.fates.get_mut(job) else { continue };
+            let ended = fate.ends.get(attempt).cloned().unwrap_or_default();
+            let present: BTreeSet<_> = workers.union(&ended).cloned().collect();
+            if present != fate.parts[attempt] {
+                partial.insert(*job);
+                let since = *fate.partial.get_or_insert(now);
+                let span = now.since(since);
+                assert!(span <= bound, "job {job} has been partial for {span:?}");
+            }
+        }
+        for (job, fate) in &mut self.fates {
+            if !partial.contains(job) {
+                fate.partial = None;
+            }
+        }
+    }
+
+    /// Checks, after all faults are over, that every job that was accepted has ended truthfully.
+    pub fn check_ends(&self) {
+        let owner = &self.owners[self.last()];
+        for (job, fate) in &self.fates {
+            let Some(view) = owner.shard.explain(*job) else {
+                assert!(!fate.kept(), "job {job} was accepted and is forgotten");
+                continue;
+            };
+            assert!(
+                view.state.is_final(),
+                "job {job} has not ended: {} ({}) after {:?}",
+                view.state,
+                view.reason,
+                self.now.since(fate.submitted),
+            );
+            let whole = fate.parts.iter().any(|(attempt, parts)| {
+                fate.ends.get(attempt).is_some_and(|ends| ends == parts) && !fate.doomed
+            });
+            match view.verdict {
+                Some(Verdict::Ran) => {
+                    let failed = view.state == JobState::Failed;
+                    assert!(whole || failed, "job {job} is said to have run");
+                }
+                Some(Verdict::NotRun) => {
+                    assert!(fate.starts.is_empty(), "job {job} is said not to have run");
+                }
+                Some(Verdict::Unknown) => {
+                    let once = !fate.spec.idempotent && !fate.spec.checkpoint;
+                    let cancelled = view.state == JobState::Cancelled;
+                    assert!(once || cancelled, "job {job} need not be unknown: {}", view.reason);
+                }
+                None => panic!("job {job} has ended without a verdict"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/trial/src/worker.rs
@@ -0,0 +1,281 @@
+//! A worker: one lease for each accelerator, fenced by attempts.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::Happening;
+use crate::World;
+use gang::Action;
+use gang::Attempt;
+use gang::Event;
+use gang::LeaseReport;
+use gang::TaskReport;
+use gang::TaskStatus;
+use gang::WorkerAnswer;
+use gang::WorkerInfo;
+use gang::WorkerReport;
+use model::JobId;
+use model::Time;
+use model::WorkerId;
+
+/// Time that a checkpoint takes.
+const SAVE: Duration = Duration::from_millis(200);
+
+/// A lease at a worker.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    /// Its attempt.
+    pub attempt: Attempt,
+    /// Its accelerators.
+    pub mask: u64,
+    /// When it lapses.
+    pub expires: Time,
+    /// Its tasks, once started: number of the first, and how many.
+    pub tasks: Option<(u32, u32)>,
+    /// When its tasks end.
+    pub ends: Time,
+    /// Whether they have ended.
+    pub ended: Option<TaskStatus>,
+    /// When a checkpoint is complete.
+    pub saved: Option<Time>,
+}
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// What the VM list says.
+    pub info: WorkerInfo,
+    /// Whether the VM list lacks it.
+    pub unlisted: bool,
+    /// Whether it is down, with all that ran on it.
+    pub down: bool,
+    /// Whether it fails everything that it starts.
+    pub bad: bool,
+    /// What it holds.
+    pub leases: BTreeMap<JobId, Lease>,
+    highest: BTreeMap<JobId, Attempt>,
+}
+
+impl Worker {
+    /// An idle worker.
+    pub fn new(info: WorkerInfo) -> Worker {
+        Worker {
+            info,
+            unlisted: false,
+            down: false,
+            bad: false,
+            leases: BTreeMap::new(),
+            highest: BTreeMap::new(),
+        }
+    }
+
+    /// Ends the leases that have lapsed.
+    pub fn lapse(&mut self, now: Time) {
+        self.leases.retain(|_, lease| lease.expires > now);
+    }
+
+    fn lease(&mut self, job: JobId, attempt: Attempt, mask: u64, expires: Time) -> WorkerAnswer {
+        if self.leases.get(&job).is_some_and(|lease| lease.attempt == attempt) {
+            return WorkerAnswer::Granted;
+        }
+        if self.highest.get(&job).is_some_and(|highest| attempt <= *highest) {
+            return WorkerAnswer::Refused;
+        }
+        self.highest.insert(job, attempt);
+        self.leases.remove(&job);
+        if self.leases.values().any(|lease| lease.mask & mask != 0) {
+            return WorkerAnswer::Refused;
+        }
+        let lease = Lease {
+            attempt,
+            mask,
+            expires,
+            tasks: None,
+            ends: Time::NEVER,
+            ended: None,
+            saved: None,
+        };
+        self.leases.insert(job, lease);
+        WorkerAnswer::Granted
+    }
+
+    fn close(&mut self, job: JobId, attempt: Attempt) {
+        let highest = self.highest.entry(job).or_default();
+        *highest = attempt.max(*highest);
+        if self.leases.get(&job).is_some_and(|lease| lease.attempt <= attempt) {
+            self.leases.remove(&job);
+        }
+    }
+
+    /// Everything that it holds.
+    pub fn report(&self, now: Time) -> WorkerReport {
+        let lease = |(job, lease): (&JobId, &Lease)| LeaseReport {
+            job: *job,
+            attempt: lease.attempt,
+            accelerators: (0..64).filter(|bit| lease.mask >> bit & 1 == 1).collect(),
+            tasks: lease.reports(),
+            checkpoint: lease.saved.filter(|at| *at <= now).map(|at| now.since(at)),
+        };
+        WorkerReport { age: Duration::ZERO, leases: self.leases.iter().map(lease).collect() }
+    }
+}
+
+impl Lease {
+    fn reports(&self) -> Vec<TaskReport> {
+        let Some((first, count)) = self.tasks else { return Vec::new() };
+        let status = self.ended.unwrap_or(TaskStatus::Running);
+        let exit = match status {
+            TaskStatus::Done => Some(0),
+            TaskStatus::Failed => Some(1),
+            _ => None,
+        };
+        let report = |index| TaskReport { index, status, millicores: 100, memory_mib: 100, exit };
+        (first..first + count).map(report).collect()
+    }
+}
+
+fn mask_of(numbers: &[u8]) -> u64 {
+    numbers.iter().fold(0, |mask, number| mask | 1 << number)
+}
+
+impl World {
+    pub(crate) fn order(&mut self, owner: usize, id: &WorkerId, action: Action) {
+        let lost = self.faults.lost_message;
+        let arrives = !self.chance(lost) && !self.workers[id].down;
+        let answer = if arrives { self.obey(id, &action) } else { None };
+        let answered = !self.chance(lost);
+        match answer.filter(|_| answered) {
+            Some(event) => {
+                let span = self.delay();
+                self.after(span, Happening::Tell { owner, event });
+            }
+            None => self.give_up(owner, id, &action),
+        }
+    }
+
+    /// No answer came: the shell gives up after a while.
+    fn give_up(&mut self, owner: usize, id: &WorkerId, action: &Action) {
+        let worker = id.clone();
+        let result = WorkerAnswer::Unknown;
+        let event = match *action {
+            Action::Lease { job, attempt, .. } => Event::Leased { worker, job, attempt, result },
+            Action::Start { job, attempt, .. } => Event::Started { worker, job, attempt, result },
+            Action::Renew { .. } => Event::WorkerSilent { worker },
+            _ => return,
+        };
+        self.after(Duration::from_secs(1), Happening::Tell { owner, event });
+    }
+
+    fn obey(&mut self, id: &WorkerId, action: &Action) -> Option<Event> {
+        let now = self.now;
+        self.log(format!("{id} <- {}", brief(action)));
+        let worker = self.workers.get_mut(id)?;
+        worker.lapse(now);
+        let name = id.clone();
+        match action {
+            Action::Lease { job, attempt, accelerators, ttl, .. } => {
+                let result = worker.lease(*job, *attempt, mask_of(accelerators), now + *ttl);
+                self.expect_part(*job, *attempt, id);
+                Some(Event::Leased { worker: name, job: *job, attempt: *attempt, result })
+            }
+            Action::Start { job, attempt, tasks, ttl, .. } => {
+                let result = self.start(id, *job, *attempt, (tasks.first, tasks.count), *ttl);
+                Some(Event::Started { worker: name, job: *job, attempt: *attempt, result })
+            }
+            Action::Release { job, attempt, .. } | Action::Stop { job, attempt, .. } => {
+                worker.close(*job, *attempt);
+                Some(Event::Report { worker: name, report: worker.report(now) })
+            }
+            Action::Checkpoint { job, attempt, .. } => {
+                let lease = worker.leases.get_mut(job);
+                if let Some(lease) = lease.filter(|lease| lease.attempt == *attempt) {
+                    lease.saved = Some(now + SAVE);
+                    self.after(SAVE, Happening::Look { worker: name });
+                }
+                None
+            }
+            Action::Renew { leases, ttl, .. } => {
+                for wanted in leases {
+                    let lease = worker.leases.get_mut(&wanted.job);
+                    if let Some(lease) = lease.filter(|lease| lease.attempt == wanted.attempt) {
+                        lease.expires = lease.expires.max(now + *ttl);
+                    }
+                }
+                Some(Event::Report { worker: name, report: worker.report(now) })
+            }
+            _ => None,
+        }
+    }
+
+    fn start(
+        &mut self,
+        id: &WorkerId,
+        job: JobId,
+        attempt: Attempt,
+        tasks: (u32, u32),
+        ttl: Duration,
+    ) -> WorkerAnswer {
+        let now = self.now;
+        let run = self.fates.get(&job).map_or(Duration::ZERO, |fate| fate.left());
+        let Some(worker) = self.workers.get_mut(id) else { return WorkerAnswer::Unknown };
+        let bad = worker.bad;
+        let Some(lease) = worker.leases.get_mut(&job).filter(|l| l.attempt == attempt) else {
+            return WorkerAnswer::Refused;
+        };
+        lease.expires = lease.expires.max(now + ttl);
+        if lease.tasks.is_some() {
+            return WorkerAnswer::Granted;
+        }
+        lease.tasks = Some(tasks);
+        lease.ends = now + if bad { Duration::from_millis(300) } else { run };
+        let ends = lease.ends;
+        self.started(job, attempt, id);
+        self.at(ends, Happening::Look { worker: id.clone() });
+        WorkerAnswer::Granted
+    }
+
+    /// Something may have ended at a worker: it reports by itself.
+    pub(crate) fn look(&mut self, id: &WorkerId) {
+        let now = self.now;
+        let fates = &self.fates;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.down {
+            return;
+        }
+        worker.lapse(now);
+        let bad = worker.bad;
+        let mut ended = Vec::new();
+        for (job, lease) in &mut worker.leases {
+            if lease.tasks.is_some() && lease.ends <= now && lease.ended.is_none() {
+                let doomed = bad || fates.get(job).is_some_and(|fate| fate.doomed);
+                lease.ended = Some(if doomed { TaskStatus::Failed } else { TaskStatus::Done });
+                ended.push((*job, lease.attempt));
+            }
+        }
+        let report = worker.report(now);
+        for (job, attempt) in ended {
+            self.ended(job, attempt, id);
+        }
+        for owner in 0..self.owners.len() {
+            let span = self.delay();
+            let event = Event::Report { worker: id.clone(), report: report.clone() };
+            let report_age = WorkerReport { age: span, ..report.clone() };
+            let event = match event {
+                Event::Report { worker, .. } => Event::Report { worker, report: report_age },
+                other => other,
+            };
+            self.after(span, Happening::Tell { owner, event });
+        }
+    }
+}
+
+fn brief(action: &Action) -> String {
+    match crate::attempt_of(action) {
+        Some((job, attempt)) => {
+            let name = format!("{action:?}");
+            let name = name.split(' ').next().unwrap_or_default().to_owned();
+            format!("{name} {job} {attempt}")
+        }
+        None => format!("{action:?}"),
+    }
+}
