--- /dev/null
+++ b/crates/entry/src/attempt.rs
@@ -0,0 +1,75 @@
+//! Carries out one attempt to run a request and says what is certain about it.
+
+use std::net::SocketAddr;
+
+use hyper::http::uri::PathAndQuery;
+
+use model::Verdict;
+use net::pool;
+use net::pool::Dispatch;
+use net::pool::Outcome;
+use net::pool::Pool;
+use route::AttemptResult;
+use route::Cause;
+
+use crate::requests::Work;
+
+/// Path at which backend servers take requests.
+const RUN_PATH: &str = "/run";
+/// Status by which a backend server refuses a request.
+const UNAVAILABLE: u16 = 503;
+
+/// Carries out one attempt.
+pub async fn run(pool: &Pool, address: Option<SocketAddr>, work: &Work) -> AttemptResult {
+    let Some(address) = address else {
+        return AttemptResult::NotSent { cause: Cause::NoConnection };
+    };
+    let dispatch = Dispatch {
+        backend: work.backend.clone(),
+        address,
+        path: PathAndQuery::from_static(RUN_PATH),
+        id: work.id,
+        attempt: work.attempt,
+        content: None,
+        body: work.body.clone(),
+        timeout: work.timeout,
+        reuse: reuse(work.reuse),
+    };
+    result(pool.run(dispatch).await)
+}
+
+fn reuse(reuse: route::Reuse) -> pool::Reuse {
+    match reuse {
+        route::Reuse::Any => pool::Reuse::Any,
+        route::Reuse::Proven => pool::Reuse::Proven,
+    }
+}
+
+/// What the router is told of an outcome.
+pub fn result(outcome: Outcome) -> AttemptResult {
+    match outcome {
+        // A refusal that the backend server vouches for is as good as never having sent it.
+        Outcome::Answered(answer)
+            if answer.status == UNAVAILABLE && answer.verdict == Some(Verdict::NotRun) =>
+        {
+            AttemptResult::NotSent { cause: Cause::Refused }
+        }
+        Outcome::Answered(answer) => {
+            AttemptResult::Answered { status: answer.status, body: answer.body }
+        }
+        Outcome::NotSent { cause } => AttemptResult::NotSent { cause: convert(&cause) },
+        Outcome::Broken { cause } => AttemptResult::Broken { cause: convert(&cause) },
+        Outcome::TimedOut { sent } => AttemptResult::TimedOut { sent },
+    }
+}
+
+fn convert(cause: &pool::Cause) -> Cause {
+    match cause {
+        pool::Cause::Refused => Cause::Refused,
+        pool::Cause::Unreachable { .. } => Cause::ConnectTimeout,
+        pool::Cause::Busy { .. } | pool::Cause::Retired => Cause::NoConnection,
+        pool::Cause::Closed { .. } => Cause::Closed,
+        pool::Cause::Malformed { .. } | pool::Cause::Mispaired { .. } => Cause::Malformed,
+        pool::Cause::TooLong { .. } => Cause::TooLarge,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/directory.rs
@@ -0,0 +1,179 @@
+//! Finds the entry VM that answers for a shard or a job.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use model::Incarnation;
+use model::JobId;
+use model::ShardId;
+use model::Verdict;
+use model::ZoneId;
+use wire::border;
+
+use crate::jobs;
+use crate::jobs::Answer;
+use crate::jobs::Call;
+use crate::members::View;
+use crate::relay::Owned;
+use crate::relay::Question;
+use crate::relay::Relay;
+use crate::relay::Told;
+
+/// Finds the entry VM that answers for a shard or a job.
+#[derive(Clone, Debug)]
+pub struct Directory {
+    me: Incarnation,
+    jobs: jobs::Handle,
+    relay: Relay,
+    view: watch::Receiver<Arc<View>>,
+}
+
+/// How a job stands, and who says so.
+#[derive(Clone, Debug)]
+pub struct Found {
+    /// The shard that knows the job, if one does.
+    pub shard: Option<ShardId>,
+    /// What it says.
+    pub answer: Answer,
+}
+
+impl Directory {
+    /// A directory of the shards that `view` shows.
+    pub fn new(
+        me: Incarnation,
+        jobs: jobs::Handle,
+        relay: Relay,
+        view: watch::Receiver<Arc<View>>,
+    ) -> Directory {
+        Directory { me, jobs, relay, view }
+    }
+
+    /// Shards that have an owner.
+    pub fn shards(&self) -> Vec<ShardId> {
+        self.view.borrow().owners.keys().cloned().collect()
+    }
+
+    /// Shards in the order in which a job that names none should try them: that of `zone` first.
+    pub fn candidates(&self, zone: &ZoneId) -> Vec<ShardId> {
+        let mut shards = self.shards();
+        shards.sort_by_key(|shard| shard.as_str() != zone.as_str());
+        shards
+    }
+
+    /// Asks the owner of a shard.
+    pub async fn call(&self, shard: &ShardId, call: Call) -> Answer {
+        let owner = self.view.borrow().owners.get(shard).copied();
+        match owner {
+            None => no_owner(shard),
+            Some(owner) if owner == self.me => self.jobs.call(shard.clone(), call).await,
+            Some(owner) => self.ask(owner, shard, call).await,
+        }
+    }
+
+    async fn ask(&self, owner: Incarnation, shard: &ShardId, call: Call) -> Answer {
+        let question = Question::Job { shard: shard.clone(), call: call.clone() };
+        match self.relay.ask(owner, question).await {
+            Ok(Told::Job(answer)) => answer,
+            Ok(_) => lost(&call, Verdict::Unknown),
+            Err(error) => lost(&call, error.verdict()),
+        }
+    }
+
+    /// Asks every owner about a job.
+    pub async fn find(&self, make: impl Fn() -> Call) -> Found {
+        let mut doubt = None;
+        for shard in self.shards() {
+            match self.call(&shard, make()).await {
+                Answer::Refused { verdict: Verdict::Unknown, reason } => doubt = Some(reason),
+                Answer::Refused { .. } => {}
+                answer => return Found { shard: Some(shard), answer },
+            }
+        }
+        let (verdict, reason) = match doubt {
+            Some(reason) => (Verdict::Unknown, reason),
+            None => (Verdict::NotRun, "no shard knows the job".to_owned()),
+        };
+        Found { shard: None, answer: Answer::Refused { verdict, reason } }
+    }
+
+    /// How a job came to its state, from whichever owner knows it.
+    pub async fn explain(&self, job: JobId) -> Option<border::Explanation> {
+        if let Some(known) = self.jobs.explain(job).await {
+            return Some(crate::views::job(job, &known));
+        }
+        for owner in self.owners() {
+            let question = Question::ExplainJob { job };
+            if let Ok(Told::ExplainJob(Some(known))) = self.relay.ask(owner, question).await {
+                return Some(known);
+            }
+        }
+        None
+    }
+
+    /// State of all shards, with a doubt for each owner that does not answer.
+    pub async fn overview(&self) -> Owned {
+        let mut whole = self.own().await;
+        for owner in self.owners() {
+            match self.relay.ask(owner, Question::Shards).await {
+                Ok(Told::Shards(part)) => {
+                    whole.shards.extend(part.shards);
+                    whole.workers.extend(part.workers);
+                    whole.guarantees.extend(part.guarantees);
+                    whole.unknown.extend(part.unknown);
+                }
+                Ok(_) => {}
+                Err(error) => whole.unknown.push(border::Doubt {
+                    subject: format!("shards of entry VM {owner}"),
+                    why: error.to_string(),
+                }),
+            }
+        }
+        whole
+    }
+
+    /// State of the decisions about the shards that this entry VM owns.
+    pub async fn snapshot(&self) -> BTreeMap<ShardId, gang::Snapshot> {
+        self.jobs.snapshot().await
+    }
+
+    /// State of the shards that this entry VM owns.
+    pub async fn own(&self) -> Owned {
+        let view = self.view.borrow().clone();
+        crate::views::shards(&view, &self.jobs.snapshot().await)
+    }
+
+    /// Answers a question of another entry VM.
+    pub async fn respond(self, question: Question) -> Told {
+        match question {
+            Question::Job { shard, call } => Told::Job(self.jobs.call(shard, call).await),
+            Question::ExplainJob { job } => {
+                let known = self.jobs.explain(job).await;
+                Told::ExplainJob(known.map(|known| crate::views::job(job, &known)))
+            }
+            Question::Shards => Told::Shards(self.own().await),
+        }
+    }
+
+    fn owners(&self) -> BTreeSet<Incarnation> {
+        let view = self.view.borrow();
+        view.owners.values().copied().filter(|owner| *owner != self.me).collect()
+    }
+}
+
+fn no_owner(shard: &ShardId) -> Answer {
+    let reason = format!("shard {shard} has no owner at the moment");
+    Answer::Refused { verdict: Verdict::NotRun, reason }
+}
+
+fn lost(call: &Call, verdict: Verdict) -> Answer {
+    let reason = "the owner of the shard did not answer; ask again with the job's id".to_owned();
+    let verdict = match call {
+        // A question that found no answer leaves the job's state unknown.
+        Call::Query { .. } => Verdict::Unknown,
+        Call::Submit { .. } | Call::Cancel { .. } => verdict,
+    };
+    Answer::Refused { verdict, reason }
+}
--- /dev/null
+++ b/crates/entry/src/jobs.rs
@@ -0,0 +1,479 @@
+//! The job part of the node: runs the placement shards that this entry VM owns.
+//!
+//! One task owns all shards. Ownership comes and goes with the fleet part's word; calls for a shard
+//! that another entry VM owns are passed on by [`crate::relay`]. Calls to the store and to workers
+//! run as tasks of their own and report back through the same queue of commands.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use gang::Action;
+use gang::Event;
+use gang::Policy;
+use gang::Reply;
+use gang::Settings;
+use gang::Shard;
+use gang::Snapshot;
+use gang::StoredPage;
+use gang::Ticket;
+use gang::WorkerInfo;
+use model::Epoch;
+use model::Incarnation;
+use model::JobId;
+use model::ShardId;
+use model::Verdict;
+use store::Purpose;
+use store::Store;
+
+use crate::clock::Clock;
+use crate::requests::sleep_until;
+use crate::workers::Workers;
+
+/// Commands that may wait for the shards.
+const QUEUE: usize = 16_384;
+/// Pause before the pages of a new shard are read again after a failure.
+const LOAD_PAUSE: Duration = Duration::from_millis(500);
+/// Prefix of all pages.
+const PAGES: &str = "basilrack/jobs/";
+
+/// A call that a shard answers.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub enum Call {
+    /// Accept a job.
+    Submit {
+        /// The job.
+        job: Box<gang::JobSpec>,
+        /// Whether acceptance waits for the store.
+        durable: bool,
+    },
+    /// Cancel a job.
+    Cancel {
+        /// The job.
+        job: JobId,
+    },
+    /// Tell how a job stands.
+    Query {
+        /// The job.
+        job: JobId,
+    },
+}
+
+/// Answer to a call, as it also travels between entry VMs.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Answer {
+    /// The job, or its cancellation, is accepted.
+    Accepted {
+        /// Whether it is in the store.
+        durable: bool,
+    },
+    /// It is not accepted.
+    Refused {
+        /// Whether the job may have run.
+        verdict: Verdict,
+        /// Why.
+        reason: String,
+    },
+    /// How the job stands.
+    Status {
+        /// Its state.
+        state: String,
+        /// Whether it ran, once that is settled.
+        verdict: Option<Verdict>,
+        /// Why it is in this state, or what it waits for.
+        reason: String,
+    },
+}
+
+impl From<Reply> for Answer {
+    fn from(reply: Reply) -> Answer {
+        match reply {
+            Reply::Accepted { durable } => Answer::Accepted { durable },
+            Reply::Refused { verdict, reason } => Answer::Refused { verdict, reason },
+            Reply::Status { state, verdict, reason } => {
+                Answer::Status { state: state.to_string(), verdict, reason }
+            }
+        }
+    }
+}
+
+/// What the job part is asked to do.
+#[derive(Debug)]
+pub enum Command {
+    /// Answer a call.
+    Call {
+        /// The shard.
+        shard: ShardId,
+        /// The call.
+        call: Call,
+        /// Takes the answer; dropped if the shard moves before it answers.
+        reply: oneshot::Sender<Answer>,
+    },
+    /// Tell how a job came to its state.
+    Explain {
+        /// The job.
+        job: JobId,
+        /// Takes the path, if a shard here knows the job.
+        reply: oneshot::Sender<Option<gang::Explanation>>,
+    },
+    /// Show the state of the shards owned here.
+    Snapshot {
+        /// Takes the state by shard.
+        reply: oneshot::Sender<BTreeMap<ShardId, Snapshot>>,
+    },
+    /// Begin to own a shard.
+    Own {
+        /// The shard.
+        shard: ShardId,
+        /// Epoch of the ownership.
+        epoch: Epoch,
+    },
+    /// Stop owning a shard.
+    Disown {
+        /// The shard.
+        shard: ShardId,
+    },
+    /// The workers of all availability zones.
+    Workers {
+        /// For the shards.
+        list: BTreeMap<ShardId, Vec<WorkerInfo>>,
+        /// Where each worker listens.
+        addresses: BTreeMap<model::WorkerId, String>,
+    },
+    /// A newer configuration.
+    Policy {
+        /// By shard; a shard without an entry has no client accounts.
+        policies: BTreeMap<ShardId, Arc<Policy>>,
+    },
+    /// Something came back for a shard.
+    Event {
+        /// The shard.
+        shard: ShardId,
+        /// Epoch of the ownership that asked.
+        epoch: Epoch,
+        /// What came back.
+        event: Event,
+    },
+}
+
+/// Gives commands to the job part.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    commands: mpsc::Sender<Command>,
+}
+
+impl Handle {
+    /// Asks a shard that may be owned here.
+    pub async fn call(&self, shard: ShardId, call: Call) -> Answer {
+        let (reply, answer) = oneshot::channel();
+        if self.commands.try_send(Command::Call { shard, call, reply }).is_err() {
+            let reason = "the entry VM takes no more calls at the moment".to_owned();
+            return Answer::Refused { verdict: Verdict::NotRun, reason };
+        }
+        answer.await.unwrap_or_else(|_| Answer::Refused {
+            verdict: Verdict::Unknown,
+            reason: "the shard moved before it answered; ask again with the job's id".to_owned(),
+        })
+    }
+
+    /// Tells how a job came to its state, if a shard here knows it.
+    pub async fn explain(&self, job: JobId) -> Option<gang::Explanation> {
+        let (reply, answer) = oneshot::channel();
+        self.commands.try_send(Command::Explain { job, reply }).ok()?;
+        answer.await.ok().flatten()
+    }
+
+    /// Shows the state of the shards owned here.
+    pub async fn snapshot(&self) -> BTreeMap<ShardId, Snapshot> {
+        let (reply, answer) = oneshot::channel();
+        if self.commands.try_send(Command::Snapshot { reply }).is_err() {
+            return BTreeMap::new();
+        }
+        answer.await.unwrap_or_default()
+    }
+
+    /// Gives a command, waiting for room in the queue.
+    pub async fn send(&self, command: Command) {
+        if self.commands.send(command).await.is_err() {
+            warn!("jobs: the shards have ended");
+        }
+    }
+}
+
+/// What the job part works with.
+#[derive(Clone, Debug)]
+pub struct Wiring<S> {
+    /// Time source.
+    pub clock: Clock,
+    /// This run of the entry VM.
+    pub me: Incarnation,
+    /// The platform's store.
+    pub store: S,
+    /// Seed of random choices.
+    pub seed: u64,
+    /// Times and bounds of the shards.
+    pub settings: Settings,
+}
+
+/// Starts the task that owns the shards.
+pub fn start<S: Store>(wiring: Wiring<S>) -> Handle {
+    let (commands, inbox) = mpsc::channel(QUEUE);
+    let handle = Handle { commands: commands.clone() };
+    let part = Jobs {
+        wiring,
+        commands: commands.downgrade(),
+        shards: BTreeMap::new(),
+        workers: Workers::default(),
+        lists: BTreeMap::new(),
+        policies: BTreeMap::new(),
+        replies: BTreeMap::new(),
+        tickets: 0,
+    };
+    tokio::spawn(part.run(inbox));
+    handle
+}
+
+struct Owned {
+    shard: Shard,
+    epoch: Epoch,
+    tickets: BTreeSet<Ticket>,
+}
+
+struct Jobs<S> {
+    wiring: Wiring<S>,
+    commands: mpsc::WeakSender<Command>,
+    shards: BTreeMap<ShardId, Owned>,
+    workers: Workers,
+    lists: BTreeMap<ShardId, Vec<WorkerInfo>>,
+    policies: BTreeMap<ShardId, Arc<Policy>>,
+    replies: BTreeMap<Ticket, oneshot::Sender<Answer>>,
+    tickets: u64,
+}
+
+impl<S: Store> Jobs<S> {
+    async fn run(mut self, mut inbox: mpsc::Receiver<Command>) {
+        loop {
+            let next = self.shards.values().filter_map(|owned| owned.shard.next_wake()).min();
+            let wake = next.and_then(|time| self.wiring.clock.instant(time));
+            tokio::select! {
+                command = inbox.recv() => match command {
+                    Some(command) => self.take(command),
+                    None => return,
+                },
+                () = sleep_until(wake) => self.tick(),
+            }
+        }
+    }
+
+    fn take(&mut self, command: Command) {
+        match command {
+            Command::Call { shard, call, reply } => self.call(&shard, call, reply),
+            Command::Explain { job, reply } => {
+                let known = self.shards.values().find_map(|owned| owned.shard.explain(job));
+                let _ = reply.send(known);
+            }
+            Command::Snapshot { reply } => {
+                let shards = self.shards.iter();
+                let state = shards.map(|(id, owned)| (id.clone(), owned.shard.snapshot()));
+                let _ = reply.send(state.collect());
+            }
+            Command::Own { shard, epoch } => self.own(shard, epoch),
+            Command::Disown { shard } => self.disown(&shard),
+            Command::Workers { list, addresses } => self.set_workers(list, addresses),
+            Command::Policy { policies } => self.set_policies(policies),
+            Command::Event { shard, epoch, event } => self.arrive(&shard, epoch, event),
+        }
+    }
+
+    fn call(&mut self, shard: &ShardId, call: Call, reply: oneshot::Sender<Answer>) {
+        let Some(owned) = self.shards.get_mut(shard) else {
+            let reason = format!("shard {shard} is not owned by this entry VM");
+            let _ = reply.send(Answer::Refused { verdict: Verdict::NotRun, reason });
+            return;
+        };
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        owned.tickets.insert(ticket);
+        self.replies.insert(ticket, reply);
+        let event = match call {
+            Call::Submit { job, durable } => {
+                let at = self.wiring.clock.stamp();
+                Event::Submit { ticket, job: *job, at, durable }
+            }
+            Call::Cancel { job } => Event::Cancel { ticket, job },
+            Call::Query { job } => Event::Query { ticket, job },
+        };
+        self.decide(shard, event);
+    }
+
+    fn own(&mut self, id: ShardId, epoch: Epoch) {
+        info!("jobs: owning shard {id} under epoch {epoch}");
+        let settings = self.wiring.settings.clone();
+        let seed = self.wiring.seed ^ epoch.0;
+        let shard = Shard::new(settings, id.clone(), self.wiring.me, epoch, seed);
+        self.shards.insert(id.clone(), Owned { shard, epoch, tickets: BTreeSet::new() });
+        if let Some(policy) = self.policies.get(&id).cloned() {
+            self.decide(&id, Event::Policy { policy });
+        }
+        if let Some(list) = self.lists.get(&id).cloned() {
+            self.decide(&id, Event::Workers { list });
+        }
+        self.load(id, epoch);
+    }
+
+    /// Reads the pages of a shard until the store answers.
+    fn load(&self, shard: ShardId, epoch: Epoch) {
+        let store = self.wiring.store.clone();
+        let clock = self.wiring.clock;
+        let commands = self.commands.clone();
+        tokio::spawn(async move {
+            let prefix = format!("{PAGES}{shard}/");
+            let pages = loop {
+                match store.list(Purpose::Commit, &prefix).await {
+                    Ok(listing) => break listing.entries,
+                    Err(error) => warn!("jobs: pages of shard {shard} cannot be read: {error}"),
+                }
+                if commands.strong_count() == 0 {
+                    return;
+                }
+                tokio::time::sleep(LOAD_PAUSE).await;
+            };
+            let pages = pages.into_iter().map(|entry| StoredPage {
+                key: entry.key,
+                version: entry.version,
+                value: entry.value.to_vec(),
+            });
+            let event = Event::Pages { pages: pages.collect(), at: clock.stamp() };
+            send(&commands, shard, epoch, event).await;
+        });
+    }
+
+    fn disown(&mut self, id: &ShardId) {
+        if !self.shards.contains_key(id) {
+            return;
+        }
+        info!("jobs: giving up shard {id}");
+        self.decide(id, Event::Fenced);
+        if let Some(owned) = self.shards.remove(id) {
+            // Dropping a reply tells its caller that the shard is owned elsewhere now.
+            for ticket in owned.tickets {
+                self.replies.remove(&ticket);
+            }
+        }
+    }
+
+    fn set_workers(
+        &mut self,
+        lists: BTreeMap<ShardId, Vec<WorkerInfo>>,
+        addresses: BTreeMap<model::WorkerId, String>,
+    ) {
+        self.workers.set_addresses(addresses);
+        let changed: Vec<ShardId> =
+            lists.iter().filter(|(id, list)| self.lists.get(*id) != Some(*list)).map(key).collect();
+        self.lists = lists;
+        for id in changed {
+            if self.shards.contains_key(&id) {
+                let list = self.lists.get(&id).cloned().unwrap_or_default();
+                self.decide(&id, Event::Workers { list });
+            }
+        }
+    }
+
+    fn set_policies(&mut self, policies: BTreeMap<ShardId, Arc<Policy>>) {
+        self.policies = policies;
+        let owned: Vec<ShardId> = self.shards.keys().cloned().collect();
+        for id in owned {
+            let policy = self.policies.get(&id).cloned().unwrap_or_default();
+            self.decide(&id, Event::Policy { policy });
+        }
+    }
+
+    fn arrive(&mut self, id: &ShardId, epoch: Epoch, event: Event) {
+        // What an earlier ownership asked for means nothing to the present one.
+        if self.shards.get(id).is_some_and(|owned| owned.epoch == epoch) {
+            self.decide(id, event);
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.wiring.clock.now();
+        let due = |owned: &Owned| owned.shard.next_wake().is_some_and(|wake| wake <= now);
+        let due: Vec<ShardId> =
+            self.shards.iter().filter(|(_, owned)| due(owned)).map(|(id, _)| id.clone()).collect();
+        for id in due {
+            self.decide(&id, Event::Tick);
+        }
+    }
+
+    fn decide(&mut self, id: &ShardId, event: Event) {
+        let Some(owned) = self.shards.get_mut(id) else { return };
+        let mut actions = Vec::new();
+        owned.shard.handle(self.wiring.clock.now(), event, &mut actions);
+        let epoch = owned.epoch;
+        for action in actions {
+            self.act(id, epoch, action);
+        }
+    }
+
+    fn act(&mut self, shard: &ShardId, epoch: Epoch, action: Action) {
+        match action {
+            Action::Reply { ticket, reply } => {
+                if let Some(owned) = self.shards.get_mut(shard) {
+                    owned.tickets.remove(&ticket);
+                }
+                if let Some(waiting) = self.replies.remove(&ticket) {
+                    let _ = waiting.send(reply.into());
+                }
+            }
+            Action::Write { write, key, expect, value } => {
+                let store = self.wiring.store.clone();
+                self.spawn(shard, epoch, async move {
+                    let result = crate::pages::write(&store, &key, expect, value).await;
+                    Some(Event::Written { write, result })
+                });
+            }
+            Action::Read { key } => {
+                let store = self.wiring.store.clone();
+                self.spawn(shard, epoch, async move {
+                    let result = crate::pages::read(&store, &key).await;
+                    Some(Event::PageRead { key, result })
+                });
+            }
+            action => {
+                let workers = self.workers.clone();
+                self.spawn(shard, epoch, async move { workers.act(action).await });
+            }
+        }
+    }
+
+    fn spawn(
+        &self,
+        shard: &ShardId,
+        epoch: Epoch,
+        work: impl Future<Output = Option<Event>> + Send + 'static,
+    ) {
+        let commands = self.commands.clone();
+        let shard = shard.clone();
+        tokio::spawn(async move {
+            if let Some(event) = work.await {
+                send(&commands, shard, epoch, event).await;
+            }
+        });
+    }
+}
+
+fn key<V>(entry: (&ShardId, V)) -> ShardId {
+    entry.0.clone()
+}
+
+async fn send(commands: &mpsc::WeakSender<Command>, shard: ShardId, epoch: Epoch, event: Event) {
+    if let Some(commands) = commands.upgrade() {
+        let _ = commands.send(Command::Event { shard, epoch, event }).await;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/logs.rs
@@ -0,0 +1,24 @@
+//! Sets up the logs.
+
+use logforth::append;
+use logforth::filter::rustlog::RustLogFilterBuilder;
+use logforth::layout::JsonLayout;
+use logforth::layout::TextLayout;
+
+use text::LogFormat;
+use text::LogLevel;
+
+/// Sends log records to standard error; a second call changes nothing.
+///
+/// RUST_LOG goes before `level`.
+pub fn start(level: LogLevel, format: LogFormat) {
+    let filter = RustLogFilterBuilder::from_default_env_or(level.to_string()).build();
+    let stderr = append::Stderr::default();
+    let stderr = match format {
+        LogFormat::Text => stderr.with_layout(TextLayout::default().no_color()),
+        LogFormat::Json => stderr.with_layout(JsonLayout::default()),
+    };
+    let starter = logforth::starter_log::builder();
+    // An error means that this process has set up its logs before.
+    let _ = starter.dispatch(|dispatch| dispatch.filter(filter).append(stderr)).try_apply();
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,171 @@
+//! What the node counts for Prometheus.
+
+use prometheus::Encoder;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use prometheus::core::Collector;
+use prometheus::process_collector::ProcessCollector;
+
+use crate::error::Error;
+
+/// Bounds of the wait histograms, in seconds.
+const WAITS: [f64; 14] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 30.0, 300.0];
+
+/// Counters, gauges and histograms of one entry VM.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    http: IntCounterVec,
+    answers: IntCounterVec,
+    waits: HistogramVec,
+    store_calls: IntCounterVec,
+    peer_bytes: IntCounterVec,
+    store_time: Histogram,
+    queued: IntGauge,
+    running: IntGauge,
+    shards: IntGauge,
+    jobs: IntGaugeVec,
+    revision: IntGauge,
+    ready: IntGauge,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Two metrics have the same name, which is a defect.
+    pub fn new() -> Result<Metrics, Error> {
+        let registry = Registry::new();
+        let metrics = Metrics {
+            http: counters("http_responses_total", "HTTP responses by status", &["status"])?,
+            answers: counters("answers_total", "Answers by verdict", &["verdict", "reason"])?,
+            waits: HistogramVec::new(
+                HistogramOpts::new("basilrack_request_seconds", "Time from receipt to answer")
+                    .buckets(WAITS.to_vec()),
+                &["service"],
+            )?,
+            store_calls: counters("store_calls_total", "Store calls", &["purpose", "outcome"])?,
+            peer_bytes: counters(
+                "peer_bytes_total",
+                "Bytes to and from peers",
+                &["direction", "distance"],
+            )?,
+            store_time: Histogram::with_opts(
+                HistogramOpts::new("basilrack_store_seconds", "Time of a store call")
+                    .buckets(WAITS.to_vec()),
+            )?,
+            queued: gauge("requests_queued", "Requests that wait here")?,
+            running: gauge("requests_running", "Requests in progress here")?,
+            shards: gauge("shards_owned", "Placement shards owned here")?,
+            jobs: IntGaugeVec::new(
+                Opts::new("basilrack_jobs", "Jobs of the shards owned here, by state"),
+                &["state"],
+            )?,
+            revision: gauge("text_revision", "Revision of the configuration in force")?,
+            ready: gauge("ready", "Whether new work is taken")?,
+            registry,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    fn register(&self) -> Result<(), Error> {
+        self.add(self.http.clone())?;
+        self.add(self.answers.clone())?;
+        self.add(self.waits.clone())?;
+        self.add(self.store_calls.clone())?;
+        self.add(self.peer_bytes.clone())?;
+        self.add(self.store_time.clone())?;
+        self.add(self.queued.clone())?;
+        self.add(self.running.clone())?;
+        self.add(self.shards.clone())?;
+        self.add(self.jobs.clone())?;
+        self.add(self.revision.clone())?;
+        self.add(self.ready.clone())?;
+        self.add(ProcessCollector::for_self())
+    }
+
+    fn add<C: Collector + 'static>(&self, collector: C) -> Result<(), Error> {
+        self.registry.register(Box::new(collector))?;
+        Ok(())
+    }
+
+    /// Counts an HTTP response.
+    pub fn answered(&self, status: u16) {
+        self.http.with_label_values(&[status.to_string().as_str()]).inc();
+    }
+
+    /// Counts an answer to a request.
+    pub fn request(&self, service: &str, answer: &route::Answer, seconds: f64) {
+        let labels = [answer.verdict.as_ref(), answer.reason.as_ref()];
+        self.answers.with_label_values(&labels).inc();
+        self.waits.with_label_values(&[service]).observe(seconds);
+    }
+
+    /// Shows the state of the request part.
+    pub fn set_requests(&self, state: &route::Snapshot) {
+        let queued = state.queues.iter().map(|queue| queue.waiting).sum::<usize>();
+        self.queued.set(i64::try_from(queued).unwrap_or(i64::MAX));
+        self.running.set(i64::try_from(state.running).unwrap_or(i64::MAX));
+    }
+
+    /// Shows the shards owned here.
+    pub fn set_shards<'s>(&self, shards: impl Iterator<Item = &'s gang::Snapshot>) {
+        self.jobs.reset();
+        let mut owned = 0;
+        for shard in shards {
+            owned += 1;
+            for (state, count) in &shard.jobs {
+                self.jobs.with_label_values(&[state.as_ref()]).add(i64::from(*count));
+            }
+        }
+        self.shards.set(owned);
+    }
+
+    /// Shows the revision in force and whether new work is taken.
+    pub fn set_node(&self, revision: u64, ready: bool) {
+        self.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+        self.ready.set(i64::from(ready));
+    }
+
+    /// Sets a counter that another part keeps to its present value.
+    pub fn set_store_calls(&self, purpose: &str, outcome: &str, total: u64) {
+        raise(&self.store_calls, &[purpose, outcome], total);
+    }
+
+    /// Sets the bytes exchanged with peers to their present value.
+    pub fn set_peer_bytes(&self, direction: &str, distance: &str, total: u64) {
+        raise(&self.peer_bytes, &[direction, distance], total);
+    }
+
+    /// All metrics in the text format of Prometheus.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        // Writing into memory fails only for a metric without a value, which is left out.
+        let _ = TextEncoder::new().encode(&families, &mut text);
+        text
+    }
+}
+
+fn raise(counters: &IntCounterVec, labels: &[&str], total: u64) {
+    let counter = counters.with_label_values(labels);
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec, Error> {
+    Ok(IntCounterVec::new(Opts::new(format!("basilrack_{name}"), help), labels)?)
+}
+
+fn gauge(name: &str, help: &str) -> Result<IntGauge, Error> {
+    Ok(IntGauge::new(format!("basilrack_{name}"), help)?)
+}
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,378 @@
+//! One entry VM: starts its parts, connects them, and stops them in order.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use hyper::Uri;
+use log::debug;
+use log::info;
+use log::warn;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use xitca_server::ServerHandle;
+
+use model::BackendId;
+use model::Incarnation;
+use net::PeerEvent;
+use net::Peers;
+use net::Pool;
+use net::Rest;
+use net::pool;
+use route::Router;
+use store::Client;
+use text::Settings;
+use wire::Hello;
+use wire::Part;
+use wire::border;
+
+use crate::clock::Clock;
+use crate::directory::Directory;
+use crate::error::Error;
+use crate::jobs;
+use crate::ledger::Ledger;
+use crate::members;
+use crate::metrics::Metrics;
+use crate::relay::Relay;
+use crate::requests;
+use crate::vms;
+use crate::web;
+use crate::web::Front;
+use crate::web::token::Token;
+
+/// Interval at which the list of VMs is read.
+const VMS_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause after which the balancer has seen that the entry VM takes no new work.
+const READY_PAUSE: Duration = Duration::from_millis(500);
+/// Interval at which a stopping node looks whether calls are in progress.
+const IDLE_PAUSE: Duration = Duration::from_millis(20);
+/// Quiet time after which no further call is expected.
+const IDLE_TIME: Duration = Duration::from_millis(200);
+/// Events of peer channels and pools that may wait.
+const EVENTS: usize = 8_192;
+
+/// Sockets that a node listens on.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For operators, unless they share the callers' socket.
+    pub operators: Option<TcpListener>,
+    /// For other entry VMs.
+    pub peers: TcpListener,
+}
+
+impl Listeners {
+    /// Listens on the addresses of the settings.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Listen`] names the address.
+    pub fn bind(settings: &Settings) -> Result<Listeners, Error> {
+        let listen = &settings.listen;
+        let shared = listen.operators == listen.callers;
+        let operators = if shared { None } else { Some(bind(listen.operators)?) };
+        Ok(Listeners { callers: bind(listen.callers)?, operators, peers: bind(listen.peers)? })
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).map_err(|source| Error::Listen { address, source })
+}
+
+/// A running entry VM.
+pub struct Node {
+    front: Arc<Front>,
+    callers: SocketAddr,
+    fenced: watch::Receiver<bool>,
+    peers: Peers,
+    servers: Vec<ServerHandle>,
+    tasks: Vec<JoinHandle<()>>,
+    drain: Duration,
+}
+
+impl Node {
+    /// Starts an entry VM on the current tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// A part of it cannot start; see [`Error`].
+    pub fn start(settings: &Settings, listeners: Listeners) -> Result<Node, Error> {
+        let clock = Clock::start();
+        let incarnation = Incarnation(rand::random());
+        let seed: u64 = rand::random();
+        let me = member(settings, incarnation);
+        let mut tasks = Vec::new();
+
+        let store = Client::new(store_config(settings))?;
+        let (peer_events, peer_inbox) = mpsc::channel(EVENTS);
+        let peers = start_peers(settings, incarnation, listeners.peers, peer_events)?;
+        let (closed, closed_inbox) = mpsc::channel(EVENTS);
+        let pool = Pool::new(pool_config(settings), closed);
+
+        let router = Router::new(
+            route_settings(settings),
+            incarnation,
+            settings.zone.clone(),
+            settings.region.clone(),
+            seed,
+        );
+        let wiring = requests::Wiring { clock, pool, peers: peers.clone() };
+        let requests = requests::start(router, wiring);
+        let jobs = jobs::start(jobs::Wiring {
+            clock,
+            me: incarnation,
+            store: store.clone(),
+            seed,
+            settings: gang::Settings::default(),
+        });
+        let wiring = members::Wiring {
+            clock,
+            store: store.clone(),
+            peers: peers.clone(),
+            requests: requests.clone(),
+            jobs: jobs.clone(),
+        };
+        let started = members::start(me.clone(), seed, wiring);
+        let relay = Relay::new(peers.clone());
+        let directory = Directory::new(incarnation, jobs, relay.clone(), started.view.clone());
+
+        let pump = Pump {
+            requests: requests.clone(),
+            members: started.handle.clone(),
+            relay,
+            directory: directory.clone(),
+        };
+        tasks.push(tokio::spawn(pump.run(peer_inbox)));
+        tasks.push(tokio::spawn(report_closed(closed_inbox, requests.clone())));
+        tasks.push(tokio::spawn(poll_vms(settings.vms.clone(), started.handle.clone())));
+
+        let metrics = Metrics::new()?;
+        let front = Arc::new(Front {
+            clock,
+            me,
+            requests,
+            directory,
+            members: started.handle,
+            store,
+            runtime: tokio::runtime::Handle::current(),
+            peers: peers.clone(),
+            view: started.view,
+            ledger: Ledger::new(metrics.clone()),
+            metrics,
+            token: Token::new(settings.token.as_deref().unwrap_or_default()),
+            body_limit: usize::try_from(settings.limits.body.0).unwrap_or(usize::MAX),
+            ready: AtomicBool::new(true),
+            active: AtomicUsize::new(0),
+        });
+        let callers = listeners.callers.local_addr().map_err(Error::Web)?;
+        let mut servers = Vec::new();
+        for listener in [Some(listeners.callers), listeners.operators].into_iter().flatten() {
+            let mut server = web::serve(listener, front.clone()).map_err(Error::Web)?;
+            servers.push(server.handle().map_err(Error::Web)?);
+            tasks.push(tokio::spawn(async move {
+                if let Err(error) = server.await {
+                    warn!("web: server ended: {error}");
+                }
+            }));
+        }
+        info!("node: entry VM {} serves callers on {callers} as {incarnation}", settings.vm);
+        let drain = settings.limits.drain;
+        Ok(Node { front, callers, fenced: started.fenced, peers, servers, tasks, drain })
+    }
+
+    /// Where callers are served.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// This run of the entry VM.
+    pub fn incarnation(&self) -> Incarnation {
+        self.front.me.incarnation
+    }
+
+    /// What the fleet part shows.
+    pub fn view(&self) -> watch::Receiver<Arc<members::View>> {
+        self.front.view.clone()
+    }
+
+    /// Waits until the others hold this process for gone.
+    pub async fn fenced(&mut self) {
+        while !*self.fenced.borrow() {
+            if self.fenced.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Stops without cutting anything off: refuses readiness, hands over, finishes, ends.
+    pub async fn stop(self) {
+        info!("node: stopping");
+        self.front.ready.store(false, Ordering::SeqCst);
+        self.front.members.event(fleet::Event::Drain).await;
+        tokio::time::sleep(READY_PAUSE).await;
+        let finish = async {
+            // An error means that the router has ended, so nothing is left there.
+            let _ = self.front.requests.drain().await;
+            self.idle().await;
+        };
+        if tokio::time::timeout(self.drain, finish).await.is_err() {
+            warn!("node: requests were still in progress after {} s", self.drain.as_secs());
+        }
+        self.front.members.event(fleet::Event::Finished).await;
+        tokio::time::sleep(IDLE_TIME).await;
+        for server in &self.servers {
+            server.stop(false);
+        }
+        self.peers.stop().await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        info!("node: stopped");
+    }
+
+    /// Ends at once, as a crash would.
+    pub async fn kill(self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        for server in &self.servers {
+            server.stop(false);
+        }
+        self.peers.stop().await;
+    }
+
+    /// Waits until no call has been in progress for a while.
+    async fn idle(&self) {
+        let mut quiet = Duration::ZERO;
+        while quiet < IDLE_TIME {
+            tokio::time::sleep(IDLE_PAUSE).await;
+            let busy = self.front.active.load(Ordering::SeqCst) > 0;
+            quiet = if busy { Duration::ZERO } else { quiet + IDLE_PAUSE };
+        }
+    }
+}
+
+fn member(settings: &Settings, incarnation: Incarnation) -> fleet::Member {
+    fleet::Member {
+        incarnation,
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        address: settings.advertise.to_string(),
+    }
+}
+
+fn store_config(settings: &Settings) -> store::Config {
+    let url = settings.store.first().map_or("", String::as_str);
+    store::Config { rate: f64::from(settings.limits.store_calls), ..store::Config::new(url) }
+}
+
+fn pool_config(settings: &Settings) -> pool::Config {
+    let answer_len = usize::try_from(settings.limits.body.0).unwrap_or(usize::MAX);
+    pool::Config { answer_len, ..pool::Config::default() }
+}
+
+fn route_settings(settings: &Settings) -> route::Settings {
+    route::Settings {
+        queued: usize::try_from(settings.limits.requests).unwrap_or(usize::MAX),
+        keep_bytes: usize::try_from(settings.limits.answers.0).unwrap_or(usize::MAX),
+        link_rate: settings.link_budget.0,
+        ..route::Settings::default()
+    }
+}
+
+fn start_peers(
+    settings: &Settings,
+    incarnation: Incarnation,
+    listener: TcpListener,
+    events: mpsc::Sender<PeerEvent>,
+) -> Result<Peers, Error> {
+    let address = settings.listen.peers;
+    let listen = |source| Error::Listen { address, source };
+    listener.set_nonblocking(true).map_err(listen)?;
+    let listener = tokio::net::TcpListener::from_std(listener).map_err(listen)?;
+    let (vm, zone) = (settings.vm.clone(), settings.zone.clone());
+    let hello = Hello::new(incarnation, vm, zone, settings.region.clone());
+    Ok(Peers::start(listener, hello, net::peer::Config::default(), events))
+}
+
+/// Hands what peers send to the part that it is for.
+struct Pump {
+    requests: requests::Handle,
+    members: members::Handle,
+    relay: Relay,
+    directory: Directory,
+}
+
+impl Pump {
+    async fn run(self, mut inbox: mpsc::Receiver<PeerEvent>) {
+        while let Some(event) = inbox.recv().await {
+            match event {
+                PeerEvent::Up { hello, .. } => {
+                    debug!("peer: link to {} opened", hello.vm);
+                    self.members.send(members::Command::Linked(hello.incarnation)).await;
+                }
+                PeerEvent::Down { incarnation, reason } => {
+                    debug!("peer: link to {incarnation} ended: {reason}");
+                }
+                PeerEvent::Failed { incarnation, address, reason } => {
+                    debug!("peer: {incarnation} at {address} cannot be dialled: {reason}");
+                }
+                PeerEvent::Message { from, part, body } => self.take(from, part, &body).await,
+            }
+        }
+    }
+
+    async fn take(&self, from: Incarnation, part: Part, body: &[u8]) {
+        match part {
+            Part::Route => match wire::decode(body) {
+                Ok(message) => {
+                    self.requests.event(route::Event::Peer { from, message }).await;
+                }
+                Err(error) => debug!("peer: message from {from} cannot be read: {error}"),
+            },
+            Part::Fleet => match wire::decode(body) {
+                Ok(message) => {
+                    self.members.event(fleet::Event::Message { from, message }).await;
+                }
+                Err(error) => debug!("peer: message from {from} cannot be read: {error}"),
+            },
+            Part::Gang => {
+                let directory = self.directory.clone();
+                self.relay.arrive(from, body, |question| directory.respond(question));
+            }
+            Part::Burn => {}
+        }
+    }
+}
+
+async fn report_closed(mut inbox: mpsc::Receiver<BackendId>, requests: requests::Handle) {
+    while let Some(backend) = inbox.recv().await {
+        let sign = route::Sign::Closed;
+        requests.event(route::Event::BackendSign { backend, sign }).await;
+    }
+}
+
+async fn poll_vms(url: String, members: members::Handle) {
+    let Ok(uri) = url.parse::<Uri>() else {
+        warn!("vms: address {url:?} of the list of VMs is not valid");
+        return;
+    };
+    let rest = Rest::new(net::rest::Config::default());
+    loop {
+        match rest.get_json::<border::VmList>(&uri).await {
+            Ok(list) => {
+                let vms = Box::new(vms::sort(list));
+                members.send(members::Command::Vms(vms)).await;
+            }
+            Err(error) => debug!("vms: the list cannot be read: {error}"),
+        }
+        tokio::time::sleep(VMS_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/options.rs
@@ -0,0 +1,37 @@
+//! The command line as typed options.
+
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+
+/// What `basilrackd` is to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Task {
+    /// Run an entry VM until a signal comes.
+    Serve,
+    /// Check the settings.
+    Check,
+}
+
+/// Options of `basilrackd`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// What to do.
+    pub task: Task,
+    /// The settings file.
+    pub settings: PathBuf,
+    /// Whether to keep the addresses to itself.
+    pub quiet: bool,
+}
+
+impl Options {
+    /// Reads the options from parsed arguments.
+    pub fn from_matches(matches: &ArgMatches) -> Options {
+        let task = match matches.subcommand_name() {
+            Some("check") => Task::Check,
+            _ => Task::Serve,
+        };
+        let settings = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
+        Options { task, settings, quiet: matches.get_flag("quiet") }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/policies.rs
@@ -0,0 +1,96 @@
+//! Turns the operators' configuration into the policies that decisions work with.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::AccountId;
+use model::Adjacency;
+use model::GangShape;
+use model::Revision;
+use model::ShardId;
+use text::Text;
+
+/// Run time assumed for jobs of a service until some have been seen.
+const EXPECTED_RUN: Duration = Duration::from_secs(3_600);
+/// Requests of one client account that may wait at one entry VM.
+const QUEUED: u32 = 10_000;
+
+/// The policy of request decisions.
+pub fn requests(text: &Text, revision: Revision) -> route::Policy {
+    let services = text.services.iter().map(|(id, service)| {
+        let policy = route::ServicePolicy {
+            pool: service.pool.as_str().into(),
+            class: service.class,
+            idempotent: service.idempotent,
+            timeout: service.timeout,
+            hedge: service.hedge.is_some(),
+            refuses: false,
+            depends: service.depends.clone(),
+        };
+        (id.clone(), policy)
+    });
+    let accounts = text.accounts.iter().map(|(id, account)| {
+        let policy = route::AccountPolicy {
+            weight: account.weight,
+            rate: account.rate.map(|rate| rate.requests),
+            burst: account.rate.map_or(0, |rate| rate.burst),
+            queued: QUEUED,
+        };
+        (id.clone(), policy)
+    });
+    route::Policy { revision, services: services.collect(), accounts: accounts.collect() }
+}
+
+/// The policy of job decisions in each shard.
+pub fn jobs(
+    text: &Text,
+    capacity: &BTreeMap<ShardId, u32>,
+) -> BTreeMap<ShardId, Arc<gang::Policy>> {
+    let guaranteed = assign(text, capacity);
+    let policy = |shard: &ShardId| {
+        let own = guaranteed.get(shard);
+        let accounts = text.accounts.iter().map(|(id, account)| {
+            let shapes = own.and_then(|own| own.get(id)).cloned().unwrap_or_default();
+            let policy = gang::AccountPolicy {
+                weight: account.weight,
+                quota: account.quota.unwrap_or(u32::MAX),
+                guaranteed: shapes,
+            };
+            (id.clone(), policy)
+        });
+        let services = text
+            .services
+            .keys()
+            .map(|id| (id.clone(), gang::ServicePolicy { expected: EXPECTED_RUN }));
+        Arc::new(gang::Policy { accounts: accounts.collect(), services: services.collect() })
+    };
+    capacity.keys().map(|shard| (shard.clone(), policy(shard))).collect()
+}
+
+type Guaranteed = BTreeMap<ShardId, BTreeMap<AccountId, Vec<gang::Guaranteed>>>;
+
+/// Gives each guaranteed shape to the shard that has the most left for it, widest shapes first.
+///
+/// The outcome depends on the text and the sizes of the shards alone, so that every entry VM
+/// comes to the same one.
+fn assign(text: &Text, capacity: &BTreeMap<ShardId, u32>) -> Guaranteed {
+    let mut left = capacity.clone();
+    let mut shapes: Vec<(&AccountId, GangShape)> = Vec::new();
+    for (id, account) in &text.accounts {
+        shapes.extend(account.guarantees.iter().map(|shape| (id, *shape)));
+    }
+    shapes.sort_by_key(|(id, shape)| (std::cmp::Reverse(width(shape)), (*id).clone()));
+    let mut guaranteed = Guaranteed::new();
+    for (account, shape) in shapes {
+        let Some((shard, room)) = left.iter_mut().max_by_key(|(_, room)| **room) else { break };
+        *room = room.saturating_sub(shape.total());
+        let own = guaranteed.entry(shard.clone()).or_default();
+        own.entry(account.clone()).or_default().push(gang::Guaranteed { shape, count: 1 });
+    }
+    guaranteed
+}
+
+fn width(shape: &GangShape) -> (bool, u32) {
+    (shape.adjacency == Adjacency::Racks, shape.total())
+}
--- /dev/null
+++ b/crates/entry/src/requests.rs
@@ -0,0 +1,480 @@
+//! The request part of the node: feeds the router and carries out what it decides.
+//!
+//! One task owns the router. Web handlers, the peer channel, the VM list and the attempts hand it
+//! commands through a bounded queue; a handler that finds the queue full answers for itself that
+//! the request did not run.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use log::warn;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+
+use model::BackendId;
+use model::Incarnation;
+use model::RequestId;
+use model::ServiceId;
+use model::Verdict;
+use net::peer::Peers;
+use net::pool::Pool;
+use route::Action;
+use route::Answer;
+use route::AttemptResult;
+use route::Call;
+use route::Event;
+use route::Message;
+use route::Router;
+use route::Sign;
+use route::Snapshot;
+use route::Step;
+use route::Ticket;
+use wire::Part;
+
+use crate::attempt;
+use crate::clock::Clock;
+
+/// Commands that may wait for the router.
+const QUEUE: usize = 16_384;
+/// Time for the connection of a probe.
+const PROBE_TIME: Duration = Duration::from_secs(1);
+/// Commands taken between two looks at the timers.
+const BATCH: usize = 256;
+
+/// The router gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Busy {
+    /// Its queue is full, so the command was not taken.
+    #[error("the entry VM takes no more requests at the moment")]
+    Full,
+    /// It ended after it took the command.
+    #[error("the entry VM stopped before it answered")]
+    Ended,
+}
+
+impl Busy {
+    /// Whether the command may have been carried out.
+    pub fn verdict(self) -> Verdict {
+        match self {
+            Busy::Full => Verdict::NotRun,
+            Busy::Ended => Verdict::Unknown,
+        }
+    }
+}
+
+/// What the request part is asked to do.
+#[derive(Debug)]
+pub enum Command {
+    /// Run a request.
+    Call {
+        /// Names the caller.
+        ticket: Ticket,
+        /// The request.
+        call: Call,
+        /// Takes the answer.
+        reply: oneshot::Sender<Answer>,
+    },
+    /// Tell the verdict on a request.
+    Query {
+        /// Names the caller.
+        ticket: Ticket,
+        /// The request.
+        id: RequestId,
+        /// Takes the answer.
+        reply: oneshot::Sender<Answer>,
+    },
+    /// Give out request ids.
+    Ids {
+        /// How many.
+        count: u32,
+        /// Takes the ids.
+        reply: oneshot::Sender<Vec<RequestId>>,
+    },
+    /// Tell the path of a request.
+    Explain {
+        /// The request.
+        id: RequestId,
+        /// Takes the path, if the request is known here.
+        reply: oneshot::Sender<Option<Vec<Step>>>,
+    },
+    /// Show the state of the router.
+    Snapshot {
+        /// Takes the state.
+        reply: oneshot::Sender<Snapshot>,
+    },
+    /// Finish what runs and hand over the rest.
+    Drain {
+        /// Told when nothing is left.
+        reply: oneshot::Sender<()>,
+    },
+    /// Pass an event to the router.
+    Event(Event),
+    /// Backend servers and where they listen.
+    Backends {
+        /// For the router.
+        list: Vec<route::Backend>,
+        /// Host and port by backend server.
+        addresses: BTreeMap<BackendId, SocketAddr>,
+    },
+}
+
+/// Gives commands to the request part.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    commands: mpsc::Sender<Command>,
+    tickets: Arc<AtomicU64>,
+}
+
+/// Tells the router that its caller went away, unless the answer came first.
+struct Hangup {
+    commands: mpsc::Sender<Command>,
+    ticket: Ticket,
+    armed: bool,
+}
+
+impl Drop for Hangup {
+    fn drop(&mut self) {
+        if self.armed {
+            let event = Event::Hangup { ticket: self.ticket };
+            // A full queue only means that the answer is computed for nobody.
+            let _ = self.commands.try_send(Command::Event(event));
+        }
+    }
+}
+
+impl Handle {
+    /// Runs a request, or joins its run.
+    ///
+    /// # Errors
+    ///
+    /// [`Busy`] says whether the request may have run.
+    pub async fn call(&self, call: Call) -> Result<Answer, Busy> {
+        let ticket = self.ticket();
+        let (reply, answer) = oneshot::channel();
+        self.offer(Command::Call { ticket, call, reply })?;
+        self.wait(ticket, answer).await
+    }
+
+    /// Tells the verdict on a request.
+    ///
+    /// # Errors
+    ///
+    /// [`Busy`] if the question was not taken.
+    pub async fn query(&self, id: RequestId) -> Result<Answer, Busy> {
+        let ticket = self.ticket();
+        let (reply, answer) = oneshot::channel();
+        self.offer(Command::Query { ticket, id, reply })?;
+        self.wait(ticket, answer).await
+    }
+
+    /// Gives out fresh request ids.
+    ///
+    /// # Errors
+    ///
+    /// [`Busy`] if the question was not taken.
+    pub async fn ids(&self, count: u32) -> Result<Vec<RequestId>, Busy> {
+        self.ask(|reply| Command::Ids { count, reply }).await
+    }
+
+    /// Tells the path of a request, if it is known here.
+    ///
+    /// # Errors
+    ///
+    /// [`Busy`] if the question was not taken.
+    pub async fn explain(&self, id: RequestId) -> Result<Option<Vec<Step>>, Busy> {
+        self.ask(|reply| Command::Explain { id, reply }).await
+    }
+
+    /// Shows the state of the router.
+    ///
+    /// # Errors
+    ///
+    /// [`Busy`] if the question was not taken.
+    pub async fn snapshot(&self) -> Result<Snapshot, Busy> {
+        self.ask(|reply| Command::Snapshot { reply }).await
+    }
+
+    /// Finishes what runs, hands over the rest and returns when nothing is left.
+    ///
+    /// # Errors
+    ///
+    /// [`Busy`] if the router has ended.
+    pub async fn drain(&self) -> Result<(), Busy> {
+        let (reply, done) = oneshot::channel();
+        self.commands.send(Command::Drain { reply }).await.map_err(|_| Busy::Ended)?;
+        done.await.map_err(|_| Busy::Ended)
+    }
+
+    /// Passes an event to the router, waiting for room in its queue.
+    pub async fn event(&self, event: Event) {
+        self.send(Command::Event(event)).await;
+    }
+
+    /// Gives a command, waiting for room in the queue.
+    pub async fn send(&self, command: Command) {
+        if self.commands.send(command).await.is_err() {
+            warn!("requests: the router has ended");
+        }
+    }
+
+    fn ticket(&self) -> Ticket {
+        Ticket(self.tickets.fetch_add(1, Ordering::Relaxed))
+    }
+
+    fn offer(&self, command: Command) -> Result<(), Busy> {
+        self.commands.try_send(command).map_err(|_| Busy::Full)
+    }
+
+    async fn wait(
+        &self,
+        ticket: Ticket,
+        answer: oneshot::Receiver<Answer>,
+    ) -> Result<Answer, Busy> {
+        let mut hangup = Hangup { commands: self.commands.clone(), ticket, armed: true };
+        let answer = answer.await;
+        hangup.armed = false;
+        answer.map_err(|_| Busy::Ended)
+    }
+
+    async fn ask<T>(&self, command: impl FnOnce(oneshot::Sender<T>) -> Command) -> Result<T, Busy> {
+        let (reply, answer) = oneshot::channel();
+        self.offer(command(reply))?;
+        answer.await.map_err(|_| Busy::Ended)
+    }
+}
+
+/// What the request part works with.
+#[derive(Clone, Debug)]
+pub struct Wiring {
+    /// Time source.
+    pub clock: Clock,
+    /// Connections to backend servers.
+    pub pool: Pool,
+    /// Channels to other entry VMs.
+    pub peers: Peers,
+}
+
+/// Starts the task that owns `router`.
+pub fn start(router: Router, wiring: Wiring) -> Handle {
+    let (commands, inbox) = mpsc::channel(QUEUE);
+    let handle = Handle { commands: commands.clone(), tickets: Arc::new(AtomicU64::new(1)) };
+    let part = Requests {
+        router,
+        wiring,
+        commands: commands.downgrade(),
+        replies: BTreeMap::new(),
+        attempts: BTreeMap::new(),
+        addresses: BTreeMap::new(),
+        drained: Vec::new(),
+        actions: Vec::new(),
+    };
+    tokio::spawn(part.run(inbox));
+    handle
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct AttemptKey {
+    id: RequestId,
+    attempt: u32,
+}
+
+struct Requests {
+    router: Router,
+    wiring: Wiring,
+    commands: mpsc::WeakSender<Command>,
+    replies: BTreeMap<Ticket, oneshot::Sender<Answer>>,
+    attempts: BTreeMap<AttemptKey, AbortHandle>,
+    addresses: BTreeMap<BackendId, SocketAddr>,
+    drained: Vec<oneshot::Sender<()>>,
+    actions: Vec<Action>,
+}
+
+impl Requests {
+    async fn run(mut self, mut inbox: mpsc::Receiver<Command>) {
+        let mut batch = Vec::with_capacity(BATCH);
+        loop {
+            let wake = self.router.next_wake().and_then(|time| self.wiring.clock.instant(time));
+            tokio::select! {
+                count = inbox.recv_many(&mut batch, BATCH) => {
+                    if count == 0 {
+                        return;
+                    }
+                }
+                () = sleep_until(wake) => self.decide(Event::Tick),
+            }
+            for command in batch.drain(..) {
+                self.take(command);
+            }
+        }
+    }
+
+    fn take(&mut self, command: Command) {
+        match command {
+            Command::Call { ticket, call, reply } => {
+                self.replies.insert(ticket, reply);
+                self.decide(Event::Call { ticket, call });
+            }
+            Command::Query { ticket, id, reply } => {
+                self.replies.insert(ticket, reply);
+                self.decide(Event::Query { ticket, id });
+            }
+            Command::Ids { count, reply } => {
+                let ids = (0..count).map(|_| self.router.issue_id()).collect();
+                let _ = reply.send(ids);
+            }
+            Command::Explain { id, reply } => {
+                let _ = reply.send(self.router.explain(id));
+            }
+            Command::Snapshot { reply } => {
+                let _ = reply.send(self.router.snapshot());
+            }
+            Command::Drain { reply } => {
+                self.drained.push(reply);
+                self.decide(Event::Drain);
+            }
+            Command::Event(event) => self.arrive(event),
+            Command::Backends { list, addresses } => {
+                self.addresses = addresses;
+                self.decide(Event::Backends { list });
+            }
+        }
+    }
+
+    fn arrive(&mut self, event: Event) {
+        match &event {
+            Event::Attempt { id, attempt, .. } => {
+                let key = AttemptKey { id: *id, attempt: *attempt };
+                // An aborted attempt may still report; the router no longer expects it.
+                if self.attempts.remove(&key).is_none() {
+                    return;
+                }
+            }
+            Event::Hangup { ticket } => {
+                self.replies.remove(ticket);
+            }
+            _ => {}
+        }
+        self.decide(event);
+    }
+
+    fn decide(&mut self, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.router.handle(self.wiring.clock.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Answer { ticket, answer } => {
+                if let Some(reply) = self.replies.remove(&ticket) {
+                    let _ = reply.send(answer);
+                }
+            }
+            Action::Dispatch { id, attempt, backend, service, body, timeout, reuse } => {
+                let work = Work { id, attempt, backend, service, body, timeout, reuse };
+                self.dispatch(work);
+            }
+            Action::Abort { id, attempt } => {
+                if let Some(task) = self.attempts.remove(&AttemptKey { id, attempt }) {
+                    task.abort();
+                }
+            }
+            Action::DropIdle { backend } => self.wiring.pool.drop_idle(&backend),
+            Action::Probe { backend } => self.probe(backend),
+            Action::Limit { backend, connections } => {
+                let connections = usize::try_from(connections).unwrap_or(usize::MAX);
+                self.wiring.pool.limit(&backend, connections);
+            }
+            Action::Send { to, message } => self.send(to, &message),
+            Action::Drained => {
+                for reply in self.drained.drain(..) {
+                    let _ = reply.send(());
+                }
+            }
+        }
+    }
+
+    fn dispatch(&mut self, work: Work) {
+        let key = AttemptKey { id: work.id, attempt: work.attempt };
+        let address = self.addresses.get(&work.backend).copied();
+        let pool = self.wiring.pool.clone();
+        let commands = self.commands.clone();
+        let task = tokio::spawn(async move {
+            let result = attempt::run(&pool, address, &work).await;
+            report(&commands, work.id, work.attempt, result).await;
+        });
+        self.attempts.insert(key, task.abort_handle());
+    }
+
+    fn probe(&self, backend: BackendId) {
+        let Some(address) = self.addresses.get(&backend).copied() else { return };
+        let commands = self.commands.clone();
+        tokio::spawn(async move {
+            let connecting = tokio::time::timeout(PROBE_TIME, TcpStream::connect(address)).await;
+            let sign =
+                if matches!(connecting, Ok(Ok(_))) { Sign::Connected } else { Sign::Refused };
+            if let Some(commands) = commands.upgrade() {
+                let event = Event::BackendSign { backend, sign };
+                let _ = commands.send(Command::Event(event)).await;
+            }
+        });
+    }
+
+    fn send(&self, to: Incarnation, message: &Message) {
+        let Ok(body) = wire::encode(message) else {
+            warn!("requests: a message to {to} cannot be encoded");
+            return;
+        };
+        // The router repeats what matters, so a message that finds no link may be dropped.
+        let _ = self.wiring.peers.send(to, Part::Route, body);
+    }
+}
+
+/// One attempt to run a request.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// The request.
+    pub id: RequestId,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// Where to.
+    pub backend: BackendId,
+    /// Service that runs it.
+    pub service: ServiceId,
+    /// The request's body.
+    pub body: Bytes,
+    /// Time for the attempt.
+    pub timeout: Duration,
+    /// Which open connections may be used.
+    pub reuse: route::Reuse,
+}
+
+async fn report(
+    commands: &mpsc::WeakSender<Command>,
+    id: RequestId,
+    attempt: u32,
+    result: AttemptResult,
+) {
+    if let Some(commands) = commands.upgrade() {
+        let event = Event::Attempt { id, attempt, result };
+        let _ = commands.send(Command::Event(event)).await;
+    }
+}
+
+pub(crate) async fn sleep_until(wake: Option<std::time::Instant>) {
+    match wake {
+        Some(wake) => tokio::time::sleep_until(wake.into()).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,71 @@
+//! Runs `basilrackd` as its options say.
+
+use std::fs;
+use std::path::Path;
+
+use log::info;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use text::Settings;
+
+use crate::error::Error;
+use crate::logs;
+use crate::node::Listeners;
+use crate::node::Node;
+use crate::options::Options;
+use crate::options::Task;
+
+/// Runs the program.
+///
+/// # Errors
+///
+/// The settings are not valid or the entry VM cannot start; see [`Error`].
+pub fn run(options: &Options) -> Result<(), Error> {
+    let settings = read_settings(&options.settings)?;
+    match options.task {
+        Task::Check => {
+            println!("{}: settings are valid", options.settings.display());
+            Ok(())
+        }
+        Task::Serve => {
+            logs::start(settings.log_level, settings.log_format);
+            let runtime = tokio::runtime::Builder::new_multi_thread()
+                .enable_all()
+                .build()
+                .map_err(Error::Runtime)?;
+            runtime.block_on(serve(&settings, options.quiet))
+        }
+    }
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// The file cannot be read or has faults, all of which are named.
+pub fn read_settings(path: &Path) -> Result<Settings, Error> {
+    let source = fs::read_to_string(path)
+        .map_err(|source| Error::ReadSettings { path: path.to_owned(), source })?;
+    text::parse_settings(&path.display().to_string(), &source).map_err(Error::Settings)
+}
+
+async fn serve(settings: &Settings, quiet: bool) -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Runtime)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::Runtime)?;
+    let mut node = Node::start(settings, Listeners::bind(settings)?)?;
+    if !quiet {
+        println!("serving callers on http://{}", node.callers());
+    }
+    let fenced = tokio::select! {
+        _ = terminate.recv() => false,
+        _ = interrupt.recv() => false,
+        () = node.fenced() => true,
+    };
+    node.stop().await;
+    if fenced {
+        info!("node: ended because the others hold this process for gone");
+        return Err(Error::Fenced);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/web/body.rs
@@ -0,0 +1,93 @@
+//! Reads request bodies within a limit of size and time.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use serde::de::DeserializeOwned;
+use xitca_web::WebContext;
+use xitca_web::body::BodyExt;
+use xitca_web::body::RequestBody;
+
+use crate::web::Front;
+use crate::web::Shared;
+use crate::web::problem::Fault;
+use crate::web::problem::Refusal;
+
+/// Time in which a whole body has to come.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// Reads the whole body.
+pub async fn read(ctx: &WebContext<'_, Shared>) -> Result<Bytes, Refusal> {
+    let limit = ctx.state().body_limit;
+    let body = std::mem::take(&mut *ctx.body_borrow_mut());
+    if matches!(body, RequestBody::None) {
+        return Ok(Bytes::new());
+    }
+    match tokio::time::timeout(BODY_TIME, collect(body, limit)).await {
+        Ok(read) => read,
+        Err(_) => Err(Refusal::new(
+            Fault::BodyIncomplete,
+            format!("the body did not come within {} s", BODY_TIME.as_secs()),
+        )),
+    }
+}
+
+async fn collect(body: RequestBody, limit: usize) -> Result<Bytes, Refusal> {
+    let mut body = pin!(body);
+    let mut whole = BytesMut::new();
+    while let Some(part) = body.as_mut().data().await {
+        let part = part
+            .map_err(|error| Refusal::new(Fault::BodyIncomplete, format!("body broke: {error}")))?;
+        if whole.len() + part.len() > limit {
+            let detail = format!("the body is longer than {limit} bytes");
+            return Err(Refusal::new(Fault::BodyTooLong, detail));
+        }
+        whole.extend_from_slice(&part);
+    }
+    Ok(whole.freeze())
+}
+
+/// Reads the body as JSON.
+pub async fn json<T: DeserializeOwned>(ctx: &WebContext<'_, Shared>) -> Result<T, Refusal> {
+    let body = read(ctx).await?;
+    serde_json::from_slice(&body)
+        .map_err(|error| Refusal::new(Fault::BadBody, format!("body is not valid: {error}")))
+}
+
+/// The value of a header, if it is there and is text.
+pub fn header<'c>(ctx: &'c WebContext<'_, Shared>, name: &str) -> Option<&'c str> {
+    ctx.req().headers().get(name).and_then(|value| value.to_str().ok())
+}
+
+/// The value of a header that has to be there.
+pub fn required<'c>(ctx: &'c WebContext<'_, Shared>, name: &str) -> Result<&'c str, Refusal> {
+    header(ctx, name)
+        .filter(|value| !value.is_empty())
+        .ok_or_else(|| Refusal::new(Fault::BadHeader, format!("header {name} is missing")))
+}
+
+/// A parameter of the path.
+pub fn param<'c>(ctx: &'c WebContext<'_, Shared>, name: &str) -> &'c str {
+    ctx.req().body().params().get(name).map_or("", |value| value)
+}
+
+/// A parameter of the query.
+pub fn query<'c>(ctx: &'c WebContext<'_, Shared>, name: &str) -> Option<&'c str> {
+    let query = ctx.req().uri().query()?;
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+/// Whether the call comes from an operator.
+pub fn authorize(ctx: &WebContext<'_, Shared>, front: &Front) -> Result<(), Refusal> {
+    let given = header(ctx, "authorization").and_then(|value| value.strip_prefix("Bearer "));
+    match given {
+        Some(given) if front.token.matches(given) => Ok(()),
+        _ => Err(Refusal::new(
+            Fault::Unauthorized,
+            "send the operator token of the settings as \"authorization: Bearer <token>\"",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/web/callers.rs
@@ -0,0 +1,177 @@
+//! What callers send: requests and jobs.
+
+use std::time::Duration;
+
+use xitca_web::WebContext;
+use xitca_web::http::WebResponse;
+use xitca_web::http::header::CONTENT_TYPE;
+use xitca_web::http::header::HeaderValue;
+
+use model::AccountId;
+use model::RequestId;
+use model::ServiceId;
+use model::Verdict;
+use route::Answer;
+use route::Call;
+use route::Reason;
+use wire::border;
+
+use crate::requests::Busy;
+use crate::web::Shared;
+use crate::web::body;
+use crate::web::problem;
+use crate::web::problem::Fault;
+use crate::web::problem::Refusal;
+use crate::web::problem::border_verdict;
+use crate::web::problem::millis;
+
+/// Header with the client account of a request.
+const ACCOUNT: &str = "basilrack-account";
+/// Header with the service of a request.
+const SERVICE: &str = "basilrack-service";
+/// Header with the time in which the caller wants the answer, in milliseconds.
+const DEADLINE: &str = "basilrack-deadline-ms";
+/// Most ids given out by one call.
+const MAX_IDS: u32 = 10_000;
+/// Longest deadline that a caller may name.
+const MAX_DEADLINE: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// `POST /v1/ids?count=n`
+pub async fn ids(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    let count = match body::query(ctx, "count") {
+        None => 1,
+        Some(count) => count
+            .parse()
+            .ok()
+            .filter(|count| (1..=MAX_IDS).contains(count))
+            .ok_or_else(|| Refusal::new(Fault::BadId, format!("count is not 1 to {MAX_IDS}")))?,
+    };
+    let ids = ctx.state().requests.ids(count).await.map_err(busy)?;
+    let ids = ids.iter().map(RequestId::to_string).collect();
+    Ok(problem::json(200, &border::Ids { ids }))
+}
+
+/// `PUT /v1/requests/{id}`
+pub async fn put_request(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    let id = request_id(ctx)?;
+    let service = body::required(ctx, SERVICE).map_err(Refusal::uncertain)?.into();
+    run(ctx, id, service).await.map_err(Refusal::uncertain)
+}
+
+/// `POST /v1/services/{service}`
+pub async fn post_service(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    let service: ServiceId = body::param(ctx, "service").into();
+    let ids = ctx.state().requests.ids(1).await.map_err(busy)?;
+    let id = ids.first().copied().ok_or_else(|| busy(Busy::Full))?;
+    run(ctx, id, service).await
+}
+
+/// `GET /v1/requests/{id}`
+pub async fn get_request(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    let id = request_id(ctx)?;
+    let answer = ctx.state().requests.query(id).await.map_err(busy)?;
+    let status = border::RequestStatus {
+        id: id.to_string(),
+        verdict: border_verdict(answer.verdict),
+        final_: answer.last,
+        reason: answer.reason.to_string(),
+        status: (answer.reason == Reason::Answered).then_some(answer.status),
+    };
+    Ok(problem::json(200, &status))
+}
+
+async fn run(
+    ctx: &WebContext<'_, Shared>,
+    id: RequestId,
+    service: ServiceId,
+) -> Result<WebResponse, Refusal> {
+    let front = ctx.state();
+    let account: AccountId = body::required(ctx, ACCOUNT)?.into();
+    let deadline = deadline(ctx, &service)?;
+    let body = body::read(ctx).await?;
+    let started = front.clock.now();
+    let call = Call { id, service: service.clone(), account: account.clone(), deadline, body };
+    let answer = front.requests.call(call).await.map_err(busy)?;
+    front.ledger.request(&service, &account, &answer, front.clock.now().since(started));
+    Ok(respond(&answer))
+}
+
+fn deadline(ctx: &WebContext<'_, Shared>, service: &ServiceId) -> Result<Duration, Refusal> {
+    match body::header(ctx, DEADLINE) {
+        None => Ok(ctx.state().view.borrow().deadline(service)),
+        Some(text) => text
+            .parse()
+            .ok()
+            .map(Duration::from_millis)
+            .filter(|span| !span.is_zero() && *span <= MAX_DEADLINE)
+            .ok_or_else(|| {
+                let limit = MAX_DEADLINE.as_millis();
+                let detail = format!("header {DEADLINE} is not a number from 1 to {limit}");
+                Refusal::new(Fault::BadHeader, detail)
+            }),
+    }
+}
+
+fn request_id(ctx: &WebContext<'_, Shared>) -> Result<RequestId, Refusal> {
+    body::param(ctx, "id")
+        .parse()
+        .map_err(|error| Refusal::new(Fault::BadId, format!("request id: {error}")))
+}
+
+fn busy(busy: Busy) -> Refusal {
+    Refusal { fault: Fault::Busy, detail: busy.to_string(), verdict: busy.verdict() }
+}
+
+/// The HTTP response to a request.
+fn respond(answer: &Answer) -> WebResponse {
+    if answer.reason != Reason::Answered {
+        return problem::respond(&explain(answer));
+    }
+    let mut response = WebResponse::new(answer.body.clone().into());
+    *response.status_mut() = problem::status_code(answer.status);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/octet-stream"));
+    problem::insert(headers, problem::REQUEST, &answer.id.to_string());
+    problem::insert(headers, problem::VERDICT, answer.verdict.as_ref());
+    problem::insert(headers, problem::REASON, answer.reason.as_ref());
+    response
+}
+
+fn explain(answer: &Answer) -> border::Problem {
+    border::Problem {
+        type_: format!("urn:basilrack:problem:{}", answer.reason),
+        title: title(answer.verdict).to_owned(),
+        status: answer.status,
+        detail: detail(answer),
+        verdict: border_verdict(answer.verdict),
+        final_: answer.last,
+        reason: answer.reason.to_string(),
+        retry: answer.retry.is_some(),
+        retry_after_ms: answer.retry.map(millis),
+        request: Some(answer.id.to_string()),
+    }
+}
+
+fn title(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::NotRun => "The request did not run",
+        Verdict::Ran => "The request ran",
+        Verdict::Unknown => "It is unknown whether the request ran",
+    }
+}
+
+fn detail(answer: &Answer) -> String {
+    let mut detail = match (answer.verdict, answer.last) {
+        (Verdict::NotRun, _) => "It did not run and never will under this id".to_owned(),
+        (Verdict::Ran, _) => "It ran; its answer is not available".to_owned(),
+        (Verdict::Unknown, true) => "It may have run; this will not become known".to_owned(),
+        (Verdict::Unknown, false) => "It may run or have run; ask again with its id".to_owned(),
+    };
+    if let Some(backend) = &answer.backend {
+        detail.push_str(&format!("; last backend server: {backend}"));
+    }
+    if let Some(dependency) = &answer.dependency {
+        detail.push_str(&format!("; dependency that is down: {dependency}"));
+    }
+    detail
+}
--- /dev/null
+++ b/crates/entry/src/web/jobs.rs
@@ -0,0 +1,183 @@
+//! What callers send about jobs.
+
+use std::time::Duration;
+
+use xitca_web::WebContext;
+use xitca_web::http::WebResponse;
+
+use gang::JobSpec;
+use model::Adjacency;
+use model::GangShape;
+use model::JobId;
+use model::Priority;
+use model::ShardId;
+use model::Verdict;
+use wire::border;
+
+use crate::jobs::Answer;
+use crate::jobs::Call;
+use crate::web::Shared;
+use crate::web::body;
+use crate::web::problem;
+use crate::web::problem::Fault;
+use crate::web::problem::Refusal;
+use crate::web::problem::border_verdict;
+
+/// `POST /v1/jobs`
+///
+/// Picks an availability zone if the job names none. A caller that has to repeat a submission uses
+/// [`put_job`], which needs the zone so that a repeat comes to the same shard.
+pub async fn post_job(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    let spec: border::JobSpec = body::json(ctx).await?;
+    let front = ctx.state();
+    let id = fresh_id(ctx).await?;
+    let shards = match &spec.zone {
+        Some(zone) => vec![ShardId::new(zone)],
+        None => front.directory.candidates(&front.me.zone),
+    };
+    let mut last = Refusal::new(Fault::Unavailable, "no placement shard has an owner");
+    for shard in shards {
+        match submit(ctx, id, &shard, &spec).await {
+            Ok(response) => return Ok(response),
+            Err(refusal) if refusal.verdict == Verdict::NotRun => last = refusal,
+            Err(refusal) => return Err(refusal),
+        }
+    }
+    Err(last)
+}
+
+/// `PUT /v1/jobs/{id}`
+pub async fn put_job(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    let id = job_id(ctx)?;
+    let spec: border::JobSpec = body::json(ctx).await.map_err(Refusal::uncertain)?;
+    let Some(zone) = &spec.zone else {
+        let detail = "a job that is submitted under an id has to name its availability zone";
+        return Err(Refusal::new(Fault::BadBody, detail).uncertain());
+    };
+    submit(ctx, id, &ShardId::new(zone), &spec).await
+}
+
+/// `GET /v1/jobs/{id}`
+pub async fn get_job(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    let id = job_id(ctx)?;
+    let found = ctx.state().directory.find(|| Call::Query { job: id }).await;
+    match found.answer {
+        Answer::Status { state, verdict, reason } => {
+            let status = status(id, state, verdict, reason, found.shard.as_ref());
+            Ok(problem::json(200, &status))
+        }
+        other => Err(refusal(other)),
+    }
+}
+
+/// `DELETE /v1/jobs/{id}`
+pub async fn delete_job(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    let id = job_id(ctx)?;
+    let found = ctx.state().directory.find(|| Call::Cancel { job: id }).await;
+    let shard = found.shard.as_ref();
+    match found.answer {
+        Answer::Accepted { durable } => {
+            let reason = if durable { "cancellation stored" } else { "cancellation not stored" };
+            let status = status(id, "cancelling".to_owned(), None, reason.to_owned(), shard);
+            Ok(problem::json(202, &status))
+        }
+        Answer::Status { state, verdict, reason } => {
+            Ok(problem::json(200, &status(id, state, verdict, reason, shard)))
+        }
+        other => Err(refusal(other)),
+    }
+}
+
+async fn fresh_id(ctx: &WebContext<'_, Shared>) -> Result<JobId, Refusal> {
+    let ids = ctx.state().requests.ids(1).await;
+    let id = ids.ok().and_then(|ids| ids.first().copied());
+    let id = id.ok_or_else(|| Refusal::new(Fault::Busy, "no id can be given out at the moment"))?;
+    Ok(JobId { home: id.home, sequence: id.sequence })
+}
+
+fn job_id(ctx: &WebContext<'_, Shared>) -> Result<JobId, Refusal> {
+    body::param(ctx, "id")
+        .parse()
+        .map_err(|error| Refusal::new(Fault::BadId, format!("job id: {error}")))
+}
+
+async fn submit(
+    ctx: &WebContext<'_, Shared>,
+    id: JobId,
+    shard: &ShardId,
+    spec: &border::JobSpec,
+) -> Result<WebResponse, Refusal> {
+    let job = Box::new(job(id, spec));
+    let call = Call::Submit { job, durable: !spec.volatile };
+    match ctx.state().directory.call(shard, call).await {
+        Answer::Accepted { durable } => {
+            let reason = if durable { "stored" } else { "accepted without being stored" };
+            let status = status(id, "queued".to_owned(), None, reason.to_owned(), Some(shard));
+            Ok(problem::json(202, &status))
+        }
+        Answer::Status { state, verdict, reason } => {
+            Ok(problem::json(200, &status(id, state, verdict, reason, Some(shard))))
+        }
+        other => Err(refusal(other)),
+    }
+}
+
+fn refusal(answer: Answer) -> Refusal {
+    match answer {
+        Answer::Refused { verdict, reason } => {
+            let fault = match verdict {
+                Verdict::Unknown => Fault::Unavailable,
+                Verdict::NotRun | Verdict::Ran => Fault::Refused,
+            };
+            Refusal { fault, detail: reason, verdict }
+        }
+        other => Refusal::unknown(Fault::Internal, format!("unexpected answer {other:?}")),
+    }
+}
+
+fn job(id: JobId, spec: &border::JobSpec) -> JobSpec {
+    JobSpec {
+        id,
+        account: spec.account.as_str().into(),
+        service: spec.service.as_str().into(),
+        shape: GangShape {
+            tasks: spec.shape.tasks,
+            accelerators: spec.shape.accelerators,
+            millicores: spec.shape.millicores,
+            memory_mib: spec.shape.memory_mib,
+            adjacency: match spec.shape.adjacency {
+                border::Adjacency::Worker => Adjacency::Worker,
+                border::Adjacency::Rack => Adjacency::Rack,
+                border::Adjacency::Racks => Adjacency::Racks,
+                border::Adjacency::Zone => Adjacency::Zone,
+            },
+        },
+        priority: match spec.priority {
+            border::Priority::Urgent => Priority::Urgent,
+            border::Priority::Normal => Priority::Normal,
+            border::Priority::Spare => Priority::Spare,
+        },
+        idempotent: spec.idempotent,
+        checkpoint: spec.checkpoint,
+        declared: Duration::from_millis(spec.declared_ms),
+    }
+}
+
+fn status(
+    id: JobId,
+    state: String,
+    verdict: Option<Verdict>,
+    reason: String,
+    shard: Option<&ShardId>,
+) -> border::JobStatus {
+    border::JobStatus {
+        id: id.to_string(),
+        state,
+        verdict: border_verdict(verdict.unwrap_or(Verdict::Unknown)),
+        final_: verdict.is_some(),
+        reason,
+        waits: None,
+        attempt: 0,
+        shard: shard.map(ShardId::to_string),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/web/mod.rs
@@ -0,0 +1,216 @@
+//! The border towards callers and operators, on xitca-web.
+//!
+//! Handlers run on xitca-web's own threads and reach the parts of the node through channels. Every
+//! refusal is `application/problem+json` with a verdict.
+
+pub mod body;
+pub mod callers;
+pub mod jobs;
+pub mod operators;
+pub mod problem;
+pub mod token;
+
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use xitca_server::ServerFuture;
+use xitca_web::App;
+use xitca_web::WebContext;
+use xitca_web::error::Error;
+use xitca_web::handler::handler_service;
+use xitca_web::http::StatusCode;
+use xitca_web::http::WebResponse;
+use xitca_web::route::get;
+use xitca_web::route::post;
+use xitca_web::route::put;
+use xitca_web::service::Service;
+
+use wire::border;
+
+use crate::clock::Clock;
+use crate::directory::Directory;
+use crate::ledger::Ledger;
+use crate::members;
+use crate::metrics::Metrics;
+use crate::requests;
+use crate::web::problem::Fault;
+use crate::web::problem::Refusal;
+use crate::web::token::Token;
+
+/// Threads that run handlers.
+const THREADS: usize = 2;
+/// Time for the head of a request.
+const HEAD_TIME: Duration = Duration::from_secs(10);
+/// Time for which an idle connection is kept.
+const IDLE_TIME: Duration = Duration::from_secs(60);
+
+/// What handlers work with.
+#[derive(Debug)]
+pub struct Front {
+    /// Time source.
+    pub clock: Clock,
+    /// This entry VM.
+    pub me: fleet::Member,
+    /// The request part.
+    pub requests: requests::Handle,
+    /// Finds who answers for a job.
+    pub directory: Directory,
+    /// The fleet part.
+    pub members: members::Handle,
+    /// The platform's store.
+    pub store: store::Client,
+    /// Runtime of the node, for work that must outlive a call.
+    pub runtime: tokio::runtime::Handle,
+    /// Channels to other entry VMs.
+    pub peers: net::Peers,
+    /// What the fleet part shows.
+    pub view: watch::Receiver<Arc<members::View>>,
+    /// Counts for the burn report.
+    pub ledger: Ledger,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// The operators' token.
+    pub token: Token,
+    /// Longest body, in bytes.
+    pub body_limit: usize,
+    /// Whether new work is taken.
+    pub ready: AtomicBool,
+    /// Calls in progress.
+    pub active: AtomicUsize,
+}
+
+/// The front as handlers share it.
+pub type Shared = Arc<Front>;
+
+impl Front {
+    /// Brings the counters of store calls and peer channels up to date.
+    pub fn count_calls(&self) {
+        for count in &self.store.counters().counts {
+            let purpose = count.purpose.as_ref();
+            self.metrics.set_store_calls(purpose, count.outcome.as_ref(), count.calls);
+        }
+        let peers = self.peers.counters();
+        for (distance, volume) in &peers.volumes {
+            self.metrics.set_peer_bytes("received", distance.as_ref(), volume.received);
+            self.metrics.set_peer_bytes("sent", distance.as_ref(), volume.sent);
+        }
+    }
+
+    /// How the store answers.
+    pub fn store_status(&self, view: &members::View) -> border::StoreStatus {
+        let counters = self.store.counters();
+        let answered = counters.counts.iter().filter(|c| c.outcome == store::Outcome::Answered);
+        let answered: u64 = answered.map(|count| count.calls).sum();
+        let calls = counters.counts.iter().map(|count| count.calls).sum::<u64>();
+        border::StoreStatus {
+            healthy: view.fleet.store.healthy,
+            calls,
+            failed: calls.saturating_sub(answered),
+        }
+    }
+}
+
+/// Counts a call for as long as it lives.
+struct Active<'f>(&'f Front);
+
+impl<'f> Active<'f> {
+    fn begin(front: &'f Front) -> Active<'f> {
+        front.active.fetch_add(1, Ordering::SeqCst);
+        Active(front)
+    }
+}
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.0.active.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+macro_rules! handler {
+    ($path:path) => {
+        handler_service(async |ctx: &WebContext<'_, Shared>| answer($path(ctx).await))
+    };
+}
+
+/// Serves the border on `listener` until the returned handle is told to stop.
+///
+/// # Errors
+///
+/// The listener or the runtime of xitca-web does not start.
+pub fn serve(listener: TcpListener, front: Shared) -> std::io::Result<ServerFuture> {
+    let app = App::new()
+        .with_state(front)
+        .at("/v1/ids", post(handler!(callers::ids)))
+        .at(
+            "/v1/requests/{id}",
+            put(handler!(callers::put_request)).get(handler!(callers::get_request)),
+        )
+        .at("/v1/services/{service}", post(handler!(callers::post_service)))
+        .at("/v1/jobs", post(handler!(jobs::post_job)))
+        .at(
+            "/v1/jobs/{id}",
+            put(handler!(jobs::put_job))
+                .get(handler!(jobs::get_job))
+                .delete(handler!(jobs::delete_job)),
+        )
+        .at("/v1/explain/{id}", get(handler!(operators::explain)))
+        .at("/v1/status", get(handler!(operators::status)))
+        .at("/v1/burn", get(handler!(operators::burn)))
+        .at("/v1/history", get(handler!(operators::history)))
+        .at("/v1/text", get(handler!(operators::get_text)).put(handler!(operators::put_text)))
+        .at("/metrics", get(handler!(operators::metrics)))
+        .at("/ready", get(handler!(operators::ready)))
+        .at("/live", get(handler!(operators::live)))
+        .enclosed_fn(guard);
+    let server = app
+        .serve()
+        .disable_signal()
+        .worker_threads(THREADS)
+        .request_head_timeout(HEAD_TIME)
+        .keep_alive_timeout(IDLE_TIME)
+        .listen(listener)?;
+    Ok(server.run())
+}
+
+fn answer(result: Result<WebResponse, Refusal>) -> Result<WebResponse, Infallible> {
+    Ok(result.unwrap_or_else(|refusal| refusal.response()))
+}
+
+/// Counts the call, turns library errors into problems and closes connections while stopping.
+async fn guard<S>(service: &S, mut ctx: WebContext<'_, Shared>) -> Result<WebResponse, Error>
+where
+    S: for<'r> Service<WebContext<'r, Shared>, Response = WebResponse, Error = Error>,
+{
+    let front = ctx.state().clone();
+    let active = Active::begin(&front);
+    let result = service.call(ctx.reborrow()).await;
+    let mut response = match result {
+        Ok(response) => response,
+        Err(error) => {
+            let cause = error.call(ctx).await?;
+            library_refusal(cause.status()).response()
+        }
+    };
+    if !front.ready.load(Ordering::Relaxed) {
+        problem::close(&mut response);
+    }
+    front.metrics.answered(response.status().as_u16());
+    drop(active);
+    Ok(response)
+}
+
+fn library_refusal(status: StatusCode) -> Refusal {
+    match status {
+        StatusCode::NOT_FOUND => Refusal::new(Fault::NoSuchPath, "no such path"),
+        StatusCode::METHOD_NOT_ALLOWED => {
+            Refusal::new(Fault::WrongMethod, "the path is not served by this method")
+        }
+        status => Refusal::new(Fault::BadBody, format!("refused with status {status}")),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/web/operators.rs
@@ -0,0 +1,190 @@
+//! What operators read and change.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use xitca_web::WebContext;
+use xitca_web::http::WebResponse;
+use xitca_web::http::header::CONTENT_TYPE;
+use xitca_web::http::header::HeaderValue;
+
+use fleet::Outcome;
+use model::JobId;
+use model::RequestId;
+use wire::border;
+
+use crate::configuration;
+use crate::views;
+use crate::web::Shared;
+use crate::web::body;
+use crate::web::problem;
+use crate::web::problem::Fault;
+use crate::web::problem::Refusal;
+
+/// `GET /live`: whether the process runs.
+pub async fn live(_ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    Ok(WebResponse::new("live\n".into()))
+}
+
+/// `GET /ready`: whether the balancer may send new work.
+pub async fn ready(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    if ctx.state().ready.load(Ordering::Relaxed) {
+        Ok(WebResponse::new("ready\n".into()))
+    } else {
+        Err(Refusal::new(Fault::Draining, "the entry VM takes no new work"))
+    }
+}
+
+/// `GET /metrics`
+pub async fn metrics(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    let front = ctx.state();
+    if let Ok(state) = front.requests.snapshot().await {
+        front.metrics.set_requests(&state);
+    }
+    let shards = front.directory.snapshot().await;
+    front.metrics.set_shards(shards.values());
+    let revision = front.view.borrow().revision.0;
+    front.metrics.set_node(revision, front.ready.load(Ordering::Relaxed));
+    front.count_calls();
+    let mut response = WebResponse::new(front.metrics.render().into());
+    let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    Ok(response)
+}
+
+/// `GET /v1/status`
+pub async fn status(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    let front = ctx.state();
+    body::authorize(ctx, front)?;
+    let view = front.view.borrow().clone();
+    let overview = front.directory.overview().await;
+    let requests = front.requests.snapshot().await.unwrap_or_default();
+    let mut unknown = view.unknown.clone();
+    unknown.extend(overview.unknown);
+    let status = border::Status {
+        vm: view.me.vm.to_string(),
+        incarnation: view.me.incarnation.to_string(),
+        zone: view.me.zone.to_string(),
+        revision: view.revision.0,
+        current: view.current,
+        ready: front.ready.load(Ordering::Relaxed),
+        store: front.store_status(&view),
+        members: view.members.clone(),
+        shards: views::all_shards(&view, overview.shards),
+        backends: requests.backends.iter().map(|b| views::backend(b, &view)).collect(),
+        workers: overview.workers,
+        guarantees: overview.guarantees,
+        queued: count(requests.queues.iter().map(|queue| queue.waiting).sum()),
+        running: count(requests.running),
+        unknown,
+    };
+    Ok(problem::json(200, &status))
+}
+
+/// `GET /v1/explain/{id}`
+pub async fn explain(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    let front = ctx.state();
+    body::authorize(ctx, front)?;
+    let id: RequestId = body::param(ctx, "id")
+        .parse()
+        .map_err(|error| Refusal::new(Fault::BadId, format!("request or job id: {error}")))?;
+    let job = JobId { home: id.home, sequence: id.sequence };
+    if let Some(known) = front.directory.explain(job).await {
+        return Ok(problem::json(200, &known));
+    }
+    let steps = front.requests.explain(id).await.ok().flatten().unwrap_or_default();
+    match front.requests.query(id).await {
+        Ok(answer) => {
+            let known = views::request(&front.clock, &answer, &steps);
+            Ok(problem::json(200, &known))
+        }
+        Err(busy) => Err(Refusal::unknown(Fault::Busy, busy.to_string())),
+    }
+}
+
+/// `GET /v1/burn`
+pub async fn burn(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    let front = ctx.state();
+    body::authorize(ctx, front)?;
+    let view = front.view.borrow().clone();
+    Ok(problem::json(200, &front.ledger.report(front.clock.stamp(), &view)))
+}
+
+/// `GET /v1/history`
+pub async fn history(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    let front = ctx.state();
+    body::authorize(ctx, front)?;
+    let store = front.store.clone();
+    let reading = front.runtime.spawn(async move { configuration::history(&store).await });
+    match reading.await {
+        Ok(Ok(history)) => Ok(problem::json(200, &history)),
+        Ok(Err(reason)) => Err(Refusal::new(Fault::Unavailable, reason)),
+        Err(error) => Err(Refusal::new(Fault::Internal, error.to_string())),
+    }
+}
+
+/// `GET /v1/text`
+pub async fn get_text(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    let front = ctx.state();
+    body::authorize(ctx, front)?;
+    let view = front.view.borrow().clone();
+    let answer = border::TextAnswer {
+        revision: view.revision.0,
+        current: view.current,
+        text: view.source.to_string(),
+    };
+    Ok(problem::json(200, &answer))
+}
+
+/// `PUT /v1/text`
+pub async fn put_text(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
+    let front = ctx.state();
+    body::authorize(ctx, front)?;
+    let call: border::ApplyCall = body::json(ctx).await?;
+    let wait = body::query(ctx, "wait") == Some("true");
+    let store = front.store.clone();
+    let view = front.view.clone();
+    let members = front.members.clone();
+    let at = front.clock.stamp();
+    let applying = front.runtime.spawn(async move {
+        let outcome = configuration::apply(&store, &call, at).await;
+        let revision = match &outcome {
+            Outcome::Applied { revision, .. } | Outcome::Unchanged { revision } => *revision,
+            _ => return Err(outcome),
+        };
+        let text = Arc::from(call.text.as_str());
+        members.event(fleet::Event::TextSeen { revision, text }).await;
+        let answer = border::ApplyAnswer {
+            revision: revision.0,
+            confirmed: Vec::new(),
+            unknown: Vec::new(),
+        };
+        Ok(if wait { configuration::spread(&view, revision).await } else { answer })
+    });
+    match applying.await {
+        Ok(Ok(answer)) => Ok(problem::json(200, &answer)),
+        Ok(Err(outcome)) => Err(refusal(&outcome)),
+        Err(error) => Err(Refusal::unknown(Fault::Internal, error.to_string())),
+    }
+}
+
+fn refusal(outcome: &Outcome) -> Refusal {
+    let (fault, detail) = match outcome {
+        Outcome::Raced { theirs, .. } => {
+            let lines: Vec<String> = theirs.iter().map(ToString::to_string).collect();
+            (Fault::Conflict, format!("{outcome}\n{}", lines.join("\n")))
+        }
+        Outcome::Refused { faults } => {
+            let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+            (Fault::Refused, lines.join("\n"))
+        }
+        Outcome::Missing { .. } => (Fault::Conflict, outcome.to_string()),
+        Outcome::Unreachable | Outcome::Unsettled => (Fault::Unavailable, outcome.to_string()),
+        _ => (Fault::Internal, outcome.to_string()),
+    };
+    Refusal { fault, detail, verdict: outcome.verdict() }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/entry/src/workers.rs
@@ -0,0 +1,250 @@
+//! Calls the platform's workers.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Uri;
+use log::debug;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use gang::Action;
+use gang::Attempt;
+use gang::Event;
+use gang::LeaseReport;
+use gang::TaskRange;
+use gang::TaskReport;
+use gang::TaskStatus;
+use gang::WorkerAnswer;
+use gang::WorkerReport;
+use model::JobId;
+use model::Verdict;
+use model::WorkerId;
+use net::rest::Rest;
+use net::rest::RestError;
+use wire::border;
+
+/// Longest time for one call to a worker.
+const DEADLINE: Duration = Duration::from_secs(2);
+
+/// Calls the platform's workers.
+#[derive(Clone, Debug)]
+pub struct Workers {
+    rest: Rest,
+    addresses: Arc<BTreeMap<WorkerId, String>>,
+}
+
+impl Default for Workers {
+    fn default() -> Workers {
+        let config = net::rest::Config { deadline: DEADLINE, ..net::rest::Config::default() };
+        Workers { rest: Rest::new(config), addresses: Arc::default() }
+    }
+}
+
+impl Workers {
+    /// Sets where each worker listens.
+    pub fn set_addresses(&mut self, addresses: BTreeMap<WorkerId, String>) {
+        self.addresses = Arc::new(addresses);
+    }
+
+    /// Carries out an action that concerns a worker and says what came of it.
+    pub async fn act(&self, action: Action) -> Option<Event> {
+        match action {
+            Action::Lease { worker, job, attempt, accelerators, ttl } => {
+                let call = border::LeaseCall {
+                    job: job.to_string(),
+                    attempt: attempt.0,
+                    accelerators,
+                    ttl_ms: millis(ttl),
+                };
+                let answer: Result<border::LeaseAnswer, _> =
+                    self.post(&worker, "/leases", &call).await;
+                let result = answer.map(|answer| answer.granted);
+                Some(Event::Leased { worker, job, attempt, result: lease_answer(result) })
+            }
+            Action::Start { worker, job, attempt, tasks, ttl } => {
+                let call = start_call(job, attempt, tasks, ttl);
+                let answer: Result<border::StartAnswer, _> =
+                    self.post(&worker, "/tasks", &call).await;
+                let result = start_answer(answer);
+                Some(Event::Started { worker, job, attempt, result })
+            }
+            Action::Renew { worker, leases, ttl } => self.renew(worker, &leases, ttl).await,
+            Action::Release { worker, job, attempt } => {
+                let call = key(job, attempt);
+                self.tell(&worker, "/leases/release", &call).await;
+                None
+            }
+            Action::Stop { worker, job, attempt } => {
+                self.task(&worker, job, attempt, border::TaskAction::Stop).await;
+                self.tell(&worker, "/leases/release", &key(job, attempt)).await;
+                None
+            }
+            Action::Checkpoint { worker, job, attempt } => {
+                self.task(&worker, job, attempt, border::TaskAction::Checkpoint).await;
+                None
+            }
+            Action::Throttle { worker, job, attempt, task, millicores } => {
+                let call = border::TaskCall {
+                    index: Some(task),
+                    millicores: Some(millicores),
+                    ..task_call(job, attempt, border::TaskAction::Throttle)
+                };
+                self.tell(&worker, "/tasks/action", &call).await;
+                None
+            }
+            Action::Write { .. } | Action::Read { .. } | Action::Reply { .. } => None,
+        }
+    }
+
+    async fn renew(
+        &self,
+        worker: WorkerId,
+        leases: &[gang::LeaseRef],
+        ttl: Duration,
+    ) -> Option<Event> {
+        if !leases.is_empty() {
+            let leases = leases.iter().map(|lease| key(lease.job, lease.attempt)).collect();
+            let call = border::RenewCall { leases, ttl_ms: millis(ttl) };
+            let answer: Result<border::RenewAnswer, _> =
+                self.post(&worker, "/leases/renew", &call).await;
+            if answer.is_err() {
+                return Some(Event::WorkerSilent { worker });
+            }
+        }
+        let report: Result<border::WorkerReport, _> = match self.uri(&worker, "/report") {
+            Some(uri) => self.rest.get_json(&uri).await,
+            None => return Some(Event::WorkerSilent { worker }),
+        };
+        match report {
+            Ok(report) => Some(Event::Report { worker, report: convert(&report) }),
+            Err(error) => {
+                debug!("workers: no report from {worker}: {error}");
+                Some(Event::WorkerSilent { worker })
+            }
+        }
+    }
+
+    async fn task(
+        &self,
+        worker: &WorkerId,
+        job: JobId,
+        attempt: Attempt,
+        action: border::TaskAction,
+    ) {
+        self.tell(worker, "/tasks/action", &task_call(job, attempt, action)).await;
+    }
+
+    /// Calls without regard to the answer: the shard repeats what a report does not confirm.
+    async fn tell<B: Serialize>(&self, worker: &WorkerId, path: &str, body: &B) {
+        let answer: Result<serde_json::Value, RestError> = self.post(worker, path, body).await;
+        if let Err(error) = answer {
+            debug!("workers: {path} at {worker}: {error}");
+        }
+    }
+
+    async fn post<B: Serialize, A: DeserializeOwned>(
+        &self,
+        worker: &WorkerId,
+        path: &str,
+        body: &B,
+    ) -> Result<A, RestError> {
+        let uri = self.uri(worker, path).unwrap_or_default();
+        self.rest.post_json(&uri, body).await
+    }
+
+    fn uri(&self, worker: &WorkerId, path: &str) -> Option<Uri> {
+        let base = self.addresses.get(worker)?;
+        format!("{base}{path}").parse().ok()
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn key(job: JobId, attempt: Attempt) -> border::LeaseKey {
+    border::LeaseKey { job: job.to_string(), attempt: attempt.0 }
+}
+
+fn task_call(job: JobId, attempt: Attempt, action: border::TaskAction) -> border::TaskCall {
+    border::TaskCall {
+        job: job.to_string(),
+        attempt: attempt.0,
+        action,
+        index: None,
+        millicores: None,
+    }
+}
+
+fn start_call(job: JobId, attempt: Attempt, range: TaskRange, ttl: Duration) -> border::StartCall {
+    let tasks = (range.first..range.first + range.count).map(|index| border::TaskSpec {
+        index,
+        service: String::new(),
+        accelerators: Vec::new(),
+        millicores: range.millicores,
+        memory_mib: range.memory_mib,
+        declared_ms: 0,
+    });
+    border::StartCall {
+        job: job.to_string(),
+        attempt: attempt.0,
+        tasks: tasks.collect(),
+        ttl_ms: millis(ttl),
+    }
+}
+
+fn lease_answer(answer: Result<bool, RestError>) -> WorkerAnswer {
+    match answer {
+        Ok(true) => WorkerAnswer::Granted,
+        Ok(false) => WorkerAnswer::Refused,
+        Err(error) if error.verdict() == Verdict::NotRun => WorkerAnswer::Refused,
+        Err(_) => WorkerAnswer::Unknown,
+    }
+}
+
+fn start_answer(answer: Result<border::StartAnswer, RestError>) -> WorkerAnswer {
+    match answer {
+        Ok(answer) if answer.started => WorkerAnswer::Granted,
+        Ok(answer) if answer.reason.contains("lease") => WorkerAnswer::Refused,
+        Ok(_) => WorkerAnswer::Failed,
+        Err(error) if error.verdict() == Verdict::NotRun => WorkerAnswer::Refused,
+        Err(_) => WorkerAnswer::Unknown,
+    }
+}
+
+fn convert(report: &border::WorkerReport) -> WorkerReport {
+    let leases = report.leases.iter().filter_map(|lease| {
+        let job: JobId = lease.job.parse().ok()?;
+        let own = report
+            .tasks
+            .iter()
+            .filter(|task| task.job == lease.job && task.attempt == lease.attempt);
+        let checkpoint = own.clone().map(|t| t.ran_ms.saturating_sub(t.checkpoint_ms)).max();
+        let saved = own.clone().any(|task| task.checkpoint_ms > 0);
+        Some(LeaseReport {
+            job,
+            attempt: Attempt(lease.attempt),
+            accelerators: lease.accelerators.clone(),
+            tasks: own.map(task_report).collect(),
+            checkpoint: checkpoint.filter(|_| saved).map(Duration::from_millis),
+        })
+    });
+    WorkerReport { age: Duration::from_millis(report.lag_ms), leases: leases.collect() }
+}
+
+fn task_report(task: &border::TaskReport) -> TaskReport {
+    TaskReport {
+        index: task.index,
+        status: match task.state {
+            border::TaskState::Running => TaskStatus::Running,
+            border::TaskState::Succeeded => TaskStatus::Done,
+            border::TaskState::Failed | border::TaskState::Stopped => TaskStatus::Failed,
+            border::TaskState::Overrun => TaskStatus::Overrun,
+        },
+        millicores: task.millicores,
+        memory_mib: task.memory_mib,
+        exit: task.exit,
+    }
+}
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -170,6 +170,12 @@
         let _ = self.commands.send(Command::Connect { peer, address });
     }
 
+    /// Opens a link to whoever listens at `address`, which [`PeerEvent::Up`] then names.
+    pub fn meet(&self, address: SocketAddr) {
+        // After a stop there is nobody to meet.
+        let _ = self.commands.send(Command::Meet { address });
+    }
+
     /// Closes the link to `peer` and keeps none; the peer may still open one.
     pub fn forget(&self, peer: Incarnation) {
         // After a stop there is nothing to close.
--- a/crates/net/src/peer/handshake.rs
+++ b/crates/net/src/peer/handshake.rs
@@ -44,7 +44,7 @@
 /// Connects to `address`, where `expected` should answer.
 pub(super) async fn dial(
     address: SocketAddr,
-    expected: Incarnation,
+    expected: Option<Incarnation>,
     hello: &Hello,
     config: &Config,
 ) -> Result<Opened, Reason> {
@@ -53,7 +53,7 @@
         let url = format!("ws://{address}/peer");
         let upgrade = tokio_tungstenite::client_async_with_config(url, stream, Some(limits()));
         let (mut socket, _) = upgrade.await.map_err(ws_reason)?;
-        let answer = exchange(&mut socket, hello, Some(expected)).await;
+        let answer = exchange(&mut socket, hello, expected).await;
         close_on_error(socket, answer).await
     };
     let (socket, hello) =
--- a/crates/net/src/peer/hub.rs
+++ b/crates/net/src/peer/hub.rs
@@ -41,6 +41,8 @@
 pub(super) enum Command {
     /// Keep a link to this peer.
     Connect { peer: Incarnation, address: SocketAddr },
+    /// Open a link to whoever listens at an address.
+    Meet { address: SocketAddr },
     /// Close the link and keep none.
     Forget { peer: Incarnation },
 }
@@ -50,6 +52,8 @@
 pub(super) enum Note {
     /// A connection is open.
     Opened { side: Side, opened: Box<Opened> },
+    /// A connection to a peer that was not known is open.
+    Met { opened: Box<Opened> },
     /// A dial failed.
     Failed { peer: Incarnation, address: SocketAddr, reason: Reason },
     /// A frame arrived.
@@ -150,6 +154,10 @@
                 }
                 Ok(())
             }
+            Command::Meet { address } => {
+                self.meet(address);
+                Ok(())
+            }
             Command::Forget { peer } => self.forget(peer).await,
         }
     }
@@ -157,6 +165,7 @@
     async fn note(&mut self, note: Note) -> Result<(), Stopped> {
         match note {
             Note::Opened { side, opened } => self.adopt(side, *opened).await,
+            Note::Met { opened } => self.met(*opened).await,
             Note::Failed { peer, address, reason } => self.failed(peer, address, reason).await,
             Note::Frame { link, part, body } => self.frame(link, part, body).await,
             Note::Ended { link, reason } => self.ended(link, reason).await,
@@ -207,7 +216,7 @@
         let notes = self.notes.clone();
         let work = async move {
             sleep(pause).await;
-            let note = match handshake::dial(address, id, &own, &config).await {
+            let note = match handshake::dial(address, Some(id), &own, &config).await {
                 Ok(opened) => Note::Opened { side: Side::Dialer, opened: Box::new(opened) },
                 Err(reason) => Note::Failed { peer: id, address, reason },
             };
@@ -217,6 +226,31 @@
         peer.dial = Some(self.tasks.spawn(work));
     }
 
+    /// Dials whoever listens at `address`, once.
+    fn meet(&mut self, address: SocketAddr) {
+        let own = Arc::clone(&self.own);
+        let config = Arc::clone(&self.config);
+        let notes = self.notes.clone();
+        self.tasks.spawn(async move {
+            match handshake::dial(address, None, &own, &config).await {
+                Ok(opened) => {
+                    // The hub outlives its dials, except when it stops.
+                    let _ = notes.send(Note::Met { opened: Box::new(opened) }).await;
+                }
+                Err(reason) => log::debug!("peer: nobody met at {address}: {reason}"),
+            }
+        });
+    }
+
+    async fn met(&mut self, opened: Opened) -> Result<(), Stopped> {
+        let id = opened.hello.incarnation;
+        if id == self.own.incarnation {
+            return Ok(());
+        }
+        self.peers.entry(id).or_default().target.get_or_insert(opened.address);
+        self.adopt(Side::Dialer, opened).await
+    }
+
     async fn failed(
         &mut self,
         id: Incarnation,
