--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -4,6 +4,7 @@
 
 use hyper::http::uri::PathAndQuery;
 
+use crate::requests::Work;
 use model::Verdict;
 use net::pool;
 use net::pool::Dispatch;
@@ -12,8 +13,6 @@
 use route::AttemptResult;
 use route::Cause;
 
-use crate::requests::Work;
-
 /// Path at which backend servers take requests.
 const RUN_PATH: &str = "/run";
 /// Status by which a backend server refuses a request.
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -5,6 +5,8 @@
 
 use tokio::sync::watch;
 
+use crate::keys::TEXT;
+use crate::members::View;
 use fleet::Answer;
 use fleet::Apply;
 use fleet::Outcome;
@@ -20,9 +22,6 @@
 use store::Store;
 use wire::border;
 
-use crate::keys::TEXT;
-use crate::members::View;
-
 /// Pause before a store call without an answer is repeated.
 const LOST_PAUSE: Duration = Duration::from_millis(300);
 /// Time that a change is given to be in force everywhere.
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -6,13 +6,6 @@
 
 use tokio::sync::watch;
 
-use model::Incarnation;
-use model::JobId;
-use model::ShardId;
-use model::Verdict;
-use model::ZoneId;
-use wire::border;
-
 use crate::jobs;
 use crate::jobs::Answer;
 use crate::jobs::Call;
@@ -21,6 +14,12 @@
 use crate::relay::Question;
 use crate::relay::Relay;
 use crate::relay::Told;
+use model::Incarnation;
+use model::JobId;
+use model::ShardId;
+use model::Verdict;
+use model::ZoneId;
+use wire::border;
 
 /// Finds the entry VM that answers for a shard or a job.
 #[derive(Clone, Debug)]
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -14,6 +14,9 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::clock::Clock;
+use crate::requests::sleep_until;
+use crate::workers::Workers;
 use gang::Action;
 use gang::Event;
 use gang::Policy;
@@ -32,10 +35,6 @@
 use store::Purpose;
 use store::Store;
 
-use crate::clock::Clock;
-use crate::requests::sleep_until;
-use crate::workers::Workers;
-
 /// Commands that may wait for the shards.
 const QUEUE: usize = 16_384;
 /// Pause before the pages of a new shard are read again after a failure.
--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use tokio::sync::mpsc;
 
+use crate::members::Command;
 use fleet::Event;
 use fleet::Member;
 use fleet::Ownership;
@@ -28,8 +29,6 @@
 use store::Store;
 use store::WatchEvent;
 
-use crate::members::Command;
-
 /// Prefix of all keys that the fleet part watches.
 const FLEET: &str = "basilrack/fleet/";
 /// Prefix of members' keys.
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -2,15 +2,14 @@
 
 use std::time::Duration;
 
+use crate::members::View;
+use crate::metrics::Metrics;
 use model::AccountId;
 use model::ServiceId;
 use model::Stamp;
 use route::Answer;
 use wire::border;
 
-use crate::members::View;
-use crate::metrics::Metrics;
-
 /// Counts answers for the burn report.
 #[derive(Clone, Debug)]
 pub struct Ledger {
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -14,6 +14,14 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::clock::Clock;
+use crate::jobs;
+use crate::keys;
+use crate::keys::Keys;
+use crate::policies;
+use crate::requests;
+use crate::requests::sleep_until;
+use crate::vms::Sorted;
 use fleet::Action;
 use fleet::Event;
 use fleet::Fleet;
@@ -34,15 +42,6 @@
 use wire::Part;
 use wire::border;
 
-use crate::clock::Clock;
-use crate::jobs;
-use crate::keys;
-use crate::keys::Keys;
-use crate::policies;
-use crate::requests;
-use crate::requests::sleep_until;
-use crate::vms::Sorted;
-
 /// Commands that may wait for the fleet machine.
 const QUEUE: usize = 4_096;
 /// Deadline of a request whose service is not known.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -17,20 +17,6 @@
 use tokio::task::JoinHandle;
 use xitca_server::ServerHandle;
 
-use model::BackendId;
-use model::Incarnation;
-use net::PeerEvent;
-use net::Peers;
-use net::Pool;
-use net::Rest;
-use net::pool;
-use route::Router;
-use store::Client;
-use text::Settings;
-use wire::Hello;
-use wire::Part;
-use wire::border;
-
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::error::Error;
@@ -44,6 +30,19 @@
 use crate::web;
 use crate::web::Front;
 use crate::web::token::Token;
+use model::BackendId;
+use model::Incarnation;
+use net::PeerEvent;
+use net::Peers;
+use net::Pool;
+use net::Rest;
+use net::pool;
+use route::Router;
+use store::Client;
+use text::Settings;
+use wire::Hello;
+use wire::Part;
+use wire::border;
 
 /// Interval at which the list of VMs is read.
 const VMS_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -18,6 +18,7 @@
 use thiserror::Error;
 use tokio::sync::oneshot;
 
+use crate::jobs;
 use model::Incarnation;
 use model::JobId;
 use model::ShardId;
@@ -26,8 +27,6 @@
 use wire::Part;
 use wire::border;
 
-use crate::jobs;
-
 /// Time for an answer.
 const ANSWER_TIME: Duration = Duration::from_secs(5);
 
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -19,6 +19,8 @@
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 
+use crate::attempt;
+use crate::clock::Clock;
 use model::BackendId;
 use model::Incarnation;
 use model::RequestId;
@@ -39,9 +41,6 @@
 use route::Ticket;
 use wire::Part;
 
-use crate::attempt;
-use crate::clock::Clock;
-
 /// Commands that may wait for the router.
 const QUEUE: usize = 16_384;
 /// Time for the connection of a probe.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -7,14 +7,13 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
-use text::Settings;
-
 use crate::error::Error;
 use crate::logs;
 use crate::node::Listeners;
 use crate::node::Node;
 use crate::options::Options;
 use crate::options::Task;
+use text::Settings;
 
 /// Runs the program.
 ///
--- a/crates/entry/src/views.rs
+++ b/crates/entry/src/views.rs
@@ -2,15 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use model::JobId;
-use model::ShardId;
-use model::Verdict;
-use wire::border;
-
 use crate::clock::Clock;
 use crate::members::View;
 use crate::relay::Owned;
 use crate::web::problem::border_verdict;
+use model::JobId;
+use model::ShardId;
+use model::Verdict;
+use wire::border;
 
 /// The path of a job.
 pub fn job(id: JobId, known: &gang::Explanation) -> border::Explanation {
--- a/crates/entry/src/web/callers.rs
+++ b/crates/entry/src/web/callers.rs
@@ -7,15 +7,6 @@
 use xitca_web::http::header::CONTENT_TYPE;
 use xitca_web::http::header::HeaderValue;
 
-use model::AccountId;
-use model::RequestId;
-use model::ServiceId;
-use model::Verdict;
-use route::Answer;
-use route::Call;
-use route::Reason;
-use wire::border;
-
 use crate::requests::Busy;
 use crate::web::Shared;
 use crate::web::body;
@@ -24,6 +15,14 @@
 use crate::web::problem::Refusal;
 use crate::web::problem::border_verdict;
 use crate::web::problem::millis;
+use model::AccountId;
+use model::RequestId;
+use model::ServiceId;
+use model::Verdict;
+use route::Answer;
+use route::Call;
+use route::Reason;
+use wire::border;
 
 /// Header with the client account of a request.
 const ACCOUNT: &str = "basilrack-account";
--- a/crates/entry/src/web/jobs.rs
+++ b/crates/entry/src/web/jobs.rs
@@ -5,15 +5,6 @@
 use xitca_web::WebContext;
 use xitca_web::http::WebResponse;
 
-use gang::JobSpec;
-use model::Adjacency;
-use model::GangShape;
-use model::JobId;
-use model::Priority;
-use model::ShardId;
-use model::Verdict;
-use wire::border;
-
 use crate::jobs::Answer;
 use crate::jobs::Call;
 use crate::web::Shared;
@@ -22,6 +13,14 @@
 use crate::web::problem::Fault;
 use crate::web::problem::Refusal;
 use crate::web::problem::border_verdict;
+use gang::JobSpec;
+use model::Adjacency;
+use model::GangShape;
+use model::JobId;
+use model::Priority;
+use model::ShardId;
+use model::Verdict;
+use wire::border;
 
 /// `POST /v1/jobs`
 ///
--- a/crates/entry/src/web/mod.rs
+++ b/crates/entry/src/web/mod.rs
@@ -31,8 +31,6 @@
 use xitca_web::route::put;
 use xitca_web::service::Service;
 
-use wire::border;
-
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::ledger::Ledger;
@@ -42,6 +40,7 @@
 use crate::web::problem::Fault;
 use crate::web::problem::Refusal;
 use crate::web::token::Token;
+use wire::border;
 
 /// Threads that run handlers.
 const THREADS: usize = 2;
--- a/crates/entry/src/web/operators.rs
+++ b/crates/entry/src/web/operators.rs
@@ -8,11 +8,6 @@
 use xitca_web::http::header::CONTENT_TYPE;
 use xitca_web::http::header::HeaderValue;
 
-use fleet::Outcome;
-use model::JobId;
-use model::RequestId;
-use wire::border;
-
 use crate::configuration;
 use crate::views;
 use crate::web::Shared;
@@ -20,6 +15,10 @@
 use crate::web::problem;
 use crate::web::problem::Fault;
 use crate::web::problem::Refusal;
+use fleet::Outcome;
+use model::JobId;
+use model::RequestId;
+use wire::border;
 
 /// `GET /live`: whether the process runs.
 pub async fn live(_ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
--- a/crates/entry/src/workers.rs
+++ b/crates/entry/src/workers.rs
@@ -59,26 +59,26 @@
                     ttl_ms: millis(ttl),
                 };
                 let answer: Result<border::LeaseAnswer, _> =
-                    self.post(&worker, "/leases", &call).await;
+                    self.post(&worker, "/lease", &call).await;
                 let result = answer.map(|answer| answer.granted);
                 Some(Event::Leased { worker, job, attempt, result: lease_answer(result) })
             }
             Action::Start { worker, job, attempt, tasks, ttl } => {
                 let call = start_call(job, attempt, tasks, ttl);
                 let answer: Result<border::StartAnswer, _> =
-                    self.post(&worker, "/tasks", &call).await;
+                    self.post(&worker, "/start", &call).await;
                 let result = start_answer(answer);
                 Some(Event::Started { worker, job, attempt, result })
             }
             Action::Renew { worker, leases, ttl } => self.renew(worker, &leases, ttl).await,
             Action::Release { worker, job, attempt } => {
                 let call = key(job, attempt);
-                self.tell(&worker, "/leases/release", &call).await;
+                self.tell(&worker, "/release", &call).await;
                 None
             }
             Action::Stop { worker, job, attempt } => {
                 self.task(&worker, job, attempt, border::TaskAction::Stop).await;
-                self.tell(&worker, "/leases/release", &key(job, attempt)).await;
+                self.tell(&worker, "/release", &key(job, attempt)).await;
                 None
             }
             Action::Checkpoint { worker, job, attempt } => {
@@ -91,7 +91,7 @@
                     millicores: Some(millicores),
                     ..task_call(job, attempt, border::TaskAction::Throttle)
                 };
-                self.tell(&worker, "/tasks/action", &call).await;
+                self.tell(&worker, "/task", &call).await;
                 None
             }
             Action::Write { .. } | Action::Read { .. } | Action::Reply { .. } => None,
@@ -107,8 +107,7 @@
         if !leases.is_empty() {
             let leases = leases.iter().map(|lease| key(lease.job, lease.attempt)).collect();
             let call = border::RenewCall { leases, ttl_ms: millis(ttl) };
-            let answer: Result<border::RenewAnswer, _> =
-                self.post(&worker, "/leases/renew", &call).await;
+            let answer: Result<border::RenewAnswer, _> = self.post(&worker, "/renew", &call).await;
             if answer.is_err() {
                 return Some(Event::WorkerSilent { worker });
             }
@@ -133,7 +132,7 @@
         attempt: Attempt,
         action: border::TaskAction,
     ) {
-        self.tell(worker, "/tasks/action", &task_call(job, attempt, action)).await;
+        self.tell(worker, "/task", &task_call(job, attempt, action)).await;
     }
 
     /// Calls without regard to the answer: the shard repeats what a report does not confirm.
