Test the store client against every fault of the stand-in

Cause: the client's promises (no repeated swap, resumed watches, rate, priority) had no failure tests. A timeout on a reused connection no longer counts against the store, and a watch from before the shared log is told so.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -160,10 +160,8 @@
         deadline: Instant,
         decode: fn(&[u8]) -> Result<T, DecodeError>,
     ) -> Result<T, Error> {
-        let left = deadline.saturating_duration_since(Instant::now());
-        let first = if call.repeatable { deadline - left / 2 } else { deadline };
-        match self.attempt(purpose, call, first, false, decode).await {
-            Err(error) if may_repeat(call, &error) => {
+        match self.attempt(purpose, call, deadline, false, decode).await {
+            Err(error) if may_repeat(call, &error) && Instant::now() < deadline => {
                 self.ledger.retries.fetch_add(1, Ordering::Relaxed);
                 self.attempt(purpose, call, deadline, true, decode).await
             }
@@ -194,12 +192,13 @@
         decode: fn(&[u8]) -> Result<T, DecodeError>,
     ) -> Result<T, Error> {
         let permit = self.gate.admit(purpose, deadline).await?;
-        let answer = self.pool.exchange(call, deadline, fresh).await;
-        match &answer {
+        let exchange = self.pool.exchange(call, deadline, fresh).await;
+        match &exchange.answer {
             Ok(_) | Err(Error::Rejected { .. }) => permit.succeed(),
+            Err(error) if exchange.reused && error.is_transport() => {}
             Err(_) => permit.fail(),
         }
-        Ok(decode(&answer?)?)
+        Ok(decode(&exchange.answer?)?)
     }
 }
 
--- a/crates/store/src/connection.rs
+++ b/crates/store/src/connection.rs
@@ -73,22 +73,18 @@
     }
 
     /// Sends a call and reads its whole answer.
-    pub(crate) async fn exchange(
-        &self,
-        call: &Call,
-        deadline: Instant,
-        fresh: bool,
-    ) -> Result<Bytes, Error> {
-        let mut connection = self.take(call, deadline, fresh).await?;
-        let sent = Instant::now();
-        let answer = timeout_at(deadline, self.converse(&mut connection, call)).await;
-        let answer = answer.unwrap_or_else(|_| Err(self.timeout()));
-        match &answer {
-            Ok(_) | Err(Error::Rejected { .. } | Error::Failed { .. }) => self.keep(connection),
-            Err(Error::Timeout { .. }) => self.distrust(sent),
-            Err(_) => {}
-        }
-        answer
+    pub(crate) async fn exchange(&self, call: &Call, deadline: Instant, fresh: bool) -> Exchange {
+        let limit = if call.repeatable { READ_IDLE } else { WRITE_IDLE };
+        let idle = if fresh { None } else { self.idle_within(limit) };
+        let reused = idle.is_some();
+        let answer = match idle {
+            Some(idle) => self.use_connection(idle, call, deadline_of(call, deadline)).await,
+            None => match self.connect(deadline).await {
+                Ok(connection) => self.use_connection(connection, call, deadline).await,
+                Err(error) => Err(error),
+            },
+        };
+        Exchange { answer, reused }
     }
 
     /// Sends a call on a connection of its own and gives its answer as it comes.
@@ -107,13 +103,21 @@
         Error::Timeout { address: self.address.clone() }
     }
 
-    async fn take(&self, call: &Call, deadline: Instant, fresh: bool) -> Result<Connection, Error> {
-        let limit = if call.repeatable { READ_IDLE } else { WRITE_IDLE };
-        let reused = if fresh { None } else { self.idle_within(limit) };
-        match reused {
-            Some(connection) => Ok(connection),
-            None => self.connect(deadline).await,
+    async fn use_connection(
+        &self,
+        mut connection: Connection,
+        call: &Call,
+        deadline: Instant,
+    ) -> Result<Bytes, Error> {
+        let sent = Instant::now();
+        let answer = timeout_at(deadline, self.converse(&mut connection, call)).await;
+        let answer = answer.unwrap_or_else(|_| Err(self.timeout()));
+        match &answer {
+            Ok(_) | Err(Error::Rejected { .. } | Error::Failed { .. }) => self.keep(connection),
+            Err(Error::Timeout { .. }) => self.distrust(sent),
+            Err(_) => {}
         }
+        answer
     }
 
     fn idle_within(&self, limit: Duration) -> Option<Connection> {
@@ -205,6 +209,20 @@
     if refused { Error::Rejected { status, message } } else { Error::Failed { status, message } }
 }
 
+/// When to give up on a connection that was used before: early enough to try a new one.
+fn deadline_of(call: &Call, deadline: Instant) -> Instant {
+    let left = deadline.saturating_duration_since(Instant::now());
+    if call.repeatable { deadline - left / 2 } else { deadline }
+}
+
+/// What became of one call on one connection.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    pub(crate) answer: Result<Bytes, Error>,
+    /// Whether the connection was used before, so that its failure says little about the store.
+    pub(crate) reused: bool,
+}
+
 /// An answer that comes line by line. The connection ends with it.
 #[derive(Debug)]
 pub(crate) struct Stream {
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -158,7 +158,10 @@
     position: u64,
     /// Position of the log when the watch was made; reports on the stream before it are stale.
     joined: u64,
-    pending: VecDeque<WatchEvent>,
+    /// Told first to a watch that is made while the store is out of reach.
+    lost: Option<WatchEvent>,
+    /// Whether the log is known to reach back to `from`.
+    checked: bool,
 }
 
 impl Watch {
@@ -166,15 +169,10 @@
         let log = hub.feed.lock();
         let joined = log.end();
         let position = if from == 0 { joined } else { log.base };
-        let mut pending = VecDeque::new();
-        if from != 0 && from < log.floor {
-            pending.push_back(WatchEvent::Compacted { revision: log.floor });
-        }
-        if log.lost {
-            pending.push_back(WatchEvent::Lost { revision: log.next.saturating_sub(1) });
-        }
+        let revision = log.next.saturating_sub(1);
+        let lost = log.lost.then_some(WatchEvent::Lost { revision });
         drop(log);
-        Watch { hub, from, position, joined, pending }
+        Watch { hub, from, position, joined, lost, checked: from == 0 }
     }
 
     /// Waits for the next report. May be cancelled without loss.
@@ -192,10 +190,17 @@
     }
 
     fn poll(&mut self, feed: &Feed) -> Option<WatchEvent> {
-        if let Some(event) = self.pending.pop_front() {
+        if let Some(event) = self.lost.take() {
             return Some(event);
         }
         let log = feed.lock();
+        if !self.checked && log.next != 0 {
+            self.checked = true;
+            if self.from < log.floor {
+                self.position = self.position.max(log.base);
+                return Some(WatchEvent::Compacted { revision: log.floor });
+            }
+        }
         if self.position < log.base {
             self.position = log.base;
             return Some(WatchEvent::Compacted { revision: log.floor });
--- /dev/null
+++ b/crates/store/tests/decoders.rs
@@ -0,0 +1,137 @@
+//! Decoders of the store's answers, on arbitrary and on well-formed input.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use proptest::collection::vec;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+use serde_json::Value;
+use serde_json::json;
+
+use store::Cas;
+use store::Entry;
+use store::WatchEvent;
+use store::WatchLine;
+use store::parse_range;
+use store::parse_txn;
+use store::parse_watch;
+
+fn entry() -> impl Strategy<Value = Entry> {
+    let value = vec(any::<u8>(), 0..64).prop_map(Bytes::from);
+    ("[a-z/é]{0,12}", value, 1..i64::MAX as u64).prop_map(|(key, value, version)| Entry {
+        key,
+        value,
+        version,
+    })
+}
+
+fn kv(entry: &Entry) -> Value {
+    json!({
+        "key": STANDARD.encode(&entry.key),
+        "value": STANDARD.encode(&entry.value),
+        "mod_revision": entry.version.to_string(),
+        "create_revision": "1",
+        "version": "3",
+    })
+}
+
+/// Well-formed JSON with one byte changed.
+fn damaged() -> impl Strategy<Value = Vec<u8>> {
+    (vec(entry(), 0..4), any::<usize>(), any::<u8>()).prop_map(|(entries, at, byte)| {
+        let kvs: Vec<_> = entries.iter().map(kv).collect();
+        let answer = json!({"header": {"revision": "9"}, "kvs": kvs, "count": "4"});
+        let mut body = answer.to_string().into_bytes();
+        let at = at % body.len();
+        body[at] = byte;
+        body
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(12),
+        cases: 2_000,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn arbitrary_bytes_are_survived(body in vec(any::<u8>(), 0..200)) {
+        prop_assert!(parse_range(&body).is_err());
+        prop_assert!(parse_txn(&body).is_err());
+        prop_assert!(parse_watch(&body).is_err());
+    }
+
+    #[test]
+    fn damaged_answers_are_survived(body in damaged()) {
+        // A changed byte may leave the answer readable; what counts is that none is believed to
+        // hold more than it said.
+        if let Ok(listing) = parse_range(&body) {
+            prop_assert!(listing.entries.len() <= 4);
+        }
+        prop_assert!(parse_txn(&body).is_err());
+        prop_assert!(parse_watch(&body).is_err());
+    }
+
+    #[test]
+    fn ranges_round_trip(entries in vec(entry(), 0..5), revision in 1..i64::MAX as u64) {
+        let kvs: Vec<_> = entries.iter().map(kv).collect();
+        let answer = json!({"header": {"revision": revision.to_string()}, "kvs": kvs});
+        let listing = parse_range(answer.to_string().as_bytes()).expect("answer is well-formed");
+        prop_assert_eq!(listing.entries, entries);
+        prop_assert_eq!(listing.revision, revision);
+    }
+
+    #[test]
+    fn transactions_round_trip(current in entry(), revision in 1..i64::MAX as u64) {
+        let header = json!({"revision": revision.to_string()});
+        let won = json!({"header": header, "succeeded": true, "responses": [
+            {"response_put": {"header": header}}
+        ]});
+        let committed = parse_txn(won.to_string().as_bytes()).expect("answer is well-formed");
+        prop_assert_eq!(committed, Cas::Committed { version: revision });
+
+        let lost = json!({"header": header, "responses": [
+            {"response_range": {"header": header, "kvs": [kv(&current)], "count": "1"}}
+        ]});
+        let conflict = parse_txn(lost.to_string().as_bytes()).expect("answer is well-formed");
+        prop_assert_eq!(conflict, Cas::Conflict { current: Some(current) });
+
+        let unclear = json!({"header": header});
+        prop_assert!(parse_txn(unclear.to_string().as_bytes()).is_err());
+    }
+
+    #[test]
+    fn watch_lines_round_trip(put in entry(), deleted in entry()) {
+        let events = json!([
+            {"kv": kv(&put)},
+            {"type": "DELETE", "kv": kv(&deleted)},
+        ]);
+        let line = json!({"result": {"header": {"revision": "9"}, "events": events}});
+        let line = parse_watch(line.to_string().as_bytes()).expect("line is well-formed");
+        let Entry { key, version, .. } = deleted;
+        let expected = vec![WatchEvent::Put(put), WatchEvent::Delete { key, version }];
+        prop_assert_eq!(line, WatchLine::Changes(expected));
+    }
+}
+
+#[test]
+fn watch_reports_are_told_apart() {
+    let line = |result: Value| {
+        let line = json!({"result": result}).to_string();
+        parse_watch(line.as_bytes()).expect("line is well-formed")
+    };
+    let header = json!({"revision": "9"});
+    let created = line(json!({"header": header, "created": true}));
+    assert_eq!(created, WatchLine::Created { revision: 9 });
+    assert_eq!(line(json!({"header": header})), WatchLine::Progress { revision: 9 });
+    let compacted = line(json!({"header": header, "canceled": true, "compact_revision": "7"}));
+    assert_eq!(compacted, WatchLine::Compacted { revision: 7 });
+    assert_eq!(line(json!({"header": header, "canceled": true})), WatchLine::Canceled);
+}
--- /dev/null
+++ b/crates/store/tests/lost_answers.rs
@@ -0,0 +1,142 @@
+//! Answers that are lost before or after the change takes effect.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use fake::CallKind;
+use fake::Loss;
+use fake::StoreServer;
+use model::Verdict;
+use store::Client;
+use store::Config;
+use store::Outcome;
+use store::Purpose;
+use store::Settled;
+use store::Store;
+use store::settle;
+
+const VALUE: Bytes = Bytes::from_static(b"write 1");
+
+fn start(deadline: Duration) -> (StoreServer, Client) {
+    let server = StoreServer::start(1).expect("port is free");
+    let config = Config { rate: 10_000.0, deadline, ..Config::new(&server.url()) };
+    let client = Client::new(config).expect("url is valid");
+    (server, client)
+}
+
+async fn cas(client: &Client) -> Verdict {
+    let result = client.cas(Purpose::Commit, "page", 0, VALUE, None).await;
+    result.expect_err("the answer is lost").verdict()
+}
+
+async fn settled(client: &Client) -> Settled {
+    settle(client, Purpose::Commit, "page", 0, VALUE, None).await.expect("the store is up")
+}
+
+#[tokio::test]
+async fn swap_is_not_repeated() {
+    let (server, client) = start(Duration::from_secs(20));
+    server.set_faults(|faults| faults.lose_answer = 1.0);
+    assert_eq!(cas(&client).await, Verdict::Unknown);
+    assert_eq!(server.calls(Some(CallKind::Txn)), 1);
+    assert_eq!(server.value("page"), Some(VALUE));
+    assert_eq!(client.counters().calls(Purpose::Commit, Outcome::Unanswered), 1);
+
+    server.set_faults(|faults| faults.lose_answer = 0.0);
+    let version = server.revision();
+    assert_eq!(settled(&client).await, Settled::Committed { version });
+}
+
+#[tokio::test]
+async fn lost_request_settles() {
+    let (server, client) = start(Duration::from_secs(20));
+    server.set_faults(|faults| faults.drop_request = 1.0);
+    assert_eq!(cas(&client).await, Verdict::Unknown);
+    assert_eq!(server.value("page"), None);
+    server.set_faults(|faults| faults.drop_request = 0.0);
+    let version = server.revision() + 1;
+    assert_eq!(settled(&client).await, Settled::Committed { version });
+}
+
+#[tokio::test]
+async fn later_change_supersedes() {
+    let (server, client) = start(Duration::from_secs(20));
+    server.set_faults(|faults| faults.lose_answer = 1.0);
+    assert_eq!(cas(&client).await, Verdict::Unknown);
+    server.set_faults(|faults| faults.lose_answer = 0.0);
+    server.set("page", b"write 2");
+    let Settled::Superseded { current: Some(entry) } = settled(&client).await else {
+        panic!("another write came after");
+    };
+    assert_eq!(entry.value, "write 2");
+}
+
+#[tokio::test]
+async fn silent_loss_ends_by_deadline() {
+    let (server, client) = start(Duration::from_secs(1));
+    server.set_faults(|faults| {
+        faults.lose_answer = 1.0;
+        faults.loss = Loss::Silence;
+    });
+    assert_eq!(cas(&client).await, Verdict::Unknown);
+    assert_eq!(server.calls(Some(CallKind::Txn)), 1);
+    server.set_faults(|faults| faults.lose_answer = 0.0);
+    assert!(matches!(settled(&client).await, Settled::Committed { .. }));
+    assert_eq!(client.counters().connections, 2, "the silent connection is not used again");
+}
+
+#[tokio::test]
+async fn reads_are_repeated_once() {
+    let (server, client) = start(Duration::from_secs(20));
+    server.set_faults(|faults| faults.lose_answer = 1.0);
+    let error = client.get(Purpose::Report, "page").await.expect_err("the answer is lost");
+    assert_eq!(error.verdict(), Verdict::Unknown);
+    assert_eq!(server.calls(Some(CallKind::Range)), 2);
+    assert_eq!(client.counters().retries, 1);
+}
+
+#[tokio::test]
+async fn half_lost_answers_agree() {
+    let (server, client) = start(Duration::from_secs(20));
+    let mut version = 0;
+    let mut settlements = 0;
+    server.set_faults(|faults| {
+        faults.lose_answer = 0.25;
+        faults.drop_request = 0.25;
+    });
+    for number in 0..200 {
+        let value = Bytes::from(format!("write {number}"));
+        let first = client.cas(Purpose::Commit, "page", version, value.clone(), None).await;
+        if let Ok(store::Cas::Committed { version: committed }) = first {
+            version = committed;
+            continue;
+        }
+        settlements += 1;
+        let settled = loop {
+            let purpose = Purpose::Commit;
+            match settle(&client, purpose, "page", version, value.clone(), None).await {
+                Ok(settled) => break settled,
+                Err(_) => tokio::time::sleep(Duration::from_millis(1)).await,
+            }
+        };
+        let Settled::Committed { version: committed } = settled else { panic!("{settled:?}") };
+        version = committed;
+    }
+    assert!(settlements > 0);
+    assert_eq!(server.revision(), 201, "each of the 200 writes took effect exactly once");
+}
+
+#[tokio::test]
+async fn refusals_had_no_effect() {
+    let (server, client) = start(Duration::from_secs(20));
+    let large = Bytes::from(vec![0; (1 << 20) + 1]);
+    let error = client.put(Purpose::Commit, "page", large, None).await.expect_err("too large");
+    assert_eq!(error.verdict(), Verdict::NotRun);
+    let lease = Some(store::LeaseId(99));
+    let error = client.cas(Purpose::Commit, "page", 0, VALUE, lease).await.expect_err("no lease");
+    assert_eq!(error.verdict(), Verdict::NotRun);
+    server.set_faults(|faults| faults.unavailable = 1.0);
+    assert_eq!(cas(&client).await, Verdict::Unknown, "a failing store may have done it");
+    assert_eq!(server.revision(), 1);
+}
