--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,8 @@
 mod spread;
 mod store;
 mod tree;
+#[cfg(feature = "trial")]
+pub mod trial;
 pub mod tuning;
 mod view;
 mod wait;
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -17,6 +17,7 @@
 use crate::StoreOutcome;
 use crate::StoreRequest;
 use crate::machine::Life;
+use crate::shard::Holding;
 use crate::shard::ShardEvent;
 use crate::shard::ShardState;
 use crate::tuning::CLAIM_INTERVAL;
@@ -109,6 +110,21 @@
         }
     }
 
+    /// Lets go of shards whose key names this member although it does not hold them, as after a
+    /// claim whose answer was lost.
+    fn let_go_of_strays(&mut self) {
+        let me = self.me.incarnation;
+        let named = self.view.owners.values().map(|owner| &owner.ownership);
+        let stray = |o: &&Ownership| {
+            let state = self.holdings.get(&o.shard).map_or(ShardState::Free, Holding::state);
+            o.owner == me && !o.released && state == ShardState::Free
+        };
+        let strays: Vec<Ownership> = named.filter(stray).cloned().collect();
+        for ownership in strays {
+            self.let_go(&ownership.shard, ownership.epoch);
+        }
+    }
+
     /// Stops to decide for every shard, at once.
     pub(crate) fn disown_all(&mut self, out: &mut Vec<Action>) {
         let shards: Vec<ShardId> = self.holdings.keys().cloned().collect();
@@ -151,6 +167,7 @@
         if self.life != Life::Serving || self.lease.is_none() {
             return;
         }
+        self.let_go_of_strays();
         let placement = self.placement();
         let shards: Vec<ShardId> = self.shards.keys().cloned().collect();
         for shard in shards {
--- /dev/null
+++ b/crates/fleet/src/trial/stand_in.rs
@@ -0,0 +1,196 @@
+//! The store, as far as the machines can tell.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::Answer;
+use crate::Event;
+use crate::Member;
+use crate::Ownership;
+use crate::Record;
+use crate::StoreOutcome;
+use crate::StoreRequest;
+use model::Epoch;
+use model::Incarnation;
+use model::Revision;
+use model::ShardId;
+use model::Time;
+
+#[derive(Clone, Debug)]
+struct Lease {
+    until: Time,
+    ttl: Duration,
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub(crate) struct StandIn {
+    pub(crate) down: bool,
+    /// Version of the last change.
+    version: u64,
+    leases: BTreeMap<Incarnation, Lease>,
+    members: BTreeMap<Incarnation, Member>,
+    owners: BTreeMap<ShardId, Ownership>,
+    /// Version of the configuration's key.
+    key: u64,
+    value: Option<String>,
+    /// Every revision that was committed, and when.
+    pub(crate) log: BTreeMap<Revision, (Time, Record)>,
+}
+
+impl StandIn {
+    /// The highest revision at a time.
+    pub(crate) fn revision_at(&self, at: Time) -> Revision {
+        let mut log = self.log.iter().rev();
+        log.find(|(_, (time, _))| *time <= at).map_or(Revision(0), |(revision, _)| *revision)
+    }
+
+    pub(crate) fn owners(&self) -> &BTreeMap<ShardId, Ownership> {
+        &self.owners
+    }
+
+    /// Text in force, with its revision.
+    pub(crate) fn text(&self) -> (Revision, Arc<str>) {
+        match self.log.last_key_value() {
+            Some((revision, (_, record))) => (*revision, record.text.clone()),
+            None => (Revision(0), Arc::from("")),
+        }
+    }
+
+    /// What a watch shows that starts now.
+    pub(crate) fn state(&self) -> Vec<Event> {
+        let (revision, text) = self.text();
+        let members = self.members.values().cloned().map(Event::MemberSeen);
+        let owners = self.owners.values().cloned().map(Event::OwnerSeen);
+        let text = (revision > Revision(0)).then_some(Event::TextSeen { revision, text });
+        members.chain(owners).chain(text).collect()
+    }
+
+    /// Deletes what hangs on expired leases.
+    pub(crate) fn expire(&mut self, now: Time) -> Vec<Event> {
+        if self.down {
+            return Vec::new();
+        }
+        let expired = self.leases.iter().filter(|(_, lease)| lease.until <= now);
+        let expired: Vec<Incarnation> = expired.map(|(holder, _)| *holder).collect();
+        expired.into_iter().flat_map(|holder| self.revoke(holder)).collect()
+    }
+
+    /// Gives every lease its whole time again, as a restarted store does.
+    pub(crate) fn recover(&mut self, now: Time) {
+        self.down = false;
+        for lease in self.leases.values_mut() {
+            lease.until = now + lease.ttl;
+        }
+    }
+
+    fn revoke(&mut self, holder: Incarnation) -> Vec<Event> {
+        self.leases.remove(&holder);
+        self.version += 1;
+        let version = Epoch(self.version);
+        let mut events = Vec::new();
+        if self.members.remove(&holder).is_some() {
+            events.push(Event::MemberLapsed(holder));
+        }
+        self.owners.retain(|shard, ownership| {
+            let keep = ownership.owner != holder;
+            if !keep {
+                events.push(Event::OwnerLapsed { shard: shard.clone(), version });
+            }
+            keep
+        });
+        events
+    }
+
+    /// Carries out a call, and tells what watches show of it.
+    pub(crate) fn call(
+        &mut self,
+        now: Time,
+        from: &Member,
+        request: &StoreRequest,
+    ) -> (StoreOutcome, Vec<Event>) {
+        let me = from.incarnation;
+        match request {
+            StoreRequest::Join { ttl } => {
+                self.leases.insert(me, Lease { until: now + *ttl, ttl: *ttl });
+                self.members.insert(me, from.clone());
+                self.version += 1;
+                (StoreOutcome::Done, vec![Event::MemberSeen(from.clone())])
+            }
+            StoreRequest::Renew => match self.leases.get_mut(&me) {
+                Some(lease) => {
+                    lease.until = now + lease.ttl;
+                    (StoreOutcome::Done, Vec::new())
+                }
+                None => (StoreOutcome::LeaseGone, Vec::new()),
+            },
+            StoreRequest::List => {
+                let members = self.members.values().cloned().collect();
+                let owners = self.owners.values().cloned().collect();
+                (StoreOutcome::Listed { members, owners }, Vec::new())
+            }
+            StoreRequest::Read => {
+                let (revision, text) = self.text();
+                (StoreOutcome::Text { revision, text }, Vec::new())
+            }
+            StoreRequest::Claim { shard, expect } => self.claim(me, shard, *expect),
+            StoreRequest::Release { shard, epoch } => self.release(shard, *epoch),
+            StoreRequest::Leave => (StoreOutcome::Done, self.revoke(me)),
+        }
+    }
+
+    fn claim(
+        &mut self,
+        me: Incarnation,
+        shard: &ShardId,
+        expect: Option<Epoch>,
+    ) -> (StoreOutcome, Vec<Event>) {
+        let known = self.owners.get(shard);
+        if known.map(|ownership| ownership.epoch) != expect {
+            let outcome = known.cloned().map_or(StoreOutcome::Absent, StoreOutcome::Held);
+            return (outcome, Vec::new());
+        }
+        if !self.leases.contains_key(&me) {
+            return (StoreOutcome::LeaseGone, Vec::new());
+        }
+        self.version += 1;
+        let epoch = Epoch(self.version);
+        let ownership = Ownership { shard: shard.clone(), epoch, released: false, owner: me };
+        self.owners.insert(shard.clone(), ownership.clone());
+        (StoreOutcome::Won { epoch }, vec![Event::OwnerSeen(ownership)])
+    }
+
+    fn release(&mut self, shard: &ShardId, epoch: Epoch) -> (StoreOutcome, Vec<Event>) {
+        match self.owners.get(shard) {
+            Some(known) if known.epoch == epoch => {
+                self.owners.remove(shard);
+                self.version += 1;
+                let version = Epoch(self.version);
+                (StoreOutcome::Done, vec![Event::OwnerLapsed { shard: shard.clone(), version }])
+            }
+            Some(known) => (StoreOutcome::Held(known.clone()), Vec::new()),
+            None => (StoreOutcome::Absent, Vec::new()),
+        }
+    }
+
+    /// Reads the configuration for an operator.
+    pub(crate) fn read(&self) -> Answer {
+        Answer::Value { version: self.key, value: self.value.clone() }
+    }
+
+    /// Swaps the configuration for an operator.
+    pub(crate) fn write(&mut self, now: Time, expect: u64, value: &str) -> (Answer, Vec<Event>) {
+        if expect != self.key {
+            return (Answer::Conflict, Vec::new());
+        }
+        self.version += 1;
+        self.key = self.version;
+        self.value = Some(value.to_owned());
+        let record = Record::decode(value).unwrap_or_else(|error| panic!("{error}"));
+        let (revision, text) = (record.revision, record.text.clone());
+        let before = self.log.insert(revision, (now, record));
+        assert!(before.is_none(), "two writes share revision {revision}");
+        (Answer::Written, vec![Event::TextSeen { revision, text }])
+    }
+}
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -4,6 +4,7 @@
 //! their changes in any order, with losses and repeats, end up equal.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::Member;
 use crate::MemberState;
@@ -195,14 +196,15 @@
         if from >= self.change {
             return (Vec::new(), self.change);
         }
-        let members = self.members.values().map(|peer| {
+        let members = self.members.values().filter(|peer| peer.touched > from).map(|peer| {
             let news = News::Member { member: peer.member.clone(), phase: peer.phase };
             (peer.touched, news)
         });
-        let owners = self.owners.values().map(|o| (o.touched, News::Owner(o.ownership.clone())));
-        let reports = self.reports.values().map(|r| (r.touched, News::Report(r.report.clone())));
-        let changes = members.chain(owners).chain(reports);
-        let mut changes: Vec<(u64, News)> = changes.filter(|change| change.0 > from).collect();
+        let owners = self.owners.values().filter(|owner| owner.touched > from);
+        let owners = owners.map(|owner| (owner.touched, News::Owner(owner.ownership.clone())));
+        let reports = self.reports.values().filter(|report| report.touched > from);
+        let reports = reports.map(|report| (report.touched, News::Report(report.report.clone())));
+        let mut changes: Vec<(u64, News)> = members.chain(owners).chain(reports).collect();
         changes.sort_by_key(|change| change.0);
         let upto = match changes.get(MAX_NEWS) {
             Some(_) => changes[MAX_NEWS - 1].0,
@@ -221,8 +223,7 @@
     /// Number of members that are not gone, and of their availability zones.
     pub(crate) fn size(&self) -> (usize, usize) {
         let present = || self.members.values().filter(|peer| !peer.is_gone());
-        let zones: std::collections::BTreeSet<&ZoneId> =
-            present().map(|peer| &peer.member.zone).collect();
+        let zones: BTreeSet<&ZoneId> = present().map(|peer| &peer.member.zone).collect();
         (present().count(), zones.len())
     }
 }
