--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -15,16 +15,17 @@
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
+use crate::pages;
 use crate::requests::sleep_until;
 use crate::workers::Workers;
 use gang::Action;
 use gang::Event;
+use gang::JobSpec;
 use gang::Policy;
 use gang::Reply;
 use gang::Settings;
 use gang::Shard;
 use gang::Snapshot;
-use gang::StoredPage;
 use gang::Ticket;
 use gang::WorkerInfo;
 use model::Epoch;
@@ -32,15 +33,12 @@
 use model::JobId;
 use model::ShardId;
 use model::Verdict;
-use store::Purpose;
 use store::Store;
 
 /// Commands that may wait for the shards.
 const QUEUE: usize = 16_384;
 /// Pause before the pages of a new shard are read again after a failure.
 const LOAD_PAUSE: Duration = Duration::from_millis(500);
-/// Prefix of all pages.
-const PAGES: &str = "basilrack/jobs/";
 
 /// A call that a shard answers.
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
@@ -332,10 +330,9 @@
         let clock = self.wiring.clock;
         let commands = self.commands.clone();
         tokio::spawn(async move {
-            let prefix = format!("{PAGES}{shard}/");
             let pages = loop {
-                match store.list(Purpose::Commit, &prefix).await {
-                    Ok(listing) => break listing.entries,
+                match pages::list(&store, &shard).await {
+                    Ok(pages) => break pages,
                     Err(error) => warn!("jobs: pages of shard {shard} cannot be read: {error}"),
                 }
                 if commands.strong_count() == 0 {
@@ -343,12 +340,7 @@
                 }
                 tokio::time::sleep(LOAD_PAUSE).await;
             };
-            let pages = pages.into_iter().map(|entry| StoredPage {
-                key: entry.key,
-                version: entry.version,
-                value: entry.value.to_vec(),
-            });
-            let event = Event::Pages { pages: pages.collect(), at: clock.stamp() };
+            let event = Event::Pages { pages, at: clock.stamp() };
             send(&commands, shard, epoch, event).await;
         });
     }
@@ -433,24 +425,31 @@
             Action::Write { write, key, expect, value } => {
                 let store = self.wiring.store.clone();
                 self.spawn(shard, epoch, async move {
-                    let result = crate::pages::write(&store, &key, expect, value).await;
+                    let result = pages::write(&store, &key, expect, value).await;
                     Some(Event::Written { write, result })
                 });
             }
             Action::Read { key } => {
                 let store = self.wiring.store.clone();
                 self.spawn(shard, epoch, async move {
-                    let result = crate::pages::read(&store, &key).await;
+                    let result = pages::read(&store, &key).await;
                     Some(Event::PageRead { key, result })
                 });
             }
             action => {
                 let workers = self.workers.clone();
-                self.spawn(shard, epoch, async move { workers.act(action).await });
+                let spec = self.spec(shard, &action);
+                self.spawn(shard, epoch, async move { workers.act(action, spec).await });
             }
         }
     }
 
+    /// The job whose tasks an action starts.
+    fn spec(&self, shard: &ShardId, action: &Action) -> Option<JobSpec> {
+        let Action::Start { job, .. } = action else { return None };
+        self.shards.get(shard).and_then(|owned| owned.shard.spec(*job)).cloned()
+    }
+
     fn spawn(
         &self,
         shard: &ShardId,
--- a/crates/entry/src/pages.rs
+++ b/crates/entry/src/pages.rs
@@ -1,15 +1,36 @@
 //! Reads and writes job pages in the store.
 
 use gang::ReadResult;
+use gang::StoredPage;
 use gang::WriteResult;
+use model::ShardId;
 use model::Verdict;
 use store::Cas;
 use store::Purpose;
 use store::Store;
 
+/// Prefix that sets basilrack's keys apart from those of others in the same store.
+const ROOT: &str = "basilrack/";
+
+/// Reads all pages of a shard.
+///
+/// # Errors
+///
+/// The store does not answer.
+pub async fn list<S: Store>(store: &S, shard: &ShardId) -> Result<Vec<StoredPage>, store::Error> {
+    let prefix = format!("{ROOT}{}", gang::page_prefix(shard));
+    let listing = store.list(Purpose::Commit, &prefix).await?;
+    let pages = listing.entries.into_iter().map(|entry| StoredPage {
+        key: entry.key.strip_prefix(ROOT).unwrap_or(&entry.key).to_owned(),
+        version: entry.version,
+        value: entry.value.to_vec(),
+    });
+    Ok(pages.collect())
+}
+
 /// Writes a page if its version is `expect`.
 pub async fn write<S: Store>(store: &S, key: &str, expect: u64, value: Vec<u8>) -> WriteResult {
-    match store.cas(Purpose::Commit, key, expect, value.into(), None).await {
+    match store.cas(Purpose::Commit, &format!("{ROOT}{key}"), expect, value.into(), None).await {
         Ok(Cas::Committed { version }) => WriteResult::Committed { version },
         Ok(Cas::Conflict { current: Some(entry) }) => {
             WriteResult::Conflict { version: entry.version, value: entry.value.to_vec() }
@@ -24,7 +45,7 @@
 
 /// Reads a page.
 pub async fn read<S: Store>(store: &S, key: &str) -> ReadResult {
-    match store.get(Purpose::Commit, key).await {
+    match store.get(Purpose::Commit, &format!("{ROOT}{key}")).await {
         Ok(Some(entry)) => {
             ReadResult::Found { version: entry.version, value: entry.value.to_vec() }
         }
--- a/crates/entry/src/workers.rs
+++ b/crates/entry/src/workers.rs
@@ -12,6 +12,7 @@
 use gang::Action;
 use gang::Attempt;
 use gang::Event;
+use gang::JobSpec;
 use gang::LeaseReport;
 use gang::TaskRange;
 use gang::TaskReport;
@@ -48,8 +49,9 @@
         self.addresses = Arc::new(addresses);
     }
 
-    /// Carries out an action that concerns a worker and says what came of it.
-    pub async fn act(&self, action: Action) -> Option<Event> {
+    /// Carries out an action that concerns a worker and says what came of it; `spec` is the job
+    /// whose tasks it starts.
+    pub async fn act(&self, action: Action, spec: Option<JobSpec>) -> Option<Event> {
         match action {
             Action::Lease { worker, job, attempt, accelerators, ttl } => {
                 let call = border::LeaseCall {
@@ -64,7 +66,7 @@
                 Some(Event::Leased { worker, job, attempt, result: lease_answer(result) })
             }
             Action::Start { worker, job, attempt, tasks, ttl } => {
-                let call = start_call(job, attempt, tasks, ttl);
+                let call = start_call(job, attempt, tasks, ttl, spec.as_ref());
                 let answer: Result<border::StartAnswer, _> =
                     self.post(&worker, "/start", &call).await;
                 let result = start_answer(answer);
@@ -177,14 +179,22 @@
     }
 }
 
-fn start_call(job: JobId, attempt: Attempt, range: TaskRange, ttl: Duration) -> border::StartCall {
+fn start_call(
+    job: JobId,
+    attempt: Attempt,
+    range: TaskRange,
+    ttl: Duration,
+    spec: Option<&JobSpec>,
+) -> border::StartCall {
+    let service = spec.map_or_else(String::new, |spec| spec.service.to_string());
+    let declared = spec.map_or(Duration::ZERO, |spec| spec.declared);
     let tasks = (range.first..range.first + range.count).map(|index| border::TaskSpec {
         index,
-        service: String::new(),
+        service: service.clone(),
         accelerators: Vec::new(),
         millicores: range.millicores,
         memory_mib: range.memory_mib,
-        declared_ms: 0,
+        declared_ms: millis(declared),
     });
     border::StartCall {
         job: job.to_string(),
--- a/crates/gang/src/shard.rs
+++ b/crates/gang/src/shard.rs
@@ -18,6 +18,7 @@
 use crate::Event;
 use crate::Explanation;
 use crate::JobEvent;
+use crate::JobSpec;
 use crate::Policy;
 use crate::Settings;
 use crate::StoredPage;
@@ -172,6 +173,11 @@
         self.jobs.get(&job).map(Job::explain)
     }
 
+    /// A job as it was submitted.
+    pub fn spec(&self, job: JobId) -> Option<&JobSpec> {
+        self.jobs.get(&job).map(|job| &job.record.spec)
+    }
+
     fn apply(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Pages { pages, at } => self.read_pages(now, pages, at, out),
