--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -5,9 +5,8 @@
 
 use thiserror::Error;
 
-use text::Fault;
-
 use crate::status::Status;
+use text::Fault;
 
 /// Why a command failed.
 #[derive(Debug, Error)]
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use hyper::Uri;
@@ -90,7 +91,7 @@
     callers: SocketAddr,
     fenced: watch::Receiver<bool>,
     peers: Peers,
-    servers: Vec<ServerHandle>,
+    servers: Vec<Server>,
     tasks: Vec<JoinHandle<()>>,
     drain: Duration,
 }
@@ -172,13 +173,7 @@
         let callers = listeners.callers.local_addr().map_err(Error::Web)?;
         let mut servers = Vec::new();
         for listener in [Some(listeners.callers), listeners.operators].into_iter().flatten() {
-            let mut server = web::serve(listener, front.clone()).map_err(Error::Web)?;
-            servers.push(server.handle().map_err(Error::Web)?);
-            tasks.push(tokio::spawn(async move {
-                if let Err(error) = server.await {
-                    warn!("web: server ended: {error}");
-                }
-            }));
+            servers.push(Server::start(listener, front.clone())?);
         }
         info!("node: entry VM {} serves callers on {callers} as {incarnation}", settings.vm);
         let drain = settings.limits.drain;
@@ -225,23 +220,21 @@
         }
         self.front.members.event(fleet::Event::Finished).await;
         tokio::time::sleep(IDLE_TIME).await;
-        for server in &self.servers {
-            server.stop(false);
-        }
-        self.peers.stop().await;
-        for task in &self.tasks {
-            task.abort();
-        }
+        self.end().await;
         info!("node: stopped");
     }
 
     /// Ends at once, as a crash would.
     pub async fn kill(self) {
+        self.end().await;
+    }
+
+    async fn end(self) {
         for task in &self.tasks {
             task.abort();
         }
-        for server in &self.servers {
-            server.stop(false);
+        for server in self.servers {
+            server.stop().await;
         }
         self.peers.stop().await;
     }
@@ -257,6 +250,31 @@
     }
 }
 
+/// A web server on a thread of its own, since it brings a runtime that must not end inside another.
+struct Server {
+    handle: ServerHandle,
+    thread: thread::JoinHandle<()>,
+}
+
+impl Server {
+    fn start(listener: TcpListener, front: Arc<Front>) -> Result<Server, Error> {
+        let mut server = web::serve(listener, front).map_err(Error::Web)?;
+        let handle = server.handle().map_err(Error::Web)?;
+        let thread = thread::spawn(move || {
+            if let Err(error) = server.wait() {
+                warn!("web: server ended: {error}");
+            }
+        });
+        Ok(Server { handle, thread })
+    }
+
+    async fn stop(self) {
+        self.handle.stop(false);
+        // The thread only fails if the server panicked, which its log has told.
+        let _ = tokio::task::spawn_blocking(move || self.thread.join()).await;
+    }
+}
+
 fn member(settings: &Settings, incarnation: Incarnation) -> fleet::Member {
     fleet::Member {
         incarnation,
