--- a/crates/gang/src/place/search.rs
+++ b/crates/gang/src/place/search.rs
@@ -104,7 +104,7 @@
     let slot = |position, mask| Slot { position, mask, first: 0, tasks: query.shape.tasks };
     let width = fleet.free.width();
     for level in level_of(accelerators)..=fleet.free.top() {
-        for &first in fleet.free.blocks(level).iter().take(TRIES) {
+        for first in halves(fleet, level, level_of(accelerators).max(width.min(level))) {
             let position = first >> width;
             if fits(position) {
                 let offset = first - (position << width);
@@ -121,6 +121,16 @@
     })
 }
 
+/// Free blocks of a level, cut into blocks of a `lower` one.
+fn halves(fleet: &Fleet, level: u32, lower: u32) -> impl Iterator<Item = u32> {
+    let blocks = fleet.free.blocks(level).iter();
+    let cut = move |first: &u32| {
+        let first = *first;
+        (0..1_u32 << (level - lower)).map(move |index| first + (index << lower))
+    };
+    blocks.flat_map(cut).take(TRIES)
+}
+
 /// The lowest `count` consecutive bits of `mask`.
 pub(crate) fn run_in(mask: u64, count: u32) -> Option<u64> {
     let wanted = low_bits(count);
@@ -140,7 +150,7 @@
 fn find_workers(fleet: &Fleet, query: &Query, count: u32) -> Option<Vec<Slot>> {
     let width = fleet.free.width();
     for level in width + level_of(count)..=fleet.free.top() {
-        for &first in fleet.free.blocks(level).iter().take(TRIES) {
+        for first in halves(fleet, level, width + level_of(count)) {
             let start = first >> width;
             let found = fill(fleet, query, start..start + count);
             if found.is_some() {
--- a/crates/gang/src/room.rs
+++ b/crates/gang/src/room.rs
@@ -13,10 +13,15 @@
 impl Shard {
     /// Keeps a plan's accelerators for a job and has the jobs there leave.
     pub(crate) fn make_room(&mut self, now: Time, id: JobId, plan: Plan, out: &mut Vec<Action>) {
+        let pins =
+            self.jobs.get(&id).is_some_and(|job| !job.guaranteed && !job.record.spec.rerunnable());
         for slot in &plan.slots {
             self.fleet.update(slot.position, |worker| {
                 assert!(worker.claimed & slot.mask == 0, "{} is claimed twice", worker.info.id);
                 worker.claimed |= slot.mask;
+                if pins {
+                    worker.pinned |= slot.mask;
+                }
             });
         }
         let victims = plan.victims.clone();
@@ -119,7 +124,10 @@
         self.planned.remove(&id);
         let Some(plan) = self.jobs.get_mut(&id).and_then(|job| job.plan.take()) else { return };
         for slot in &plan.slots {
-            self.fleet.update(slot.position, |worker| worker.claimed &= !slot.mask);
+            self.fleet.update(slot.position, |worker| {
+                worker.claimed &= !slot.mask;
+                worker.pinned &= !slot.mask;
+            });
         }
         self.stirred = true;
     }
--- a/crates/gang/src/settings.rs
+++ b/crates/gang/src/settings.rs
@@ -59,7 +59,7 @@
             writes: 200,
             reads: 400,
             page_bytes: 48 * 1024,
-            keep: Duration::from_secs(3_600),
+            keep: Duration::from_secs(24 * 3_600),
             strikes: 3,
             failures: 4,
             probe: Duration::from_secs(30),
--- /dev/null
+++ b/crates/gang/tests/owner_death.rs
@@ -0,0 +1,89 @@
+//! The owner dies, or pauses, at every step between decisions.
+
+use std::time::Duration;
+
+use gang::JobState;
+use gang::Settings;
+use model::Adjacency;
+use trial::Death;
+use trial::World;
+use trial::sample::job;
+use trial::sample::policy;
+use trial::sample::shape;
+use trial::sample::workers;
+
+/// One gang that may run once, one that may run again, and one that makes room; and a death.
+fn story(death: Option<Death>) -> World {
+    let mut world = World::new(3, Settings::default(), policy(), &workers(2));
+    world.death = death;
+    world.begin();
+    world.run_for(Duration::from_millis(100));
+    let mut once = job(1, "depot", shape(2, 8, Adjacency::Rack));
+    once.idempotent = false;
+    world.submit(once, Duration::from_secs(20), true);
+    let again = job(2, "bank", shape(8, 8, Adjacency::Rack));
+    world.submit(again, Duration::from_secs(30), true);
+    world.run_for(Duration::from_millis(200));
+    let entitled = job(3, "mill", shape(8, 8, Adjacency::Rack));
+    world.submit(entitled, Duration::from_secs(10), true);
+    let cancelled = job(4, "field", shape(1, 2, Adjacency::Worker));
+    let id = cancelled.id;
+    world.submit(cancelled, Duration::from_secs(500), true);
+    world.run_for(Duration::from_secs(5));
+    world.cancel(id);
+    world.run_for(Duration::from_secs(900));
+    world
+}
+
+fn sweep(sends: bool, pause: Option<Duration>) {
+    let steps = story(None).handled;
+    assert!(steps > 50, "the story has only {steps} events");
+    for after in 1..=steps {
+        println!("after {after} of {steps} events");
+        let mut world = story(Some(Death { after, sends, pause }));
+        cancel_rest(&mut world);
+        world.check_gangs();
+        world.check_ends();
+    }
+}
+
+/// The call to cancel may have died with the owner: repeats it.
+fn cancel_rest(world: &mut World) {
+    let owner = &world.owners[world.last()].shard;
+    let running = |id: &model::JobId| owner.explain(*id).is_some_and(|v| !v.state.is_final());
+    let ids: Vec<_> = world.fates.keys().copied().filter(running).collect();
+    for id in ids {
+        world.cancel(id);
+    }
+    world.run_for(Duration::from_secs(60));
+}
+
+#[test]
+fn story_without_death() {
+    let world = story(None);
+    world.check_ends();
+    let states = world.fates.keys().map(|id| world.owners[0].shard.explain(*id));
+    let states: Vec<JobState> = states.flatten().map(|view| view.state).collect();
+    let wanted = [JobState::Done, JobState::Done, JobState::Done, JobState::Cancelled];
+    assert_eq!(states, wanted);
+}
+
+#[test]
+fn dies_before_it_acts() {
+    sweep(false, None);
+}
+
+#[test]
+fn dies_after_it_acted() {
+    sweep(true, None);
+}
+
+#[test]
+fn pauses_past_its_leases() {
+    sweep(true, Some(Duration::from_secs(45)));
+}
+
+#[test]
+fn pauses_shortly_beside_its_successor() {
+    sweep(true, Some(Duration::from_millis(700)));
+}
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -4,6 +4,7 @@
 //! seeded generator, so a seed names one schedule.
 
 pub mod sample;
+pub mod schedule;
 mod store;
 mod verdicts;
 mod worker;
@@ -54,6 +55,17 @@
     pub lost_message: f64,
 }
 
+/// The moment at which an owner dies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Death {
+    /// After this many events.
+    pub after: u64,
+    /// Whether the actions that it decided on last are still sent.
+    pub sends: bool,
+    /// Whether it is only paused, for this long, and wakes up beside its successor.
+    pub pause: Option<Duration>,
+}
+
 /// One process that owns, or believes that it owns, the shard.
 pub struct Owner {
     /// Its decisions.
@@ -102,6 +114,10 @@
     pub writes: Vec<Time>,
     /// Times at which a page read was sent.
     pub reads: Vec<Time>,
+    /// When an owner dies next.
+    pub death: Option<Death>,
+    /// Events handled by owners.
+    pub handled: u64,
     /// What happened lately.
     pub trace: VecDeque<String>,
     queue: BTreeMap<(Time, u64), Happening>,
@@ -127,6 +143,8 @@
             rng: SmallRng::seed_from_u64(seed),
             writes: Vec::new(),
             reads: Vec::new(),
+            death: None,
+            handled: 0,
             trace: VecDeque::new(),
             queue: BTreeMap::new(),
             sequence: 0,
@@ -231,6 +249,13 @@
         self.tell(owner, Event::Cancel { ticket, job });
     }
 
+    /// Has a job fail wherever it runs.
+    pub fn doom(&mut self, job: JobId) {
+        if let Some(fate) = self.fates.get_mut(&job) {
+            fate.doomed = true;
+        }
+    }
+
     fn wall(&self) -> Stamp {
         Stamp(1_700_000_000_000 + self.now.micros() / 1_000)
     }
@@ -253,8 +278,20 @@
             entry.wake = at;
             self.at(at, Happening::Wake { owner });
         }
-        for action in out {
-            self.act(owner, action);
+        self.handled += 1;
+        let death = self.death.filter(|death| death.after == self.handled);
+        if death.is_none_or(|death| death.sends) {
+            for action in out {
+                self.act(owner, action);
+            }
+        }
+        if let Some(death) = death {
+            self.death = None;
+            match death.pause {
+                Some(span) => self.pause(owner, span),
+                None => self.kill(owner),
+            }
+            self.begin();
         }
     }
 
--- /dev/null
+++ b/crates/trial/src/schedule.rs
@@ -0,0 +1,201 @@
+//! Random schedules of jobs and faults, one for each seed.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use gang::JobSpec;
+use gang::Settings;
+use model::Adjacency;
+use model::Priority;
+use model::WorkerId;
+
+use crate::Faults;
+use crate::World;
+use crate::sample;
+
+/// Racks of a schedule's world.
+const RACKS: u32 = 4;
+/// Time in which everything must end once the faults are over.
+const CALM: Duration = Duration::from_secs(3_600);
+
+/// Which faults a schedule has.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Plan {
+    /// Owners die and new ones begin.
+    pub crashes: bool,
+    /// Owners pause, and a second one begins meanwhile.
+    pub pauses: bool,
+    /// The store is down for a while, and answers are lost.
+    pub store: bool,
+    /// Messages to workers are lost.
+    pub network: bool,
+    /// Jobs are cancelled in waves.
+    pub cancels: bool,
+    /// Workers and racks are lost, and come back.
+    pub racks: bool,
+    /// The whole availability zone is lost, and comes back.
+    pub zone: bool,
+    /// Some workers fail everything, and some jobs fail everywhere.
+    pub bad: bool,
+}
+
+impl Plan {
+    /// All faults at once.
+    pub fn all() -> Plan {
+        Plan {
+            crashes: true,
+            pauses: true,
+            store: true,
+            network: true,
+            cancels: true,
+            racks: true,
+            zone: true,
+            bad: true,
+        }
+    }
+}
+
+/// Runs one schedule; panics when something that must hold does not.
+pub fn run(world: &mut World, plan: &Plan, steps: u32) {
+    world.begin();
+    world.run_for(Duration::from_millis(200));
+    let mut next = 0;
+    for _ in 0..steps {
+        let jobs = world.rng.random_range(0..6);
+        for _ in 0..jobs {
+            next += 1;
+            submit(world, next, plan);
+        }
+        upset(world, plan, next);
+        let span = Duration::from_millis(world.rng.random_range(1..9_000));
+        world.run_for(span);
+    }
+    calm(world);
+    world.run_for(CALM);
+    world.check_gangs();
+    world.check_ends();
+}
+
+/// A world for schedules.
+pub fn world(seed: u64) -> World {
+    let settings = Settings { gather: Duration::from_millis(20), ..Settings::default() };
+    World::new(seed, settings, sample::policy(), &sample::workers(RACKS))
+}
+
+fn submit(world: &mut World, number: u64, plan: &Plan) {
+    let accounts = ["mill", "depot", "bank", "field"];
+    let account = accounts[world.rng.random_range(0..accounts.len())];
+    let shape = match world.rng.random_range(0..20) {
+        0..8 => sample::shape(1, 1 << world.rng.random_range(0..4), Adjacency::Worker),
+        8..11 => sample::shape(world.rng.random_range(1..9), 8, Adjacency::Rack),
+        11..14 => sample::shape(world.rng.random_range(1..24), 2, Adjacency::Zone),
+        14..16 => sample::shape(world.rng.random_range(9..17), 8, Adjacency::Racks),
+        16..18 => sample::shape(2, 3, Adjacency::Worker),
+        _ => sample::shape(world.rng.random_range(1..4), 0, Adjacency::Zone),
+    };
+    let mut spec: JobSpec = sample::job(number, account, shape);
+    spec.priority = match world.rng.random_range(0..10) {
+        0 => Priority::Urgent,
+        1..4 => Priority::Spare,
+        _ => Priority::Normal,
+    };
+    spec.idempotent = world.rng.random_bool(0.7);
+    spec.checkpoint = world.rng.random_bool(0.5);
+    let run = Duration::from_millis(world.rng.random_range(100..120_000));
+    let durable = world.rng.random_bool(0.9);
+    let id = spec.id;
+    world.submit(spec, run, durable);
+    if plan.bad && world.rng.random_bool(0.05) {
+        world.doom(id);
+    }
+}
+
+fn upset(world: &mut World, plan: &Plan, jobs: u64) {
+    if plan.crashes && world.rng.random_bool(0.15) {
+        let owner = world.last();
+        world.kill(owner);
+        world.begin();
+    }
+    if plan.pauses && world.rng.random_bool(0.1) {
+        let owner = world.last();
+        let span = Duration::from_millis(world.rng.random_range(10..90_000));
+        world.pause(owner, span);
+        world.begin();
+    }
+    if plan.store && world.rng.random_bool(0.1) {
+        let span = Duration::from_millis(world.rng.random_range(10..60_000));
+        world.store.outage = world.now + span;
+        world.log(format!("the store is down for {span:?}"));
+    }
+    world.faults = Faults {
+        lost_answer: if plan.store { 0.05 } else { 0.0 },
+        late_effect: if plan.store { 0.05 } else { 0.0 },
+        lost_message: if plan.network { 0.01 } else { 0.0 },
+    };
+    if plan.cancels && jobs > 0 && world.rng.random_bool(0.1) {
+        let from = world.rng.random_range(0..jobs);
+        let ids: Vec<_> = world.fates.keys().filter(|id| id.sequence > from).copied().collect();
+        for id in ids {
+            world.cancel(id);
+        }
+    }
+    if plan.racks && world.rng.random_bool(0.1) {
+        lose(world, 1);
+    }
+    if plan.zone && world.rng.random_bool(0.02) {
+        lose(world, RACKS);
+    }
+    if plan.racks && world.rng.random_bool(0.2) {
+        restore(world);
+    }
+    if plan.bad && world.rng.random_bool(0.03) {
+        let ids: Vec<WorkerId> = world.workers.keys().cloned().collect();
+        let id = &ids[world.rng.random_range(0..ids.len())];
+        world.log(format!("{id} fails everything"));
+        if let Some(worker) = world.workers.get_mut(id) {
+            worker.bad = true;
+        }
+    }
+}
+
+/// Takes some racks down; the VM list may or may not say so.
+fn lose(world: &mut World, racks: u32) {
+    let first = world.rng.random_range(0..RACKS);
+    let listed = world.rng.random_bool(0.5);
+    for rack in (first..first + racks).map(|rack| rack % RACKS) {
+        world.log(format!("rack r{rack} is lost, listed: {listed}"));
+        let prefix = format!("w{rack}-");
+        let lost = world.workers.values_mut();
+        for worker in lost.filter(|worker| worker.info.id.as_str().starts_with(&prefix)) {
+            worker.down = true;
+            worker.unlisted = !listed;
+            worker.leases.clear();
+        }
+    }
+    world.send_list();
+}
+
+fn restore(world: &mut World) {
+    world.log("all workers are back".to_owned());
+    for worker in world.workers.values_mut() {
+        worker.down = false;
+        worker.unlisted = false;
+    }
+    world.send_list();
+}
+
+/// Ends all faults.
+fn calm(world: &mut World) {
+    world.log("all faults end".to_owned());
+    world.faults = Faults::default();
+    world.store.outage = world.now;
+    for worker in world.workers.values_mut() {
+        worker.bad = false;
+    }
+    restore(world);
+    let last = world.last();
+    if world.owners[last].dead {
+        world.begin();
+    }
+}
--- a/crates/trial/src/verdicts.rs
+++ b/crates/trial/src/verdicts.rs
@@ -108,7 +108,7 @@
     }
 
     /// Checks that every gang runs whole, or has not been partial for longer than the bound.
-    pub(crate) fn check_gangs(&mut self) {
+    pub fn check_gangs(&mut self) {
         let now = self.now;
         let bound = self.bound();
         let mut running: BTreeMap<(JobId, Attempt), BTreeSet<WorkerId>> = BTreeMap::new();
@@ -149,10 +149,12 @@
             };
             assert!(
                 view.state.is_final(),
-                "job {job} has not ended: {} ({}) after {:?}",
+                "job {job} has not ended: {} ({}) after {:?}: {:?}, {:?}",
                 view.state,
                 view.reason,
                 self.now.since(fate.submitted),
+                fate.spec,
+                view.path,
             );
             let whole = fate.parts.iter().any(|(attempt, parts)| {
                 fate.ends.get(attempt).is_some_and(|ends| ends == parts) && !fate.doomed
