Hold schedules of faults, and owners that die at every step

Cause: no schedule with faults had been run against the shard. Found and mended: holds that were kept when a page was read again; pins cleared by the jobs that made room; gangs that avoided every worker for good; only the first worker of a free block was tried; an assertion that took a large guarantee that fits again for a loss.

--- a/crates/gang/src/guarantee.rs
+++ b/crates/gang/src/guarantee.rs
@@ -146,7 +146,10 @@
     ) {
         let width = fleet.layout.width;
         for position in block.positions(width) {
-            fleet.update(position, |worker| worker.bound |= block.mask(width));
+            fleet.update(position, |worker| {
+                assert!(worker.bound & block.mask(width) == 0, "a guarantee is bound twice");
+                worker.bound |= block.mask(width);
+            });
         }
         let share = self.shares.entry(account.clone()).or_default();
         share.cells.push(Cell { block, jobs });
@@ -154,7 +157,8 @@
 
     /// Takes a job out of its guarantee, and frees the block with the last.
     ///
-    /// Whether a freed block lies on a worker that does not count towards guarantees now.
+    /// Whether a part of a freed block does not count towards guarantees now: its worker is lost,
+    /// or a job found in the store by a new owner is there.
     pub(crate) fn leave(&mut self, fleet: &mut Fleet, account: &AccountId, job: JobId) -> bool {
         let Some(share) = self.shares.get_mut(account) else { return false };
         let mut unsound = false;
@@ -162,8 +166,9 @@
         for cell in &mut share.cells {
             if cell.jobs.remove(&job) && cell.jobs.is_empty() {
                 for position in cell.block.positions(width) {
-                    unsound |= fleet.at(position).is_none_or(|worker| !worker.sound());
-                    fleet.update(position, |worker| worker.bound &= !cell.block.mask(width));
+                    let mask = cell.block.mask(width);
+                    fleet.update(position, |worker| worker.bound &= !mask);
+                    unsound |= fleet.room.mask(position) & mask != mask;
                 }
             }
         }
--- a/crates/gang/src/job.rs
+++ b/crates/gang/src/job.rs
@@ -153,6 +153,10 @@
     pub(crate) guaranteed: bool,
     /// Workers that it failed on.
     pub(crate) failed: BTreeSet<WorkerId>,
+    /// How often it failed.
+    pub(crate) failures: u32,
+    /// Until when it keeps away from the workers that it failed on.
+    pub(crate) wary: Time,
     /// Since when no set of workers could hold it.
     pub(crate) ruled: Time,
     /// Class under which it is queued.
@@ -180,6 +184,8 @@
             plan: None,
             guaranteed: false,
             failed: BTreeSet::new(),
+            failures: 0,
+            wary: Time::ZERO,
             ruled: Time::NEVER,
             class: None,
             record,
--- a/crates/gang/src/lease.rs
+++ b/crates/gang/src/lease.rs
@@ -164,18 +164,19 @@
             out.push(Action::Release { worker, job: id, attempt: gang.attempt });
         }
         job.after = now + pause;
-        let first = gang.holds.iter().map(|hold| hold.slot.position);
-        for position in first.collect::<Vec<u32>>() {
-            self.fleet.drop_hold(position, id);
-        }
-        self.vacated(id);
+        self.vacate(id, &gang.holds);
         self.set_deadline(id, Time::NEVER);
         self.alarm(now + pause, Timer::Pass);
         self.enqueue(id);
     }
 
     /// Books that nothing of a job is placed any more.
-    pub(crate) fn vacated(&mut self, id: JobId) {
+    pub(crate) fn vacate(&mut self, id: JobId, holds: &[Hold]) {
+        for hold in holds {
+            if let Some(position) = self.fleet.position(&hold.worker) {
+                self.fleet.drop_hold(position, id);
+            }
+        }
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let account = job.record.spec.account.clone();
         let total = job.record.spec.shape.total();
--- a/crates/gang/src/place/fleet.rs
+++ b/crates/gang/src/place/fleet.rs
@@ -236,7 +236,9 @@
             let Some(index) = worker.holders.iter().position(|h| h.job == job) else { return };
             let holder = worker.holders.remove(index);
             worker.held &= !holder.mask;
-            worker.pinned &= !holder.mask;
+            if holder.rank == Rank::Pinned {
+                worker.pinned &= !holder.mask;
+            }
             worker.millicores += holder.takes.millicores;
             worker.memory += holder.takes.memory;
         });
--- a/crates/gang/src/recover.rs
+++ b/crates/gang/src/recover.rs
@@ -118,10 +118,7 @@
         self.set_deadline(id, Time::NEVER);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if let Some(gang) = job.gang.take() {
-            for hold in gang.holds.iter().filter(|hold| !hold.gone) {
-                self.fleet.drop_hold(hold.slot.position, id);
-            }
-            self.vacated(id);
+            self.vacate(id, &gang.holds);
         }
         self.jobs.remove(&id);
     }
--- a/crates/gang/src/report.rs
+++ b/crates/gang/src/report.rs
@@ -306,16 +306,21 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let everywhere = self.settings.failures as usize;
         job.failed.insert(worker.clone());
+        job.failures += 1;
+        job.wary = now + self.settings.patience;
+        let wary = job.wary;
         let failed = job.failed.len();
+        let often = job.failures as usize >= 2 * everywhere;
         let once = !job.record.spec.rerunnable();
-        let hopeless = failed >= everywhere || failed >= self.fleet.iter().count();
+        let hopeless = failed >= everywhere || (failed > 1 && often);
         let aim = if hopeless || once { Aim::Fail } else { Aim::Again };
         let reason = match (hopeless, once) {
-            (true, _) => format!("failed on {failed} different workers; last: {reason}"),
+            (true, _) => format!("failed on {failed} different workers: {reason}"),
             (false, true) => format!("failed, and may not run twice: {reason}"),
             (false, false) => reason.to_owned(),
         };
         self.strike(now, worker, id);
+        self.alarm(wary, crate::shard::Timer::Pass);
         self.break_gang(now, id, aim, &reason, out);
     }
 
@@ -353,7 +358,7 @@
 
     /// Failures on a quarantined worker no longer count against jobs.
     fn forgive(&mut self, worker: &WorkerId) {
-        for job in self.jobs.values_mut().filter(|job| job.state != JobState::Queued) {
+        for job in self.jobs.values_mut() {
             job.failed.remove(worker);
         }
     }
--- a/crates/gang/src/schedule.rs
+++ b/crates/gang/src/schedule.rs
@@ -116,8 +116,8 @@
             return Tried::Blocked(job.reason.clone());
         }
         let spec = job.record.spec.clone();
-        let failed: BTreeSet<u32> =
-            job.failed.iter().filter_map(|worker| self.fleet.position(worker)).collect();
+        let wary = job.failed.iter().filter(|_| now < job.wary);
+        let failed: BTreeSet<u32> = wary.filter_map(|w| self.fleet.position(w)).collect();
         if (self.relisted || job.ruled != Time::NEVER)
             && let Some(reason) = obstacle(&self.fleet, &spec.shape)
         {
@@ -261,7 +261,10 @@
         }
         if cell.new {
             let jobs = BTreeSet::from([id]);
+            let before = self.guarantees.missing(&self.fleet);
             self.guarantees.bind(&mut self.fleet, account, cell.block, jobs);
+            let after = self.guarantees.missing(&self.fleet);
+            assert!(after <= before, "binding a guarantee made {after} others unreclaimable");
             return;
         }
         let share = self.guarantees.shares.entry(account.clone()).or_default();
--- a/crates/gang/src/shard.rs
+++ b/crates/gang/src/shard.rs
@@ -303,16 +303,37 @@
                 self.jobs.remove(&id);
             }
         }
+        self.audit();
         self.alarm(now + PURGE, Timer::Purge);
     }
 
+    /// Asserts that what is booked at the workers is what the jobs have.
+    fn audit(&self) {
+        for seat in self.fleet.iter() {
+            for holder in &seat.worker.holders {
+                let placed = self.jobs.get(&holder.job).is_some_and(|job| job.gang.is_some());
+                assert!(placed, "{} is held by job {}", seat.worker.info.id, holder.job);
+            }
+        }
+        let mut usage: BTreeMap<&AccountId, u32> = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| job.gang.is_some()) {
+            let spec = &job.record.spec;
+            *usage.entry(&spec.account).or_default() += spec.shape.total();
+        }
+        for (account, used) in &self.usage {
+            let placed = usage.get(account).copied().unwrap_or(0);
+            assert!(placed == *used, "account {account} is charged {used} and uses {placed}");
+        }
+    }
+
     /// Asserts what must hold after every event.
     fn check(&mut self) {
         let missing = self.guarantees.missing(&self.fleet);
+        // While faults leave too little room, a large guarantee that fits again may displace
+        // smaller ones, so the number may grow without any decision; each binding is checked.
         assert!(
-            self.excused || missing <= self.missing,
-            "a decision made {missing} guarantees unreclaimable, {} before",
-            self.missing,
+            self.excused || self.missing > 0 || missing == 0,
+            "a decision made {missing} guarantees unreclaimable",
         );
         self.missing = missing;
         self.excused = false;
--- a/crates/gang/src/stop.rs
+++ b/crates/gang/src/stop.rs
@@ -96,12 +96,7 @@
         let holds = job.gang.take().map(|gang| gang.holds).unwrap_or_default();
         let stage = job.outcome();
         let reason = job.reason.clone();
-        for hold in &holds {
-            if let Some(position) = self.fleet.position(&hold.worker) {
-                self.fleet.drop_hold(position, id);
-            }
-        }
-        self.vacated(id);
+        self.vacate(id, &holds);
         match stage {
             Stage::Queued | Stage::Placed => self.requeue(now, id, &reason),
             Stage::Cancelled => self.end(now, id, JobEvent::Cancelled, stage, &reason),
@@ -177,10 +172,9 @@
         for hold in &gang.holds {
             let worker = hold.worker.clone();
             out.push(Action::Release { worker, job: id, attempt: gang.attempt });
-            self.fleet.drop_hold(hold.slot.position, id);
             self.passed_on(&hold.worker);
         }
-        self.vacated(id);
+        self.vacate(id, &gang.holds);
     }
 
     /// A job's deadline has come.
--- a/crates/gang/tests/schedules.rs
+++ b/crates/gang/tests/schedules.rs
@@ -60,3 +60,12 @@
 fn everything_at_once() {
     hold(&Plan::all(), 900..912);
 }
+
+#[test]
+fn schedules_that_broke_before() {
+    for seed in [10, 904, 1014, 1048, 1109, 1113] {
+        println!("seed {seed}");
+        let mut world = schedule::world(seed);
+        schedule::run(&mut world, &Plan::all(), 60);
+    }
+}
