--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -10,8 +10,13 @@
     Command::new("basilrackd")
         .version(env!("CARGO_PKG_VERSION"))
         .about("Runs one entry VM: takes requests and jobs and answers them truthfully")
-        .arg(settings().required_unless_present("help").global(true))
-        .subcommand(Command::new("check").about("Says what is wrong with the settings, and ends"))
+        .subcommand_negates_reqs(true)
+        .arg(settings())
+        .subcommand(
+            Command::new("check")
+                .about("Says what is wrong with the settings, and ends")
+                .arg(settings()),
+        )
         .arg(
             Arg::new("quiet")
                 .long("quiet")
@@ -26,6 +31,7 @@
         .long("settings")
         .short('s')
         .value_name("FILE")
+        .required(true)
         .value_parser(value_parser!(std::path::PathBuf))
         .help("Settings of this entry VM, as JSON with comments")
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -106,7 +106,7 @@
         let clock = Clock::start();
         let incarnation = Incarnation(rand::random());
         let seed: u64 = rand::random();
-        let me = member(settings, incarnation);
+        let me = member(settings, incarnation, &listeners.peers)?;
         let mut tasks = Vec::new();
 
         let store = Client::new(store_config(settings))?;
@@ -275,14 +275,22 @@
     }
 }
 
-fn member(settings: &Settings, incarnation: Incarnation) -> fleet::Member {
-    fleet::Member {
+fn member(
+    settings: &Settings,
+    incarnation: Incarnation,
+    peers: &TcpListener,
+) -> Result<fleet::Member, Error> {
+    let mut address = settings.advertise;
+    if address.port() == 0 {
+        address.set_port(peers.local_addr().map_err(Error::Web)?.port());
+    }
+    Ok(fleet::Member {
         incarnation,
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
         region: settings.region.clone(),
-        address: settings.advertise.to_string(),
-    }
+        address: address.to_string(),
+    })
 }
 
 fn store_config(settings: &Settings) -> store::Config {
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -27,11 +27,11 @@
 impl Options {
     /// Reads the options from parsed arguments.
     pub fn from_matches(matches: &ArgMatches) -> Options {
-        let task = match matches.subcommand_name() {
-            Some("check") => Task::Check,
-            _ => Task::Serve,
+        let (task, named) = match matches.subcommand() {
+            Some(("check", matches)) => (Task::Check, matches),
+            _ => (Task::Serve, matches),
         };
-        let settings = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
+        let settings = named.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
         Options { task, settings, quiet: matches.get_flag("quiet") }
     }
 }
--- a/crates/entry/src/web/body.rs
+++ b/crates/entry/src/web/body.rs
@@ -18,6 +18,10 @@
 /// Time in which a whole body has to come.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
+/// Bytes of an over-long body that are read and dropped, so that its sender sees the refusal
+/// instead of a connection reset.
+const MAX_DISCARD: usize = 32 << 20;
+
 /// Reads the whole body.
 pub async fn read(ctx: &WebContext<'_, Shared>) -> Result<Bytes, Refusal> {
     let limit = ctx.state().body_limit;
@@ -37,14 +41,20 @@
 async fn collect(body: RequestBody, limit: usize) -> Result<Bytes, Refusal> {
     let mut body = pin!(body);
     let mut whole = BytesMut::new();
+    let mut length = 0;
     while let Some(part) = body.as_mut().data().await {
         let part = part
             .map_err(|error| Refusal::new(Fault::BodyIncomplete, format!("body broke: {error}")))?;
-        if whole.len() + part.len() > limit {
-            let detail = format!("the body is longer than {limit} bytes");
-            return Err(Refusal::new(Fault::BodyTooLong, detail));
+        length += part.len();
+        if length <= limit {
+            whole.extend_from_slice(&part);
+        } else if length > MAX_DISCARD {
+            break;
         }
-        whole.extend_from_slice(&part);
+    }
+    if length > limit {
+        let detail = format!("the body is longer than {limit} bytes");
+        return Err(Refusal::new(Fault::BodyTooLong, detail));
     }
     Ok(whole.freeze())
 }
