--- a/crates/trial/src/schedule.rs
+++ b/crates/trial/src/schedule.rs
@@ -4,16 +4,15 @@
 
 use rand::RngExt;
 
+use crate::Faults;
+use crate::World;
+use crate::sample;
 use gang::JobSpec;
 use gang::Settings;
 use model::Adjacency;
 use model::Priority;
 use model::WorkerId;
 
-use crate::Faults;
-use crate::World;
-use crate::sample;
-
 /// Racks of a schedule's world.
 const RACKS: u32 = 4;
 /// Time in which everything must end once the faults are over.
