Show every failure point of pool and peer channels

Cause: the sockets decide whether a request ran, so each failure point needs its proof. They found two faults, mended here: a connection cut without a close frame counted as a protocol error, and an idle connection found closed at its next use gave no sign.

--- a/crates/net/src/peer/handshake.rs
+++ b/crates/net/src/peer/handshake.rs
@@ -10,6 +10,7 @@
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Error as WsError;
 use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::error::ProtocolError;
 use tokio_tungstenite::tungstenite::protocol::CloseFrame;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
@@ -187,6 +188,9 @@
         WsError::ConnectionClosed | WsError::AlreadyClosed => {
             Reason::Closed("no reason given".to_owned())
         }
+        WsError::Protocol(ProtocolError::ResetWithoutClosingHandshake) => {
+            Reason::Closed("connection ended without a close frame".to_owned())
+        }
         error => Reason::Protocol(error.to_string()),
     }
 }
--- a/crates/net/src/pool/backend.rs
+++ b/crates/net/src/pool/backend.rs
@@ -26,6 +26,8 @@
 pub(super) struct Backend {
     state: Mutex<State>,
     open: Arc<AtomicUsize>,
+    // Idle connections found closed and not reported yet.
+    lost: AtomicUsize,
     stir: Arc<Stir>,
     waker: Waker,
 }
@@ -82,6 +84,7 @@
         Backend {
             state: Mutex::new(State { idle: Vec::new(), limit, retired: false }),
             open: Arc::new(AtomicUsize::new(0)),
+            lost: AtomicUsize::new(0),
             waker: Waker::from(Arc::clone(&stir)),
             stir,
         }
@@ -103,7 +106,10 @@
                 state.idle.push(conn);
                 return None;
             }
-            if conn.address() == dispatch.address && conn.usable(&self.waker) {
+            if !conn.usable(&self.waker) {
+                self.lost.fetch_add(1, Ordering::Relaxed);
+                self.waker.wake_by_ref();
+            } else if conn.address() == dispatch.address {
                 return Some(conn);
             }
         }
@@ -152,14 +158,14 @@
         self.state().idle.retain(|conn| conn.answered().elapsed() <= limit);
     }
 
-    /// Closes idle connections that the other side closed, and tells how many.
+    /// Closes idle connections that the other side closed, and tells how many since the last time.
     pub(super) fn sweep(&self) -> usize {
         let mut state = self.state();
         // Cleared before the look, so that what changes during it is reported again.
         self.stir.pending.store(false, Ordering::Release);
         let before = state.idle.len();
         state.idle.retain_mut(|conn| conn.usable(&self.waker));
-        before - state.idle.len()
+        before - state.idle.len() + self.lost.swap(0, Ordering::Relaxed)
     }
 
     /// Closes idle connections and opens no more.
--- /dev/null
+++ b/crates/net/tests/connection_limits.rs
@@ -0,0 +1,112 @@
+//! How many connections a backend server gets, and none once it is retired.
+
+mod raw;
+
+use std::sync::Arc;
+
+use tokio::io::AsyncWriteExt;
+use tokio::sync::Semaphore;
+
+use crate::raw::answer;
+use crate::raw::backend;
+use crate::raw::dispatch;
+use crate::raw::header;
+use crate::raw::pool;
+use crate::raw::read;
+use crate::raw::serve;
+use model::Verdict;
+use net::Dispatch;
+use net::Outcome;
+use net::Reuse;
+use net::pool::Cause;
+use net::pool::Config;
+
+/// A server that answers one request for each permit.
+async fn gated(gate: &Arc<Semaphore>) -> std::net::SocketAddr {
+    let gate = Arc::clone(gate);
+    serve(move |mut stream, number| {
+        let gate = Arc::clone(&gate);
+        async move {
+            while let Some(request) = read(&mut stream).await {
+                assert!(header(&request, "basilrack-request").is_some());
+                gate.acquire().await.unwrap().forget();
+                let text = answer(&request, &number.to_string());
+                // A caller may have gone.
+                let _ = stream.write_all(text.as_bytes()).await;
+            }
+        }
+    })
+    .await
+}
+
+#[tokio::test]
+async fn all_in_use() {
+    let gate = Arc::new(Semaphore::new(0));
+    let address = gated(&gate).await;
+    let (pool, _signs) = pool(Config { connections: 3, ..Config::default() });
+    let running: Vec<_> = (0..3)
+        .map(|sequence| {
+            let pool = pool.clone();
+            tokio::spawn(async move { pool.run(dispatch(address, sequence)).await })
+        })
+        .collect();
+    while pool.open(&backend()) < 3 {
+        tokio::task::yield_now().await;
+    }
+    let outcome = pool.run(dispatch(address, 9)).await;
+    let busy = matches!(outcome, Outcome::NotSent { cause: Cause::Busy { limit: 3 } });
+    assert!(busy, "{outcome:?}");
+    gate.add_permits(3);
+    for task in running {
+        assert_eq!(task.await.unwrap().verdict(), Verdict::Ran);
+    }
+    assert_eq!(pool.counters().idle, 3);
+}
+
+#[tokio::test]
+async fn idle_makes_room() {
+    let address = gated(&Arc::new(Semaphore::new(9))).await;
+    let config = Config { connections: 1, proven: std::time::Duration::ZERO, ..Config::default() };
+    let (pool, _signs) = pool(config);
+    for sequence in 0..5 {
+        let outcome = pool.run(Dispatch { reuse: Reuse::Proven, ..dispatch(address, sequence) });
+        assert_eq!(outcome.await.verdict(), Verdict::Ran);
+        assert_eq!(pool.open(&backend()), 1);
+    }
+    assert_eq!(pool.counters().opened, 5);
+}
+
+#[tokio::test]
+async fn lower_limit() {
+    let address = gated(&Arc::new(Semaphore::new(9))).await;
+    let (pool, _signs) = pool(Config::default());
+    tokio::join!(pool.run(dispatch(address, 1)), pool.run(dispatch(address, 2)));
+    assert_eq!(pool.open(&backend()), 2);
+    pool.limit(&backend(), 1);
+    assert_eq!(pool.open(&backend()), 1);
+    pool.drop_idle(&backend());
+    assert_eq!(pool.open(&backend()), 0);
+}
+
+#[tokio::test]
+async fn retired() {
+    let gate = Arc::new(Semaphore::new(1));
+    let address = gated(&gate).await;
+    let (pool, _signs) = pool(Config::default());
+    assert_eq!(pool.run(dispatch(address, 1)).await.verdict(), Verdict::Ran);
+    let running = {
+        let pool = pool.clone();
+        tokio::spawn(async move { pool.run(dispatch(address, 2)).await })
+    };
+    while pool.counters().reused == 0 {
+        tokio::task::yield_now().await;
+    }
+    pool.retire(&backend());
+    let outcome = pool.run(dispatch(address, 3)).await;
+    assert!(matches!(outcome, Outcome::NotSent { cause: Cause::Retired }), "{outcome:?}");
+    gate.add_permits(2);
+    assert_eq!(running.await.unwrap().verdict(), Verdict::Ran, "what runs goes on");
+    assert_eq!(pool.open(&backend()), 0, "and its connection is closed then");
+    pool.restore(&backend());
+    assert_eq!(pool.run(dispatch(address, 4)).await.verdict(), Verdict::Ran);
+}
--- /dev/null
+++ b/crates/net/tests/silent_links.rs
@@ -0,0 +1,158 @@
+//! A link that goes silent is found and replaced in time.
+
+mod nodes;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tokio::time::Instant;
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::nodes::Fault;
+use crate::nodes::Node;
+use crate::nodes::Proxy;
+use crate::nodes::hello;
+use crate::nodes::quick;
+use net::PeerEvent;
+use net::peer::Beat;
+use net::peer::Config;
+use net::peer::Pulse;
+use net::peer::Reason;
+use net::peer::Side;
+use wire::Frame;
+use wire::Part;
+
+/// Limit on replacing a silent link.
+const LIMIT: Duration = Duration::from_secs(3);
+
+#[test]
+fn within_limit() {
+    let config = Config::default();
+    let found = config.heartbeat + config.silence;
+    assert!(found + config.min_backoff + config.handshake <= LIMIT, "{config:?}");
+    assert!(config.stall + config.min_backoff + config.handshake <= LIMIT, "{config:?}");
+}
+
+/// When `pulse` finds a link silent on which nothing arrives after `now`.
+fn found(pulse: &mut Pulse, mut now: Instant) -> Instant {
+    loop {
+        match pulse.poll(now) {
+            Beat::Wait(until) => {
+                assert!(until > now, "waits for the past");
+                now = until;
+            }
+            Beat::Ping(_) => {}
+            Beat::Silent => return now,
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(5),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn silence_is_found(trips in proptest::collection::vec(0u64..1_400, 0..50)) {
+        let config = Config::default();
+        let limit = config.heartbeat + config.silence;
+        let mut now = Instant::now();
+        let mut dialer = Pulse::new(Side::Dialer, config.heartbeat, config.silence, now);
+        let mut acceptor = Pulse::new(Side::Acceptor, config.heartbeat, config.silence, now);
+        let mut last = now;
+        for trip in trips {
+            let ping = loop {
+                match dialer.poll(now) {
+                    Beat::Wait(until) => now = until,
+                    Beat::Ping(sequence) => break sequence,
+                    Beat::Silent => prop_assert!(false, "an answered link is not silent"),
+                }
+            };
+            prop_assert!(acceptor.poll(now) != Beat::Silent);
+            acceptor.heard(now);
+            let late = found(&mut acceptor.clone(), now);
+            prop_assert!(late - now <= limit);
+            now += Duration::from_millis(trip);
+            dialer.pong(ping, now);
+            last = now;
+        }
+        prop_assert!(found(&mut dialer, now) - last <= limit);
+    }
+}
+
+#[tokio::test]
+async fn swallowed_frames() {
+    let mut one = Node::start(1, quick()).await;
+    let mut two = Node::start(2, quick()).await;
+    let proxy = Proxy::start(two.address).await;
+    one.peers.connect(two.id, proxy.address);
+    one.up().await;
+    two.up().await;
+    for _ in 0..3 {
+        proxy.strike(Fault::Silence);
+        for node in [&mut one, &mut two] {
+            let reason = node
+                .next(|event| match event {
+                    PeerEvent::Down { reason, .. } => Some(reason),
+                    _ => None,
+                })
+                .await;
+            // Either may be first to close, and the other then sees an end or a new connection.
+            let expected = matches!(
+                reason,
+                Reason::Silent | Reason::Replaced | Reason::Closed(_) | Reason::Io(_)
+            );
+            assert!(expected, "{reason}");
+        }
+        assert_eq!((one.up().await, two.up().await), (two.id, one.id));
+    }
+    one.peers.send(two.id, Part::Burn, Bytes::from_static(b"x")).unwrap();
+    two.next(|event| matches!(event, PeerEvent::Message { .. }).then_some(())).await;
+    assert!(one.peers.counters().silent + two.peers.counters().silent >= 3);
+    proxy.strike(Fault::Cut);
+    assert_eq!((one.up().await, two.up().await), (two.id, one.id));
+}
+
+#[tokio::test]
+async fn peer_stops_reading() {
+    let mut node = Node::start(1, quick()).await;
+    let url = format!("ws://{}/peer", node.address);
+    let stream = tokio::net::TcpStream::connect(node.address).await.unwrap();
+    let (mut socket, _) = tokio_tungstenite::client_async(url, stream).await.unwrap();
+    let frame = Frame::Hello(hello(2)).encode().unwrap();
+    socket.send(Message::Binary(frame)).await.unwrap();
+    let answer = socket.next().await.unwrap().unwrap();
+    assert_eq!(Frame::decode(&answer.into_data()), Ok(Frame::Hello(hello(1))));
+    let peer = node.up().await;
+    // Keeps pinging, so that only the writing side can find out.
+    let pings = async {
+        for sequence in 1.. {
+            let ping = Frame::Ping(sequence).encode().unwrap();
+            if socket.send(Message::Binary(ping)).await.is_err() {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let body = Bytes::from(vec![0; 1 << 20]);
+    let peers = node.peers.clone();
+    let flood = async {
+        while peers.linked(peer) {
+            // The queue fills up; that it never grows beyond its limit is tested elsewhere.
+            let _ = peers.send(peer, Part::Gang, body.clone());
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    let down = node.next(|event| match event {
+        PeerEvent::Down { reason, .. } => Some(reason),
+        _ => None,
+    });
+    let (_, (), reason) = tokio::join!(tokio::time::timeout(LIMIT * 10, pings), flood, down);
+    assert!(matches!(reason, Reason::Stalled), "{reason}");
+}
