Bound the stand-in store's history and show that recovery meets no herd

Cause: a long run would have kept every past value, and a worker's report its last 1024 ended tasks. Change: the older half of the history is compacted at 256 MiB; reports show 64 ended tasks.

--- a/crates/fake/src/store/kv.rs
+++ b/crates/fake/src/store/kv.rs
@@ -27,6 +27,12 @@
     pub(crate) version: Version,
 }
 
+impl Record {
+    fn size(&self) -> usize {
+        self.version.value.as_ref().map_or(0, Bytes::len)
+    }
+}
+
 /// Keys from `start` to before `end`; `start` alone without one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Span {
@@ -100,10 +106,14 @@
     revision: u64,
     compacted: u64,
     next_lease: i64,
+    /// Bytes of all values in `changes`.
+    history_bytes: usize,
 }
 
 /// Largest value.
 const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Bytes of past values at which the older half is compacted.
+const MAX_HISTORY_BYTES: usize = 256 << 20;
 
 impl Kv {
     pub(crate) fn new() -> Kv {
@@ -114,6 +124,7 @@
             revision: 1,
             compacted: 0,
             next_lease: 1,
+            history_bytes: 0,
         }
     }
 
@@ -158,6 +169,7 @@
         self.compacted = self.compacted.max(revision.min(self.revision));
         let compacted = self.compacted;
         self.changes = self.changes.split_off(&compacted);
+        self.history_bytes = self.changes.values().flatten().map(Record::size).sum();
         for versions in self.keys.values_mut() {
             let keep = versions.iter().rposition(|version| version.revision <= compacted);
             versions.drain(..keep.unwrap_or(0));
@@ -294,6 +306,10 @@
             return;
         }
         self.revision += 1;
+        self.history_bytes += records.iter().map(Record::size).sum::<usize>();
         self.changes.insert(self.revision, records);
+        if self.history_bytes > MAX_HISTORY_BYTES {
+            self.compact(self.revision - self.changes.len() as u64 / 2);
+        }
     }
 }
--- a/crates/fake/src/worker/machine.rs
+++ b/crates/fake/src/worker/machine.rs
@@ -34,7 +34,7 @@
 use wire::border::WorkerReport;
 
 /// Ended tasks that reports show after their lease is gone.
-const MAX_ENDED: usize = 1024;
+const MAX_ENDED: usize = 64;
 
 /// One attempt of one job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- /dev/null
+++ b/crates/store/tests/outage_recovery.rs
@@ -0,0 +1,72 @@
+//! Many clients whose store comes back after an outage.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use fake::StoreServer;
+use store::Client;
+use store::Config;
+use store::LeaseId;
+use store::Purpose;
+use store::Store;
+
+const CLIENTS: usize = 8;
+const RENEWAL: Duration = Duration::from_millis(100);
+/// Calls that all clients make in one second when all is well.
+const USUAL: u64 = CLIENTS as u64 * 10;
+
+fn client(server: &StoreServer, seed: u64) -> Client {
+    let config = Config {
+        rate: 20.0,
+        deadline: Duration::from_secs(1),
+        backoff: Duration::from_millis(500),
+        quiet: Duration::from_secs(60),
+        seed,
+        ..Config::new(&server.url())
+    };
+    Client::new(config).expect("url is valid")
+}
+
+/// Renews a lease, watches a prefix and tries to commit, as an entry VM does.
+async fn work(client: Client, lease: LeaseId) {
+    let mut watch = client.watch(Purpose::Configuration, "t/", 1);
+    let watcher = tokio::spawn(async move {
+        loop {
+            watch.next().await;
+        }
+    });
+    loop {
+        // The outcome does not matter here; what counts is what the store was asked.
+        let _ = client.keep_alive(Purpose::Ownership, lease).await;
+        sleep(RENEWAL).await;
+        assert!(!watcher.is_finished());
+    }
+}
+
+#[tokio::test]
+async fn return_meets_no_herd() {
+    let server = Arc::new(StoreServer::start(1).expect("port is free"));
+    server.set_faults(|faults| faults.lease_speed = 0.0);
+    let mut clients = JoinSet::new();
+    for seed in 0..CLIENTS as u64 {
+        let client = client(&server, seed);
+        let lease = client.grant(Purpose::Ownership, Duration::from_secs(5)).await;
+        clients.spawn(work(client, lease.expect("the store is up").id));
+    }
+    sleep(Duration::from_millis(500)).await;
+
+    server.set_faults(|faults| faults.down = true);
+    sleep(Duration::from_millis(1_500)).await;
+    server.forget_calls();
+    server.set_faults(|faults| faults.down = false);
+    while server.calls(None) < USUAL {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let peak = server.peak(Duration::from_secs(1));
+    assert!(peak <= 2 * USUAL, "{peak} calls in a second where {USUAL} are usual");
+    assert_eq!(server.leases().len(), CLIENTS);
+    clients.abort_all();
+}
