Generate the types of the store's gateway from a schema

Cause: the house style wants generated types at the border; the client had hand-written ones. Change: schema/gateway.schema.json and the types that typify makes of it, with a test that they agree. The stand-in keeps its own reading of the gateway, so that the two check each other.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -29,14 +29,12 @@
 use crate::error::Error;
 use crate::gate::Gate;
 use crate::gateway;
-use crate::gateway::Compare;
 use crate::gateway::DecodeError;
-use crate::gateway::GrantRequest;
-use crate::gateway::LeaseRequest;
-use crate::gateway::Operation;
-use crate::gateway::PutRequest;
-use crate::gateway::RangeRequest;
-use crate::gateway::TxnRequest;
+use crate::types::GrantRequest;
+use crate::types::LeaseRequest;
+use crate::types::RangeRequest;
+use crate::types::RequestOp;
+use crate::types::TxnRequest;
 use crate::watch::Hub;
 use crate::watch::Watch;
 
@@ -134,18 +132,14 @@
         purpose: Purpose,
         key: &str,
         expect: u64,
-        change: Operation,
+        change: RequestOp,
     ) -> Result<Cas, Error> {
-        let key = gateway::encode(key.as_bytes());
-        let compare = Compare {
-            key: key.clone(),
-            target: "MOD",
-            result: "EQUAL",
-            mod_revision: expect.to_string(),
+        let read = RequestOp { request_range: Some(gateway::one(key)), ..RequestOp::default() };
+        let txn = TxnRequest {
+            compare: vec![gateway::compare(key, expect)],
+            success: vec![change],
+            failure: vec![read],
         };
-        let read = RangeRequest { key, range_end: None, limit: None, revision: None };
-        let failure = [Operation::Range(read)];
-        let txn = TxnRequest { compare: [compare], success: [change], failure };
         let call = call("/v3/kv/txn", &txn, false);
         self.inner.run(purpose, &call, self.deadline(), gateway::parse_txn).await
     }
@@ -211,15 +205,13 @@
 }
 
 pub(crate) fn call<T: Serialize>(path: &'static str, request: &T, repeatable: bool) -> Call {
-    let body = serde_json::to_vec(request).expect("a request of strings is valid json");
+    let body = serde_json::to_vec(request).expect("a generated type has a json form");
     Call { path, body: Bytes::from(body), repeatable }
 }
 
 impl Store for Client {
     async fn get(&self, purpose: Purpose, key: &str) -> Result<Option<Entry>, Error> {
-        let key = gateway::encode(key.as_bytes());
-        let range = RangeRequest { key, range_end: None, limit: None, revision: None };
-        let page = self.page(purpose, &range).await?;
+        let page = self.page(purpose, &gateway::one(key)).await?;
         Ok(page.listing.entries.into_iter().next())
     }
 
@@ -240,7 +232,7 @@
         value: Bytes,
         lease: Option<LeaseId>,
     ) -> Result<u64, Error> {
-        let call = call("/v3/kv/put", &put(key, &value, lease), false);
+        let call = call("/v3/kv/put", &gateway::put_request(key, &value, lease), false);
         self.inner.run(purpose, &call, self.deadline(), gateway::put).await
     }
 
@@ -252,13 +244,15 @@
         value: Bytes,
         lease: Option<LeaseId>,
     ) -> Result<Cas, Error> {
-        self.transact(purpose, key, expect, Operation::Put(put(key, &value, lease))).await
+        let put = Some(gateway::put_request(key, &value, lease));
+        let change = RequestOp { request_put: put, ..RequestOp::default() };
+        self.transact(purpose, key, expect, change).await
     }
 
     async fn delete(&self, purpose: Purpose, key: &str, expect: u64) -> Result<Cas, Error> {
-        let encoded = gateway::encode(key.as_bytes());
-        let range = RangeRequest { key: encoded, range_end: None, limit: None, revision: None };
-        self.transact(purpose, key, expect, Operation::Delete(range)).await
+        let range = Some(gateway::one(key));
+        let change = RequestOp { request_delete_range: range, ..RequestOp::default() };
+        self.transact(purpose, key, expect, change).await
     }
 
     async fn grant(&self, purpose: Purpose, ttl: Duration) -> Result<Lease, Error> {
@@ -302,11 +296,3 @@
         Watch::subscribe(hub, from)
     }
 }
-
-fn put(key: &str, value: &[u8], lease: Option<LeaseId>) -> PutRequest {
-    PutRequest {
-        key: gateway::encode(key.as_bytes()),
-        value: gateway::encode(value),
-        lease: gateway::lease(lease),
-    }
-}
--- a/crates/store/src/gateway.rs
+++ b/crates/store/src/gateway.rs
@@ -1,12 +1,10 @@
 //! JSON of the store's gateway: 64-bit numbers are strings, bytes are base64, zeros are left out.
 
+use std::num::ParseIntError;
+
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use serde::Deserialize;
-use serde::Deserializer;
-use serde::Serialize;
-use serde::de::Error as _;
 use thiserror::Error;
 
 use crate::api::Cas;
@@ -14,6 +12,24 @@
 use crate::api::LeaseId;
 use crate::api::Listing;
 use crate::api::WatchEvent;
+use crate::types::Compare;
+use crate::types::CompareResult;
+use crate::types::CompareTarget;
+use crate::types::ErrorResponse;
+use crate::types::Event;
+use crate::types::EventType;
+use crate::types::KeyValue;
+use crate::types::LeaseResponse;
+use crate::types::LeaseStream;
+use crate::types::PutRequest;
+use crate::types::PutResponse;
+use crate::types::RangeRequest;
+use crate::types::RangeResponse;
+use crate::types::ResponseHeader;
+use crate::types::TxnResponse;
+use crate::types::WatchCreateRequest;
+use crate::types::WatchRequest;
+use crate::types::WatchStream;
 
 /// An answer of the store cannot be read.
 #[derive(Debug, Error)]
@@ -24,6 +40,9 @@
     /// A key or value is not base64.
     #[error("not base64: {0}")]
     Base64(#[from] base64::DecodeError),
+    /// A number is not one, or is out of range.
+    #[error("not a number: {0}")]
+    Number(#[from] ParseIntError),
     /// A key is not UTF-8.
     #[error("key is not utf-8")]
     Key,
@@ -38,166 +57,8 @@
     },
 }
 
-#[derive(Debug, Serialize)]
-pub(crate) struct RangeRequest {
-    pub(crate) key: String,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub(crate) range_end: Option<String>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub(crate) limit: Option<String>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub(crate) revision: Option<String>,
-}
-
-#[derive(Debug, Serialize)]
-pub(crate) struct PutRequest {
-    pub(crate) key: String,
-    pub(crate) value: String,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub(crate) lease: Option<String>,
-}
-
-#[derive(Debug, Serialize)]
-pub(crate) struct TxnRequest {
-    pub(crate) compare: [Compare; 1],
-    pub(crate) success: [Operation; 1],
-    pub(crate) failure: [Operation; 1],
-}
-
-#[derive(Debug, Serialize)]
-pub(crate) struct Compare {
-    pub(crate) key: String,
-    pub(crate) target: &'static str,
-    pub(crate) result: &'static str,
-    pub(crate) mod_revision: String,
-}
-
-#[derive(Debug, Serialize)]
-pub(crate) enum Operation {
-    #[serde(rename = "request_range")]
-    Range(RangeRequest),
-    #[serde(rename = "request_put")]
-    Put(PutRequest),
-    #[serde(rename = "request_delete_range")]
-    Delete(RangeRequest),
-}
-
-#[derive(Debug, Serialize)]
-pub(crate) struct GrantRequest {
-    #[serde(rename = "TTL")]
-    pub(crate) ttl: String,
-}
-
-#[derive(Debug, Serialize)]
-pub(crate) struct LeaseRequest {
-    #[serde(rename = "ID")]
-    pub(crate) id: String,
-}
-
-#[derive(Debug, Serialize)]
-pub(crate) struct WatchRequest {
-    pub(crate) create_request: CreateRequest,
-}
-
-#[derive(Debug, Serialize)]
-pub(crate) struct CreateRequest {
-    pub(crate) key: String,
-    pub(crate) range_end: String,
-    pub(crate) start_revision: String,
-    pub(crate) progress_notify: bool,
-}
-
-#[derive(Debug, Default, Deserialize)]
-struct Header {
-    #[serde(default, deserialize_with = "number")]
-    revision: u64,
-}
-
-#[derive(Debug, Deserialize)]
-struct KeyValue {
-    key: String,
-    #[serde(default)]
-    value: String,
-    #[serde(default, deserialize_with = "number")]
-    mod_revision: u64,
-}
-
-#[derive(Debug, Deserialize)]
-struct RangeAnswer {
-    header: Header,
-    #[serde(default)]
-    kvs: Vec<KeyValue>,
-    #[serde(default)]
-    more: bool,
-}
-
-#[derive(Debug, Deserialize)]
-struct PutAnswer {
-    header: Header,
-}
-
-#[derive(Debug, Deserialize)]
-struct TxnAnswer {
-    header: Header,
-    #[serde(default)]
-    succeeded: bool,
-    #[serde(default)]
-    responses: Vec<OperationAnswer>,
-}
-
-#[derive(Debug, Deserialize)]
-struct OperationAnswer {
-    response_range: Option<RangeAnswer>,
-}
-
-#[derive(Debug, Deserialize)]
-struct LeaseAnswer {
-    #[serde(rename = "ID", default, deserialize_with = "signed")]
-    id: i64,
-    #[serde(rename = "TTL", default, deserialize_with = "signed")]
-    ttl: i64,
-}
-
-#[derive(Debug, Deserialize)]
-struct Streamed<T> {
-    result: T,
-}
-
-#[derive(Debug, Deserialize)]
-struct WatchAnswer {
-    header: Header,
-    #[serde(default)]
-    created: bool,
-    #[serde(default)]
-    canceled: bool,
-    #[serde(default, deserialize_with = "number")]
-    compact_revision: u64,
-    #[serde(default)]
-    events: Vec<EventAnswer>,
-}
-
-#[derive(Debug, Deserialize)]
-struct EventAnswer {
-    #[serde(rename = "type", default)]
-    kind: EventKind,
-    kv: KeyValue,
-}
-
-#[derive(Debug, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "UPPERCASE")]
-enum EventKind {
-    #[default]
-    Put,
-    Delete,
-}
-
-#[derive(Debug, Default, Deserialize)]
-struct Problem {
-    #[serde(default)]
-    message: String,
-    #[serde(default)]
-    code: u32,
-}
+/// Most characters of an error that is not in the gateway's form.
+const MAX_MESSAGE_CHARS: usize = 200;
 
 /// An error as the gateway reports it.
 #[derive(Debug)]
@@ -244,22 +105,10 @@
     Canceled,
 }
 
-fn number<'de, D: Deserializer<'de>>(input: D) -> Result<u64, D::Error> {
-    String::deserialize(input)?.parse().map_err(D::Error::custom)
-}
-
-fn signed<'de, D: Deserializer<'de>>(input: D) -> Result<i64, D::Error> {
-    String::deserialize(input)?.parse().map_err(D::Error::custom)
-}
-
 pub(crate) fn encode(bytes: &[u8]) -> String {
     STANDARD.encode(bytes)
 }
 
-pub(crate) fn lease(id: Option<LeaseId>) -> Option<String> {
-    id.map(|id| id.0.to_string())
-}
-
 /// The end of the range that holds every key under `prefix`.
 pub(crate) fn prefix_end(prefix: &str) -> String {
     let mut end = prefix.as_bytes().to_vec();
@@ -272,42 +121,84 @@
     encode(&[0])
 }
 
-fn text(encoded: &str) -> Result<String, DecodeError> {
-    String::from_utf8(STANDARD.decode(encoded)?).map_err(|_| DecodeError::Key)
+/// A read of one key.
+pub(crate) fn one(key: &str) -> RangeRequest {
+    RangeRequest { key: encode(key.as_bytes()), range_end: None, limit: None, revision: None }
 }
 
-impl KeyValue {
-    fn into_entry(self) -> Result<Entry, DecodeError> {
-        Ok(Entry {
-            key: text(&self.key)?,
-            value: Bytes::from(STANDARD.decode(&self.value)?),
-            version: self.mod_revision,
-        })
+/// A write of one key.
+pub(crate) fn put_request(key: &str, value: &[u8], lease: Option<LeaseId>) -> PutRequest {
+    PutRequest {
+        key: encode(key.as_bytes()),
+        value: encode(value),
+        lease: lease.map(|lease| lease.0.to_string()),
     }
 }
 
-impl RangeAnswer {
-    fn into_page(self) -> Result<Page, DecodeError> {
-        let entries = self.kvs.into_iter().map(KeyValue::into_entry).collect::<Result<_, _>>()?;
-        Ok(Page { listing: Listing { entries, revision: self.header.revision }, more: self.more })
+/// The condition that a key has a version; 0 stands for an absent key.
+pub(crate) fn compare(key: &str, version: u64) -> Compare {
+    Compare {
+        key: encode(key.as_bytes()),
+        target: CompareTarget::Mod,
+        result: CompareResult::Equal,
+        mod_revision: version.to_string(),
     }
 }
 
-impl EventAnswer {
-    fn into_event(self) -> Result<WatchEvent, DecodeError> {
-        if self.kind == EventKind::Put {
-            return Ok(WatchEvent::Put(self.kv.into_entry()?));
+/// A watch of a prefix; revision 0 stands for the next change.
+pub(crate) fn watch_request(prefix: &str, from: u64) -> WatchRequest {
+    let create_request = WatchCreateRequest {
+        key: encode(prefix.as_bytes()),
+        range_end: prefix_end(prefix),
+        start_revision: from.to_string(),
+        progress_notify: true,
+    };
+    WatchRequest { create_request }
+}
+
+fn number(text: Option<&str>) -> Result<u64, DecodeError> {
+    Ok(text.unwrap_or("0").parse()?)
+}
+
+fn text(encoded: &str) -> Result<String, DecodeError> {
+    String::from_utf8(STANDARD.decode(encoded)?).map_err(|_| DecodeError::Key)
+}
+
+fn revision(header: &ResponseHeader) -> Result<u64, DecodeError> {
+    number(header.revision.as_deref())
+}
+
+fn entry(kv: &KeyValue) -> Result<Entry, DecodeError> {
+    Ok(Entry {
+        key: text(&kv.key)?,
+        value: Bytes::from(STANDARD.decode(kv.value.as_deref().unwrap_or(""))?),
+        version: number(kv.mod_revision.as_deref())?,
+    })
+}
+
+fn range(answer: &RangeResponse) -> Result<Page, DecodeError> {
+    let entries = answer.kvs.iter().map(entry).collect::<Result<_, _>>()?;
+    let listing = Listing { entries, revision: revision(&answer.header)? };
+    Ok(Page { listing, more: answer.more.unwrap_or(false) })
+}
+
+fn event(event: &Event) -> Result<WatchEvent, DecodeError> {
+    let kv = &event.kv;
+    match event.type_ {
+        Some(EventType::Delete) => {
+            let version = number(kv.mod_revision.as_deref())?;
+            Ok(WatchEvent::Delete { key: text(&kv.key)?, version })
         }
-        Ok(WatchEvent::Delete { key: text(&self.kv.key)?, version: self.kv.mod_revision })
+        Some(EventType::Put) | None => Ok(WatchEvent::Put(entry(kv)?)),
     }
 }
 
 pub(crate) fn page(body: &[u8]) -> Result<Page, DecodeError> {
-    serde_json::from_slice::<RangeAnswer>(body)?.into_page()
+    range(&serde_json::from_slice(body)?)
 }
 
 pub(crate) fn put(body: &[u8]) -> Result<u64, DecodeError> {
-    Ok(serde_json::from_slice::<PutAnswer>(body)?.header.revision)
+    revision(&serde_json::from_slice::<PutResponse>(body)?.header)
 }
 
 /// Reads the answer to a range.
@@ -323,14 +214,13 @@
 /// # Errors
 /// The answer is not what the gateway defines.
 pub fn parse_txn(body: &[u8]) -> Result<Cas, DecodeError> {
-    let answer = serde_json::from_slice::<TxnAnswer>(body)?;
-    if answer.succeeded {
-        return Ok(Cas::Committed { version: answer.header.revision });
+    let answer: TxnResponse = serde_json::from_slice(body)?;
+    if answer.succeeded.unwrap_or(false) {
+        return Ok(Cas::Committed { version: revision(&answer.header)? });
     }
-    let first = answer.responses.into_iter().next();
-    let range = first.and_then(|first| first.response_range);
-    let page = range.ok_or(DecodeError::Missing("response_range"))?.into_page()?;
-    Ok(Cas::Conflict { current: page.listing.entries.into_iter().next() })
+    let first = answer.responses.first().and_then(|first| first.response_range.as_ref());
+    let found = range(first.ok_or(DecodeError::Missing("response_range"))?)?;
+    Ok(Cas::Conflict { current: found.listing.entries.into_iter().next() })
 }
 
 /// Reads one line of a watch.
@@ -338,43 +228,39 @@
 /// # Errors
 /// The line is not what the gateway defines.
 pub fn parse_watch(line: &[u8]) -> Result<WatchLine, DecodeError> {
-    let answer = serde_json::from_slice::<Streamed<WatchAnswer>>(line)?.result;
-    let revision = answer.header.revision;
-    if answer.compact_revision > 0 {
-        return Ok(WatchLine::Compacted { revision: answer.compact_revision });
+    let answer = serde_json::from_slice::<WatchStream>(line)?.result;
+    let revision = revision(&answer.header)?;
+    let compacted = number(answer.compact_revision.as_deref())?;
+    if compacted > 0 {
+        return Ok(WatchLine::Compacted { revision: compacted });
     }
-    if answer.canceled {
+    if answer.canceled.unwrap_or(false) {
         return Ok(WatchLine::Canceled);
     }
-    if answer.created {
+    if answer.created.unwrap_or(false) {
         return Ok(WatchLine::Created { revision });
     }
     if answer.events.is_empty() {
         return Ok(WatchLine::Progress { revision });
     }
-    let events = answer.events.into_iter().map(EventAnswer::into_event);
-    Ok(WatchLine::Changes(events.collect::<Result<_, _>>()?))
+    Ok(WatchLine::Changes(answer.events.iter().map(event).collect::<Result<_, _>>()?))
 }
 
 pub(crate) fn granted(body: &[u8]) -> Result<Granted, DecodeError> {
-    let answer = serde_json::from_slice::<LeaseAnswer>(body)?;
-    if answer.id == 0 {
-        return Err(DecodeError::Missing("ID"));
-    }
-    Ok(Granted { id: LeaseId(answer.id), seconds: u64::try_from(answer.ttl).unwrap_or(0) })
+    let answer: LeaseResponse = serde_json::from_slice(body)?;
+    let id = answer.id.ok_or(DecodeError::Missing("ID"))?;
+    Ok(Granted { id: LeaseId(id.parse()?), seconds: number(answer.ttl.as_deref())? })
 }
 
 /// Time to live in seconds of a renewed lease; 0 if it is gone.
 pub(crate) fn renewed(line: &[u8]) -> Result<u64, DecodeError> {
-    let answer = serde_json::from_slice::<Streamed<LeaseAnswer>>(line)?.result;
-    Ok(u64::try_from(answer.ttl).unwrap_or(0))
+    let answer = serde_json::from_slice::<LeaseStream>(line)?.result;
+    number(answer.ttl.as_deref())
 }
 
 pub(crate) fn failure(body: &[u8]) -> Failure {
-    let problem = serde_json::from_slice::<Problem>(body).unwrap_or_default();
-    let message = match problem.message.as_str() {
-        "" => String::from_utf8_lossy(body).chars().take(200).collect(),
-        message => message.to_owned(),
-    };
-    Failure { code: problem.code, message }
+    let answer: ErrorResponse = serde_json::from_slice(body).unwrap_or_default();
+    let message = answer.message.filter(|message| !message.is_empty());
+    let start = || String::from_utf8_lossy(body).chars().take(MAX_MESSAGE_CHARS).collect();
+    Failure { code: answer.code.unwrap_or(0), message: message.unwrap_or_else(start) }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -17,6 +17,7 @@
 mod gateway;
 mod queue;
 mod settle;
+mod types;
 mod watch;
 
 pub use api::Cas;
--- /dev/null
+++ b/crates/store/src/types.rs
@@ -0,0 +1,7 @@
+//! Types of the gateway, generated from `schema/gateway.schema.json`.
+//!
+//! `GENERATE=1 cargo test -p store --test generated_types` writes them anew.
+
+#![allow(clippy::all, dead_code, missing_docs, reason = "generated code")]
+
+include!("generated.rs");
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -32,10 +32,8 @@
 use crate::counters::Outcome;
 use crate::error::Error;
 use crate::gateway;
-use crate::gateway::CreateRequest;
 use crate::gateway::DecodeError;
 use crate::gateway::WatchLine;
-use crate::gateway::WatchRequest;
 
 /// Events that a hub keeps.
 const LOG_EVENTS: usize = 1024;
@@ -250,13 +248,8 @@
     async fn open(&self) -> Result<Lines, Error> {
         let Inner { config, gate, pool, ledger, .. } = &*self.inner;
         let deadline = Instant::now() + config.deadline;
-        let request = CreateRequest {
-            key: gateway::encode(self.feed.prefix.as_bytes()),
-            range_end: gateway::prefix_end(&self.feed.prefix),
-            start_revision: self.feed.lock().next.to_string(),
-            progress_notify: true,
-        };
-        let call = call("/v3/watch", &WatchRequest { create_request: request }, true);
+        let request = gateway::watch_request(&self.feed.prefix, self.feed.lock().next);
+        let call = call("/v3/watch", &request, true);
         let permit = gate.admit(self.feed.purpose, deadline).await?;
         let result = pool.stream(&call, deadline).await;
         let outcome = result.as_ref().err().map_or(Outcome::Answered, Outcome::of);
--- /dev/null
+++ b/crates/store/tests/generated_types.rs
@@ -0,0 +1,33 @@
+//! The committed types of the gateway are those that the schema gives.
+
+use std::fs;
+use std::path::Path;
+
+use typify::TypeSpace;
+use typify::TypeSpaceSettings;
+
+const SCHEMA: &str = "../../schema/gateway.schema.json";
+const GENERATED: &str = "src/generated.rs";
+
+fn generate() -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let schema = fs::read_to_string(root.join(SCHEMA)).unwrap();
+    let schema: schemars::schema::RootSchema = serde_json::from_str(&schema).unwrap();
+    let mut settings = TypeSpaceSettings::default();
+    settings.with_derive("PartialEq".to_owned());
+    let mut space = TypeSpace::new(&settings);
+    space.add_root_schema(schema).unwrap();
+    let file = syn::parse2(space.to_stream()).unwrap();
+    prettyplease::unparse(&file)
+}
+
+#[test]
+fn same_types() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(GENERATED);
+    let fresh = generate();
+    if std::env::var_os("GENERATE").is_some() {
+        fs::write(&path, &fresh).unwrap();
+    }
+    let committed = fs::read_to_string(&path).unwrap();
+    assert!(committed == fresh, "schema/gateway.schema.json and src/generated.rs differ");
+}
