--- a/crates/net/benches/pool.rs
+++ b/crates/net/benches/pool.rs
@@ -58,6 +58,16 @@
     address
 }
 
+/// Keeps a timer pending, as the heartbeats of a node do.
+///
+/// Without any, each new timeout would wake the runtime's driver.
+async fn tick() {
+    let mut ticks = tokio::time::interval(Duration::from_millis(100));
+    loop {
+        ticks.tick().await;
+    }
+}
+
 async fn direct(address: SocketAddr, calls: usize) -> Vec<Duration> {
     let stream = TcpStream::connect(address).await.expect("the server runs");
     stream.set_nodelay(true).expect("an open socket");
@@ -122,6 +132,7 @@
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
         let address = serve().await;
+        tokio::spawn(tick());
         let (closed, _signs) = mpsc::channel(1);
         let pool = Pool::new(Config { connections: CALLERS, ..Config::default() }, closed);
         for callers in [1, CALLERS] {
--- a/crates/net/src/peer/hub.rs
+++ b/crates/net/src/peer/hub.rs
@@ -34,7 +34,7 @@
 use wire::Part;
 
 /// Limit on flushing queues when stopping.
-const STOP_TIME: Duration = Duration::from_millis(1_000);
+const STOP_TIME: Duration = Duration::from_millis(2_500);
 
 /// What the handle asks for.
 #[derive(Debug)]
--- a/crates/net/src/peer/link.rs
+++ b/crates/net/src/peer/link.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
+use tokio_tungstenite::tungstenite::Error as WsError;
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::peer::Beat;
@@ -32,9 +33,14 @@
 
 /// Heartbeats that may wait to be written.
 const CONTROL_FRAMES: usize = 4;
+/// Bytes that are written before heartbeats get their turn.
+const BATCH_LEN: usize = 32 << 10;
 /// Limit on writing a close frame.
 const CLOSE_TIME: Duration = Duration::from_millis(200);
 
+/// Limit on waiting for the peer to read what was sent before a close.
+const LINGER_TIME: Duration = Duration::from_millis(1_000);
+
 /// Frames that wait to be written on one link.
 #[derive(Debug)]
 pub(super) struct Outbox {
@@ -91,6 +97,12 @@
         self.waiting.fetch_sub(frame.len(), Ordering::Relaxed);
         Some(frame)
     }
+
+    fn pop_ready(&mut self) -> Option<Bytes> {
+        let frame = self.frames.try_recv().ok()?;
+        self.waiting.fetch_sub(frame.len(), Ordering::Relaxed);
+        Some(frame)
+    }
 }
 
 /// What a link needs to run.
@@ -123,13 +135,22 @@
         };
         let close = Message::Close(Some(close_frame(&reason)));
         // The socket may be unusable; what matters is that the close takes no longer than this.
-        let _ = timeout(CLOSE_TIME, sink.send(close)).await;
+        let closed = timeout(CLOSE_TIME, sink.send(close)).await;
+        if matches!((&reason, closed), (Reason::Local, Ok(Ok(())))) {
+            // Closing a socket that has unread bytes would discard what it has not sent yet.
+            let _ = timeout(LINGER_TIME, drain(&mut stream)).await;
+        }
         drop((sink, stream));
         // The hub outlives its links, except when it stops.
         let _ = notes.send(Note::Ended { link: id, reason }).await;
     }
 }
 
+/// Reads to the end of the connection.
+async fn drain(stream: &mut SplitStream<Socket>) {
+    while let Some(Ok(_)) = stream.next().await {}
+}
+
 struct Reader<'a> {
     id: u64,
     notes: &'a mpsc::Sender<Note>,
@@ -162,7 +183,7 @@
 
     async fn take(
         &mut self,
-        message: Option<Result<Message, tokio_tungstenite::tungstenite::Error>>,
+        message: Option<Result<Message, WsError>>,
         pulse: &mut Pulse,
     ) -> Result<(), Reason> {
         let bytes = match message {
@@ -205,7 +226,7 @@
     stall: Duration,
 ) -> Reason {
     loop {
-        let frame = tokio::select! {
+        let first = tokio::select! {
             biased;
             Some(beat) = beats.recv() => match beat.encode() {
                 Ok(frame) => frame,
@@ -216,10 +237,27 @@
                 None => return Reason::Local,
             },
         };
-        match timeout(stall, sink.send(Message::Binary(frame))).await {
+        match timeout(stall, write_batch(sink, first, &mut queue)).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => return ws_reason(error),
             Err(_) => return Reason::Stalled,
         }
     }
 }
+
+/// Writes `first` and what waits behind it, so that a burst takes few system calls.
+async fn write_batch(
+    sink: &mut SplitSink<Socket, Message>,
+    first: Bytes,
+    queue: &mut Queue,
+) -> Result<(), WsError> {
+    let mut len = first.len();
+    sink.feed(Message::Binary(first)).await?;
+    while len < BATCH_LEN
+        && let Some(frame) = queue.pop_ready()
+    {
+        len += frame.len();
+        sink.feed(Message::Binary(frame)).await?;
+    }
+    sink.flush().await
+}
