--- a/crates/fleet/src/beat.rs
+++ b/crates/fleet/src/beat.rs
@@ -142,7 +142,9 @@
     /// Who owns a shard.
     Owner(Ownership),
     /// Who is heard in an availability zone.
-    Report(ZoneReport),
+    Roll(ZoneRoll),
+    /// That a roll still holds, and what its members have in force.
+    Pulse(ZonePulse),
 }
 
 /// Who owns a shard. The higher epoch holds; within one epoch, the release does.
@@ -160,11 +162,11 @@
 
 /// Who is heard in an availability zone, as its relay sees it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ZoneReport {
+pub struct ZoneRoll {
     /// The availability zone.
     #[serde(rename = "z")]
     pub zone: ZoneId,
-    /// Number of this report; the highest holds.
+    /// Number of this roll; the highest holds.
     #[serde(rename = "s")]
     pub seq: u64,
     /// Who made it.
@@ -175,7 +177,24 @@
     pub members: Vec<Standing>,
 }
 
-/// A member in the report of its availability zone.
+/// That the roll of an availability zone still holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZonePulse {
+    /// The availability zone.
+    #[serde(rename = "z")]
+    pub zone: ZoneId,
+    /// Number of this pulse; the highest holds.
+    #[serde(rename = "s")]
+    pub seq: u64,
+    /// Number of the roll.
+    #[serde(rename = "o")]
+    pub roll: u64,
+    /// Revision that all members heard there have in force, or a higher one.
+    #[serde(rename = "r")]
+    pub revision: Revision,
+}
+
+/// A member in the roll of its availability zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Standing {
     /// The member.
@@ -184,7 +203,4 @@
     /// Whether anyone there hears it.
     #[serde(rename = "h")]
     pub heard: bool,
-    /// Highest revision that it was known to have in force.
-    #[serde(rename = "r")]
-    pub revision: Revision,
 }
--- a/crates/fleet/src/beats.rs
+++ b/crates/fleet/src/beats.rs
@@ -73,6 +73,7 @@
     }
 
     fn beat(&mut self, to: Incarnation, hears: &[Hearing]) -> Beat {
+        let relays = self.is_relay();
         let near = self.view.members[&to].member.zone == self.me.zone;
         let link = self.links.entry(to).or_default();
         link.seq += 1;
@@ -81,7 +82,7 @@
             link.sent.pop_front();
         }
         let held = |at: Time| u64::try_from(self.now.since(at).as_micros()).unwrap_or(u64::MAX);
-        let (news, upto) = self.view.news(link.acked);
+        let (news, upto) = self.view.news(link.acked, relays);
         Beat {
             seq: link.seq,
             echo: link.received.map(|(seq, at)| Echo { seq, held: held(at) }),
@@ -241,7 +242,8 @@
         match news {
             News::Member { member, phase } => self.take_phase(member, *phase, out),
             News::Owner(ownership) => self.merge_owner(ownership, out),
-            News::Report(report) => self.take_report(report),
+            News::Roll(roll) => self.take_roll(roll),
+            News::Pulse(pulse) => self.take_pulse(pulse),
         }
     }
 }
--- a/crates/fleet/src/calls.rs
+++ b/crates/fleet/src/calls.rs
@@ -7,7 +7,9 @@
 use crate::tuning::BACKOFF;
 use crate::tuning::CALL_TIMEOUT;
 use crate::tuning::CALL_WINDOW;
+use crate::tuning::LOSSY_BACKOFF;
 use crate::tuning::MAX_CALLS;
+use crate::tuning::OUTAGE_SILENCE;
 use model::Time;
 
 /// Failures after which the wait grows no more.
@@ -97,7 +99,10 @@
             self.since = now;
         }
         let longest = BACKOFF.0.saturating_mul(1 << self.failures.min(MAX_FAILURES));
-        let wait = longest.min(BACKOFF.1).mul_f64(0.5 + jitter / 2.0);
+        // A store that still answers some calls is not down: keep asking.
+        let lossy = self.answered.is_some_and(|at| now.since(at) < OUTAGE_SILENCE);
+        let most = if lossy { LOSSY_BACKOFF } else { BACKOFF.1 };
+        let wait = longest.min(most).mul_f64(0.5 + jitter / 2.0);
         self.failures = self.failures.saturating_add(1);
         self.hold = now + wait;
     }
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -163,7 +163,8 @@
 /// A store call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreRequest {
-    /// Take out a lease and set the member's key under it: two calls.
+    /// Take out a lease and set the member's key under it: two calls. A lease held before is
+    /// left to lapse.
     Join {
         /// Time to live of the lease.
         ttl: Duration,
--- a/crates/fleet/src/machine.rs
+++ b/crates/fleet/src/machine.rs
@@ -214,7 +214,7 @@
     /// Intervals for the fleet as it is known.
     pub(crate) fn pace(&self) -> Pace {
         let (members, zones) = self.view.size();
-        Pace::new(members, zones)
+        Pace::new(members.max(self.vms.len()), zones)
     }
 
     /// Makes a store call if the pace allows it. Tells whether it did.
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -16,18 +16,22 @@
 use crate::Standing;
 use crate::StoreRequest;
 use crate::VmEntry;
-use crate::ZoneReport;
+use crate::ZonePulse;
+use crate::ZoneRoll;
 use crate::machine::Life;
 use crate::member::MemberEvent;
 use crate::tuning::FAR_SILENCE;
 use crate::tuning::GONE_KEPT;
 use crate::tuning::GONE_SILENCE;
 use crate::tuning::NEAR_SILENCE;
+use crate::tuning::PULSE_GAP;
+use crate::tuning::PULSE_INTERVAL;
 use crate::tuning::REPORT_GAP;
-use crate::tuning::REPORT_INTERVAL;
+use crate::view::Peer;
 use model::Incarnation;
 use model::Revision;
 use model::Time;
+use model::ZoneId;
 
 impl Fleet {
     /// Records a message from a member.
@@ -48,23 +52,37 @@
         }
     }
 
-    /// Records what the relay of an availability zone says.
-    pub(crate) fn take_report(&mut self, report: &ZoneReport) {
-        let seq = self.view.reports.get(&report.zone).map_or(0, |known| known.report.seq);
-        let differs = self.view.merge_report(report, self.now);
-        let fresh = self.view.reports[&report.zone].report.seq > seq;
-        if differs && self.is_relay() {
+    /// Records who is heard in an availability zone.
+    pub(crate) fn take_roll(&mut self, roll: &ZoneRoll) {
+        if !self.view.merge_roll(roll, self.now) {
+            return;
+        }
+        if self.is_relay() {
             self.hurry();
         }
-        if !fresh || report.zone == self.me.zone {
-            return;
+        self.believe(&roll.zone);
+    }
+
+    /// Records that the roll of an availability zone still holds.
+    pub(crate) fn take_pulse(&mut self, pulse: &ZonePulse) {
+        if self.view.merge_pulse(pulse, self.now) {
+            self.believe(&pulse.zone);
         }
-        for standing in &report.members {
+    }
+
+    /// Takes over what the relay of another availability zone says of its members.
+    fn believe(&mut self, zone: &ZoneId) {
+        let Some(roll) = self.view.rolls.get(zone).filter(|_| *zone != self.me.zone) else {
+            return;
+        };
+        let pulse = self.view.pulses.get(zone).filter(|p| p.content.roll == roll.content.seq);
+        let revision = pulse.map_or(Revision(0), |pulse| pulse.content.revision);
+        for standing in &roll.content.members {
             let Some(peer) = self.view.members.get_mut(&standing.incarnation) else { continue };
-            peer.revision = peer.revision.max(standing.revision);
             peer.denied = !standing.heard;
             if standing.heard {
                 peer.relayed = Some(self.now);
+                peer.revision = peer.revision.max(revision);
             }
         }
     }
@@ -233,35 +251,62 @@
         fresh && self.calls.is_healthy() && self.is_relay()
     }
 
-    /// Renews the report of the own availability zone, if this member relays for it.
+    /// Renews what this member says of its own availability zone, if it relays for it.
     pub(crate) fn report_zone(&mut self) {
         if !self.is_relay() {
             return;
         }
-        let zone = self.me.zone.clone();
-        let mates = self.view.members.values().filter(|p| p.member.zone == zone && !p.is_gone());
-        let standing = |peer: &crate::view::Peer| Standing {
-            incarnation: peer.member.incarnation,
-            heard: peer.reachable,
-            revision: peer.revision,
-        };
-        let members: Vec<Standing> = mates.map(standing).collect();
-        let known = self.view.reports.get(&zone);
-        let age = known.map(|known| self.now.since(known.learned));
-        let changed = known.is_none_or(|known| known.report.members != members);
-        let due = match age {
-            Some(age) => age >= REPORT_INTERVAL || (changed && age >= REPORT_GAP),
-            None => true,
+        let zone = &self.me.zone;
+        let mates = || {
+            let members = self.view.members.values();
+            members.filter(|p| p.member.zone == *zone && !p.is_gone())
         };
-        if !due {
+        let standing =
+            |p: &Peer| Standing { incarnation: p.member.incarnation, heard: self.vouches(p) };
+        let members: Vec<Standing> = mates().map(standing).collect();
+        let heard = mates().filter(|p| p.reachable);
+        let revision = heard.map(|p| p.revision).min().unwrap_or_default();
+        self.write_roll(members);
+        self.write_pulse(revision);
+    }
+
+    /// Whether a roll names a member as heard. One that this member has just learned of, and has
+    /// had no time to hear, keeps what the last roll said.
+    fn vouches(&self, peer: &Peer) -> bool {
+        let recent = self.now.since(peer.learned) < NEAR_SILENCE * 2 && peer.last().is_none();
+        let roll = self.view.rolls.get(&self.me.zone).filter(|_| recent);
+        let mut standings = roll.iter().flat_map(|roll| &roll.content.members);
+        let same = |s: &&Standing| s.incarnation == peer.member.incarnation;
+        peer.reachable || standings.find(same).is_some_and(|s| s.heard)
+    }
+
+    fn write_roll(&mut self, members: Vec<Standing>) {
+        let zone = self.me.zone.clone();
+        let relay = self.me.incarnation;
+        let known = self.view.rolls.get(&zone);
+        let same = known.is_some_and(|known| known.content.members == members);
+        let fresh = known.is_some_and(|known| self.now.since(known.learned) < REPORT_GAP);
+        if same || fresh {
             return;
         }
-        let seq = known.map_or(0, |known| known.report.seq) + 1;
-        let report = ZoneReport { zone, seq, relay: self.me.incarnation, members };
-        self.view.merge_report(&report, self.now);
-        if changed {
-            self.hurry();
+        let seq = known.map_or(0, |known| known.content.seq) + 1;
+        self.view.merge_roll(&ZoneRoll { zone, seq, relay, members }, self.now);
+        self.hurry();
+    }
+
+    fn write_pulse(&mut self, revision: Revision) {
+        let zone = self.me.zone.clone();
+        let Some(roll) = self.view.rolls.get(&zone).map(|known| known.content.seq) else { return };
+        let known = self.view.pulses.get(&zone);
+        let content = known.map(|known| &known.content);
+        let same = content.is_some_and(|p| p.roll == roll && p.revision >= revision);
+        let age = known.map(|known| self.now.since(known.learned));
+        let limit = if same { PULSE_INTERVAL } else { PULSE_GAP };
+        if age.is_some_and(|age| age < limit) {
+            return;
         }
+        let seq = content.map_or(0, |pulse| pulse.seq) + 1;
+        self.view.merge_pulse(&ZonePulse { zone, seq, roll, revision }, self.now);
     }
 
     /// Takes no new work from here on, and lets go of the shards.
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -1,8 +1,8 @@
 //! The stored value of the configuration: the text in force and its history.
 //!
 //! The value is a line of JSON, which holds the revision, who wrote it and how to get back to
-//! earlier revisions, followed by the text as it is. The oldest history goes when the value would
-//! grow beyond its bound.
+//! earlier revisions, followed by the text as it is. When the value would grow beyond its bound,
+//! the oldest texts go; who wrote a revision, and in which attempt, is kept longer.
 
 use std::collections::VecDeque;
 use std::fmt;
@@ -83,8 +83,8 @@
     pub author: String,
     /// When it was written.
     pub at: Stamp,
-    /// Leads back to it from the revision after it.
-    pub back: Splice,
+    /// Leads back to it from the revision after it, if that is kept.
+    pub back: Option<Splice>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -117,7 +117,7 @@
             write: self.write,
             author: self.author.clone(),
             at: self.at,
-            back: splice(Revision(self.revision.0 + 1), text, &self.text),
+            back: Some(splice(Revision(self.revision.0 + 1), text, &self.text)),
         });
         trim(&mut past);
         Record {
@@ -176,7 +176,7 @@
             return Some(text);
         }
         for past in &self.past {
-            text = apply(&text, &past.back)?;
+            text = apply(&text, past.back.as_ref()?)?;
             if past.revision == revision {
                 return Some(text);
             }
@@ -213,10 +213,13 @@
 
 fn trim(past: &mut VecDeque<Past>) {
     past.truncate(MAX_PAST);
-    let size = |p: &Past| p.author.len() + 2 * p.back.put.len() + 200;
-    let mut total: usize = past.iter().map(size).sum();
-    while total > MAX_PAST_BYTES {
-        total -= past.pop_back().map_or(total, |p| size(&p));
+    let mut total = 0;
+    for past in past.iter_mut() {
+        // Escapes in JSON at most double what an editor writes.
+        total += past.back.as_ref().map_or(0, |back| 2 * back.put.len());
+        if total > MAX_PAST_BYTES {
+            past.back = None;
+        }
     }
 }
 
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -1,6 +1,7 @@
 //! The store as the machine uses it: lease, listings, reads.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::Action;
 use crate::Fleet;
@@ -9,6 +10,7 @@
 use crate::calls::Pending;
 use crate::machine::Lease;
 use crate::machine::Life;
+use crate::shard::ShardState;
 use model::Revision;
 use model::Time;
 
@@ -59,11 +61,24 @@
             self.call(StoreRequest::Join { ttl }, out);
         }
         let due = renew.is_some_and(|at| self.now >= at);
-        if due && !self.calls.is_pending(&StoreRequest::Renew) {
+        if !due || self.calls.is_pending(&StoreRequest::Renew) || self.calls.is_joining() {
+            return;
+        }
+        let ttl = self.pace().ttl();
+        if self.is_short(ttl) {
+            self.call(StoreRequest::Join { ttl }, out);
+        } else {
             self.call(StoreRequest::Renew, out);
         }
     }
 
+    /// Whether the lease is much shorter than the fleet's size asks for, and nothing but the
+    /// member's own key hangs on it.
+    fn is_short(&self, ttl: Duration) -> bool {
+        let short = self.lease.is_some_and(|lease| lease.ttl * 2 <= ttl);
+        short && self.holdings.values().all(|h| h.state() == ShardState::Free)
+    }
+
     fn list(&mut self, out: &mut Vec<Action>) {
         let due = self.listed.is_none() || self.is_relay();
         let idle = !self.calls.is_pending(&StoreRequest::List);
@@ -145,6 +160,9 @@
             me.revision = revision;
         }
         out.push(Action::Adopt { revision, text: text.clone() });
-        self.hurry();
+        // The others of the zone hear of it from the relay, or else at the next heartbeat.
+        if self.is_relay() {
+            self.hurry();
+        }
     }
 }
--- a/crates/fleet/src/tuning.rs
+++ b/crates/fleet/src/tuning.rs
@@ -23,9 +23,11 @@
 pub const TAKEOVER_SILENCE: Duration = Duration::from_secs(3);
 /// Time for which a shard must be better placed elsewhere before it moves.
 pub const MOVE_DELAY: Duration = Duration::from_secs(10);
-/// Between two reports of an availability zone in which nothing changed.
-pub(crate) const REPORT_INTERVAL: Duration = Duration::from_secs(5);
-/// Between two reports of an availability zone.
+/// Between two pulses of an availability zone in which nothing changed.
+pub(crate) const PULSE_INTERVAL: Duration = Duration::from_secs(5);
+/// Between two pulses of an availability zone.
+pub(crate) const PULSE_GAP: Duration = Duration::from_secs(1);
+/// Between two rolls of an availability zone.
 pub(crate) const REPORT_GAP: Duration = Duration::from_millis(200);
 /// Time that a peer has to send the configuration.
 pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
@@ -40,6 +42,10 @@
 /// Shortest and longest wait after a failed store call.
 pub(crate) const BACKOFF: (Duration, Duration) =
     (Duration::from_millis(500), Duration::from_secs(8));
+/// Longest wait while the store still answers some calls.
+pub(crate) const LOSSY_BACKOFF: Duration = Duration::from_secs(1);
+/// Time without any answer after which the store counts as down.
+pub(crate) const OUTAGE_SILENCE: Duration = Duration::from_secs(20);
 /// Store calls that one entry VM makes in [`CALL_WINDOW`].
 pub const MAX_CALLS: u32 = 24;
 /// Window of [`MAX_CALLS`].
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -11,7 +11,8 @@
 use crate::News;
 use crate::Ownership;
 use crate::Phase;
-use crate::ZoneReport;
+use crate::ZonePulse;
+use crate::ZoneRoll;
 use crate::member::MEMBER;
 use crate::member::MemberEvent;
 use crate::tuning::MAX_NEWS;
@@ -107,10 +108,11 @@
     pub(crate) touched: u64,
 }
 
+/// What the relay of an availability zone says.
 #[derive(Clone, Debug)]
-pub(crate) struct Report {
-    pub(crate) report: ZoneReport,
-    /// When this report became known.
+pub(crate) struct Report<T> {
+    pub(crate) content: T,
+    /// When it became known.
     pub(crate) learned: Time,
     touched: u64,
 }
@@ -120,7 +122,8 @@
 pub(crate) struct View {
     pub(crate) members: BTreeMap<Incarnation, Peer>,
     pub(crate) owners: BTreeMap<ShardId, Owner>,
-    pub(crate) reports: BTreeMap<ZoneId, Report>,
+    pub(crate) rolls: BTreeMap<ZoneId, Report<ZoneRoll>>,
+    pub(crate) pulses: BTreeMap<ZoneId, Report<ZonePulse>>,
     /// Number of changes so far.
     pub(crate) change: u64,
 }
@@ -177,22 +180,32 @@
         self.merge_owner(&released, now)
     }
 
-    /// Learns of a zone's report. Tells whether it was new and said something else.
-    pub(crate) fn merge_report(&mut self, report: &ZoneReport, now: Time) -> bool {
-        let order = |r: &ZoneReport| (r.seq, r.relay);
-        let known = self.reports.get(&report.zone);
-        if known.is_some_and(|known| order(&known.report) >= order(report)) {
+    /// Learns of a zone's roll. Tells whether it was new.
+    pub(crate) fn merge_roll(&mut self, roll: &ZoneRoll, now: Time) -> bool {
+        let order = |r: &ZoneRoll| (r.seq, r.relay);
+        let known = self.rolls.get(&roll.zone);
+        if known.is_some_and(|known| order(&known.content) >= order(roll)) {
             return false;
         }
-        let differs = known.is_none_or(|known| known.report.members != report.members);
-        let touched = self.touch();
-        let report = Report { report: report.clone(), learned: now, touched };
-        self.reports.insert(report.report.zone.clone(), report);
-        differs
+        let report = Report { content: roll.clone(), learned: now, touched: self.touch() };
+        self.rolls.insert(roll.zone.clone(), report);
+        true
+    }
+
+    /// Learns of a zone's pulse. Tells whether it was new.
+    pub(crate) fn merge_pulse(&mut self, pulse: &ZonePulse, now: Time) -> bool {
+        let known = self.pulses.get(&pulse.zone);
+        if known.is_some_and(|known| known.content.seq >= pulse.seq) {
+            return false;
+        }
+        let report = Report { content: pulse.clone(), learned: now, touched: self.touch() };
+        self.pulses.insert(pulse.zone.clone(), report);
+        true
     }
 
-    /// Changes after `from`, oldest first, and the position that they reach.
-    pub(crate) fn news(&self, from: u64) -> (Vec<News>, u64) {
+    /// Changes after `from`, oldest first, and the position that they reach. Only a relay passes
+    /// on what the relays of zones say.
+    pub(crate) fn news(&self, from: u64, relays: bool) -> (Vec<News>, u64) {
         if from >= self.change {
             return (Vec::new(), self.change);
         }
@@ -202,8 +215,11 @@
         });
         let owners = self.owners.values().filter(|owner| owner.touched > from);
         let owners = owners.map(|owner| (owner.touched, News::Owner(owner.ownership.clone())));
-        let reports = self.reports.values().filter(|report| report.touched > from);
-        let reports = reports.map(|report| (report.touched, News::Report(report.report.clone())));
+        let rolls = self.rolls.values().filter(|roll| relays && roll.touched > from);
+        let rolls = rolls.map(|roll| (roll.touched, News::Roll(roll.content.clone())));
+        let pulses = self.pulses.values().filter(|pulse| relays && pulse.touched > from);
+        let pulses = pulses.map(|pulse| (pulse.touched, News::Pulse(pulse.content.clone())));
+        let reports = rolls.chain(pulses);
         let mut changes: Vec<(u64, News)> = members.chain(owners).chain(reports).collect();
         changes.sort_by_key(|change| change.0);
         let upto = match changes.get(MAX_NEWS) {
