Fill the burn report from every entry VM's counts

Cause: /v1/burn was empty. Change: the ledger classifies answers against objectives, keeps its record in the store once a minute and at a planned stop, and reports over peers and stored records with what is unknown.

--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -9,6 +9,7 @@
 use crate::jobs;
 use crate::jobs::Answer;
 use crate::jobs::Call;
+use crate::ledger::Ledger;
 use crate::members::View;
 use crate::relay::Owned;
 use crate::relay::Question;
@@ -28,6 +29,7 @@
     jobs: jobs::Handle,
     relay: Relay,
     view: watch::Receiver<Arc<View>>,
+    ledger: Ledger,
 }
 
 /// How a job stands, and who says so.
@@ -46,8 +48,9 @@
         jobs: jobs::Handle,
         relay: Relay,
         view: watch::Receiver<Arc<View>>,
+        ledger: Ledger,
     ) -> Directory {
-        Directory { me, jobs, relay, view }
+        Directory { me, jobs, relay, view, ledger }
     }
 
     /// Shards that have an owner.
@@ -153,6 +156,7 @@
                 Told::ExplainJob(known.map(|known| crate::views::job(job, &known)))
             }
             Question::Shards => Told::Shards(self.own().await),
+            Question::Burn => Told::Burn(Box::new(self.ledger.record())),
         }
     }
 
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -1,40 +1,276 @@
-//! Counts answers for the burn report.
+//! Counts answers for the burn report, and keeps the counts in the store.
+//!
+//! Every entry VM writes its own record once a minute and when it stops, so that a crash loses at
+//! most a minute of counts. A report asks the other entry VMs for their records and takes those of
+//! the rest from the store.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
-use crate::members::View;
-use crate::metrics::Metrics;
+use futures_util::future::join_all;
+use log::debug;
+use log::warn;
+use tokio::sync::watch;
+
+use burn::Outcome;
+use burn::Record;
+use burn::Series;
+use fleet::MemberState;
 use model::AccountId;
 use model::ServiceId;
 use model::Stamp;
+use model::Verdict;
+use model::VmId;
 use route::Answer;
+use route::Reason;
+use store::Cas;
+use store::Purpose;
+use store::Store;
 use wire::border;
 
+use crate::clock::Clock;
+use crate::members::View;
+use crate::metrics::Metrics;
+use crate::relay::Question;
+use crate::relay::Relay;
+use crate::relay::Told;
+
+/// Interval at which the record is written to the store.
+const WRITE_INTERVAL: Duration = Duration::from_secs(55);
+/// Pause before a first read of the store is repeated.
+const READ_PAUSE: Duration = Duration::from_secs(5);
+/// Prefix of the records' keys.
+const RECORDS: &str = "basilrack/burn/";
+/// Lowest HTTP status that counts as a failure of the service.
+const SERVER_ERROR: u16 = 500;
+
 /// Counts answers for the burn report.
 #[derive(Clone, Debug)]
 pub struct Ledger {
+    clock: Clock,
+    vm: VmId,
+    counts: Arc<Mutex<burn::Ledger>>,
     metrics: Metrics,
+    view: watch::Receiver<Arc<View>>,
 }
 
 impl Ledger {
-    /// A ledger that also feeds `metrics`.
-    pub fn new(metrics: Metrics) -> Ledger {
-        Ledger { metrics }
+    /// A ledger of `vm` that also feeds `metrics`.
+    pub fn new(
+        clock: Clock,
+        vm: VmId,
+        metrics: Metrics,
+        view: watch::Receiver<Arc<View>>,
+    ) -> Ledger {
+        let counts = burn::Ledger::new(vm.clone(), clock.stamp());
+        Ledger { clock, vm, counts: Arc::new(Mutex::new(counts)), metrics, view }
     }
 
     /// Counts the answer to a request.
     pub fn request(
         &self,
         service: &ServiceId,
-        _account: &AccountId,
+        account: &AccountId,
         answer: &Answer,
         took: Duration,
     ) {
+        let view = self.view.borrow().clone();
+        let Some(known) = view.text.services.get(service) else { return };
+        if !view.text.accounts.contains_key(account) {
+            return;
+        }
         self.metrics.request(service.as_str(), answer, took.as_secs_f64());
+        if let Some(outcome) = judge(answer, took, known.objective.latency) {
+            let series = Series { service: service.clone(), account: account.clone() };
+            self.counts().count(self.clock.stamp(), &series, outcome);
+        }
+    }
+
+    /// The counts of this entry VM until now.
+    pub fn record(&self) -> Record {
+        self.counts().record(self.clock.stamp())
+    }
+
+    /// Takes over what earlier processes of this entry VM counted, then writes the record at
+    /// intervals.
+    pub async fn keep<S: Store>(self, store: S) {
+        let mut version = loop {
+            match self.inherit(&store).await {
+                Ok(version) => break version,
+                Err(error) => debug!("burn: earlier counts cannot be read: {error}"),
+            }
+            tokio::time::sleep(READ_PAUSE).await;
+        };
+        loop {
+            tokio::time::sleep(WRITE_INTERVAL).await;
+            version = self.write(&store, version).await;
+        }
+    }
+
+    async fn inherit<S: Store>(&self, store: &S) -> Result<u64, store::Error> {
+        let Some(entry) = store.get(Purpose::Report, &self.key()).await? else { return Ok(0) };
+        match wire::decode(&entry.value) {
+            Ok(record) => self.counts().inherit(&record),
+            Err(error) => warn!("burn: earlier counts are not understood: {error}"),
+        }
+        Ok(entry.version)
+    }
+
+    /// Writes the record and returns the version to expect next time.
+    async fn write<S: Store>(&self, store: &S, version: u64) -> u64 {
+        let Ok(value) = wire::encode(&self.record()) else { return version };
+        match store.cas(Purpose::Report, &self.key(), version, value, None).await {
+            Ok(Cas::Committed { version }) => version,
+            Ok(Cas::Conflict { current }) => current.map_or(0, |entry| entry.version),
+            Err(error) => {
+                debug!("burn: counts cannot be written: {error}");
+                version
+            }
+        }
+    }
+
+    /// Writes the record a last time.
+    pub async fn finish<S: Store>(&self, store: &S) {
+        let version = match store.get(Purpose::Report, &self.key()).await {
+            Ok(entry) => entry.map_or(0, |entry| entry.version),
+            Err(_) => return,
+        };
+        self.write(store, version).await;
+    }
+
+    /// The burn report over all entry VMs.
+    pub async fn report<S: Store>(&self, relay: &Relay, store: &S) -> border::BurnReport {
+        let view = self.view.borrow().clone();
+        let now = self.clock.stamp();
+        let mut gathered = Gathered::new(self.record());
+        self.ask_peers(relay, &view, &mut gathered).await;
+        read_rest(store, &mut gathered).await;
+        let objectives = view
+            .text
+            .services
+            .iter()
+            .map(|(id, service)| (id.clone(), service.objective.availability.fraction()));
+        let objectives: BTreeMap<ServiceId, f64> = objectives.collect();
+        let report = burn::report(&gathered.records, &gathered.live, &objectives, now);
+        show(&report, now, gathered.unknown)
+    }
+
+    async fn ask_peers(&self, relay: &Relay, view: &View, gathered: &mut Gathered) {
+        let others = view
+            .fleet
+            .members
+            .iter()
+            .filter(|member| member.member.vm != self.vm && member.state != MemberState::Gone);
+        let asked = others.map(|member| async move {
+            let told = relay.ask(member.member.incarnation, Question::Burn).await;
+            (member.member.vm.clone(), told)
+        });
+        for (vm, told) in join_all(asked).await {
+            match told {
+                Ok(Told::Burn(record)) => gathered.add(*record, true),
+                Ok(_) => {}
+                Err(error) => gathered.doubt(&vm, &error.to_string()),
+            }
+        }
+    }
+
+    fn key(&self) -> String {
+        format!("{RECORDS}{}", self.vm)
+    }
+
+    fn counts(&self) -> MutexGuard<'_, burn::Ledger> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Records gathered for one report.
+struct Gathered {
+    records: Vec<Record>,
+    live: BTreeSet<VmId>,
+    unknown: Vec<border::Doubt>,
+}
+
+impl Gathered {
+    fn new(own: Record) -> Gathered {
+        let live = BTreeSet::from([own.vm.clone()]);
+        Gathered { records: vec![own], live, unknown: Vec::new() }
     }
 
-    /// The burn report.
-    pub fn report(&self, at: Stamp, _view: &View) -> border::BurnReport {
-        border::BurnReport { as_of_ms: at.0, lines: Vec::new(), unknown: Vec::new() }
+    fn add(&mut self, record: Record, live: bool) {
+        if self.records.iter().any(|known| known.vm == record.vm) {
+            return;
+        }
+        if live {
+            self.live.insert(record.vm.clone());
+        }
+        self.records.push(record);
     }
+
+    fn doubt(&mut self, vm: &VmId, why: &str) {
+        self.live.insert(vm.clone());
+        let subject = format!("what entry VM {vm} counted in the last minute");
+        self.unknown.push(border::Doubt { subject, why: why.to_owned() });
+    }
+}
+
+async fn read_rest<S: Store>(store: &S, gathered: &mut Gathered) {
+    match store.list(Purpose::Report, RECORDS).await {
+        Ok(listing) => {
+            for entry in &listing.entries {
+                match wire::decode::<Record>(&entry.value) {
+                    Ok(record) => gathered.add(record, false),
+                    Err(error) => warn!("burn: {} is not understood: {error}", entry.key),
+                }
+            }
+        }
+        Err(error) => gathered.unknown.push(border::Doubt {
+            subject: "what entry VMs that are not running counted".to_owned(),
+            why: error.to_string(),
+        }),
+    }
+}
+
+/// How an answer counts against the objective, or `None` if the caller alone caused it.
+fn judge(answer: &Answer, took: Duration, latency: Duration) -> Option<Outcome> {
+    match answer.reason {
+        Reason::Conflict
+        | Reason::NotIssued
+        | Reason::TooOld
+        | Reason::Cancelled
+        | Reason::RateLimit
+        | Reason::NoService
+        | Reason::NoAccount => return None,
+        _ => {}
+    }
+    Some(match answer.verdict {
+        Verdict::Unknown => Outcome::Unknown,
+        Verdict::NotRun => Outcome::Bad,
+        Verdict::Ran if answer.status >= SERVER_ERROR || took > latency => Outcome::Bad,
+        Verdict::Ran => Outcome::Good,
+    })
+}
+
+fn show(report: &burn::Report, now: Stamp, unknown: Vec<border::Doubt>) -> border::BurnReport {
+    let window = |window: &burn::WindowReport| border::BurnWindow {
+        window: window.window.to_string(),
+        good: window.counts.good,
+        bad: window.counts.bad,
+        unknown: window.counts.unknown,
+        burn: window.burn,
+        covered: window.covered,
+    };
+    let lines = report.lines.iter().map(|line| border::BurnLine {
+        service: line.series.service.to_string(),
+        account: line.series.account.to_string(),
+        objective: line.objective,
+        windows: line.windows.iter().map(window).collect(),
+        alert: line.alert.map(|alert| alert.to_string()),
+        left: line.left,
+    });
+    border::BurnReport { as_of_ms: now.0, lines: lines.collect(), unknown }
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -140,19 +140,22 @@
         };
         let started = members::start(me.clone(), seed, wiring);
         let relay = Relay::new(peers.clone());
-        let directory = Directory::new(incarnation, jobs, relay.clone(), started.view.clone());
+        let metrics = Metrics::new()?;
+        let view = started.view.clone();
+        let ledger = Ledger::new(clock, me.vm.clone(), metrics.clone(), view.clone());
+        let directory = Directory::new(incarnation, jobs, relay.clone(), view, ledger.clone());
 
         let pump = Pump {
             requests: requests.clone(),
             members: started.handle.clone(),
-            relay,
+            relay: relay.clone(),
             directory: directory.clone(),
         };
         tasks.push(tokio::spawn(pump.run(peer_inbox)));
         tasks.push(tokio::spawn(report_closed(closed_inbox, requests.clone())));
         tasks.push(tokio::spawn(poll_vms(settings.vms.clone(), started.handle.clone())));
 
-        let metrics = Metrics::new()?;
+        tasks.push(tokio::spawn(ledger.clone().keep(store.clone())));
         let front = Arc::new(Front {
             clock,
             me,
@@ -163,7 +166,8 @@
             runtime: tokio::runtime::Handle::current(),
             peers: peers.clone(),
             view: started.view,
-            ledger: Ledger::new(metrics.clone()),
+            relay,
+            ledger,
             metrics,
             token: Token::new(settings.token.as_deref().unwrap_or_default()),
             body_limit: usize::try_from(settings.limits.body.0).unwrap_or(usize::MAX),
@@ -218,6 +222,7 @@
         if tokio::time::timeout(self.drain, finish).await.is_err() {
             warn!("node: requests were still in progress after {} s", self.drain.as_secs());
         }
+        self.front.ledger.finish(&self.front.store).await;
         self.front.members.event(fleet::Event::Finished).await;
         tokio::time::sleep(IDLE_TIME).await;
         self.end().await;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -47,6 +47,8 @@
     },
     /// What the other knows of shards, workers and guarantees.
     Shards,
+    /// What the other counted for the burn report.
+    Burn,
 }
 
 /// An answer from another entry VM.
@@ -58,6 +60,8 @@
     ExplainJob(Option<border::Explanation>),
     /// State of the shards that it owns.
     Shards(Owned),
+    /// Its counts.
+    Burn(Box<burn::Record>),
 }
 
 /// State of the shards that one entry VM owns.
--- a/crates/entry/src/web/mod.rs
+++ b/crates/entry/src/web/mod.rs
@@ -36,6 +36,7 @@
 use crate::ledger::Ledger;
 use crate::members;
 use crate::metrics::Metrics;
+use crate::relay::Relay;
 use crate::requests;
 use crate::web::problem::Fault;
 use crate::web::problem::Refusal;
@@ -70,6 +71,8 @@
     pub peers: net::Peers,
     /// What the fleet part shows.
     pub view: watch::Receiver<Arc<members::View>>,
+    /// Asks other entry VMs.
+    pub relay: Relay,
     /// Counts for the burn report.
     pub ledger: Ledger,
     /// Counters and histograms.
--- a/crates/entry/src/web/operators.rs
+++ b/crates/entry/src/web/operators.rs
@@ -105,8 +105,12 @@
 pub async fn burn(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
     let front = ctx.state();
     body::authorize(ctx, front)?;
-    let view = front.view.borrow().clone();
-    Ok(problem::json(200, &front.ledger.report(front.clock.stamp(), &view)))
+    let (ledger, relay, store) = (front.ledger.clone(), front.relay.clone(), front.store.clone());
+    let reporting = front.runtime.spawn(async move { ledger.report(&relay, &store).await });
+    match reporting.await {
+        Ok(report) => Ok(problem::json(200, &report)),
+        Err(error) => Err(Refusal::new(Fault::Internal, error.to_string())),
+    }
 }
 
 /// `GET /v1/history`
