Show the path of a gang that broke a promise in the dev report

Cause: dev reported a task that ran well twice and did not say how it came to that. The path shows why: the end of a short task is seen only at the next renewal, 8 s apart, and a preemption in between stops and requeues a job that had already ended well. Conclusion: a fault of the gang decisions, to be mended there; the check stays.

--- a/crates/cli/src/dev/mod.rs
+++ b/crates/cli/src/dev/mod.rs
@@ -77,7 +77,7 @@
     load.finish().await;
     running.abort();
     let burn = world.burn().await;
-    let report = Report::new(&load, &world, burn);
+    let report = Report::new(&load, &world, burn).await;
     println!("{report}");
     world.stop().await;
     Ok(if report.is_kept() { Status::Success } else { Status::Broken })
--- a/crates/cli/src/dev/report.rs
+++ b/crates/cli/src/dev/report.rs
@@ -27,19 +27,18 @@
     crossed: usize,
     false_refusals: usize,
     false_claims: usize,
-    violations: Vec<String>,
+    violations: Vec<Broken>,
     store_calls: u64,
     burn: Option<border::BurnReport>,
 }
 
 impl Report {
     /// Compares what callers were told with what the stand-ins saw.
-    pub fn new(load: &Load, world: &World, burn: Option<border::BurnReport>) -> Report {
+    pub async fn new(load: &Load, world: &World, burn: Option<border::BurnReport>) -> Report {
+        let violations = broken(load, world).await;
         let tally = load.tally();
         let runs = |id: &RequestId| world.pools.iter().map(|p| p.executions(*id)).sum::<u32>();
         let doubled = world.pools.iter().flat_map(|pool| pool.doubled());
-        let gangs: Vec<fake::Gang> = tally.gangs.values().copied().collect();
-        let violations = world.workers.violations(&gangs, PARTIAL_BOUND);
         let waits = tally.waits.iter().map(|(class, waits)| format!("{class}: {}", line(waits)));
         Report {
             told: tally.told.clone(),
@@ -52,7 +51,7 @@
             crossed: tally.crossed.len(),
             false_refusals: tally.not_run.iter().filter(|id| runs(id) > 0).count(),
             false_claims: tally.ran.iter().filter(|id| runs(id) == 0).count(),
-            violations: violations.iter().map(|violation| format!("{violation:?}")).collect(),
+            violations,
             store_calls: world.store_calls(),
             burn,
         }
@@ -66,6 +65,26 @@
     }
 }
 
+/// A promise that a gang broke.
+#[derive(Debug)]
+struct Broken {
+    violation: String,
+    path: Vec<String>,
+}
+
+async fn broken(load: &Load, world: &World) -> Vec<Broken> {
+    let gangs: Vec<fake::Gang> = load.tally().gangs.values().copied().collect();
+    let mut broken = Vec::new();
+    for violation in world.workers.violations(&gangs, PARTIAL_BOUND) {
+        let job = violation.job();
+        let mut path = world.explain(job).await;
+        let runs = world.workers.runs();
+        path.extend(runs.iter().filter(|run| run.job == job).map(|run| format!("{run:?}")));
+        broken.push(Broken { violation: format!("{violation:?}"), path });
+    }
+    broken
+}
+
 fn line(waits: &Waits) -> String {
     format!(
         "{} waits, p50 {:?}, p99 {:?}, max {:?}",
@@ -103,8 +122,11 @@
         writeln!(f, "  answers of another request: {}", self.crossed)?;
         writeln!(f, "  told not run, but ran: {}", self.false_refusals)?;
         writeln!(f, "  told ran, but did not: {}", self.false_claims)?;
-        for violation in &self.violations {
-            writeln!(f, "  gang: {violation}")?;
+        for broken in &self.violations {
+            writeln!(f, "  gang: {}", broken.violation)?;
+            for step in &broken.path {
+                writeln!(f, "    {step}")?;
+            }
         }
         write!(f, "{}", if self.is_kept() { "All promises kept." } else { "A PROMISE WAS BROKEN." })
     }
--- a/crates/cli/src/dev/world.rs
+++ b/crates/cli/src/dev/world.rs
@@ -13,6 +13,7 @@
 use crate::options::DevOptions;
 use entry::Listeners;
 use entry::Node;
+use entry::members::View;
 use fake::BackendOptions;
 use fake::BackendPool;
 use fake::Place;
@@ -22,6 +23,8 @@
 use fake::VmServer;
 use fake::WorkerFleet;
 use fake::WorkerOptions;
+use fleet::MemberState;
+use model::JobId;
 use text::Settings;
 use text::Text;
 use wire::border;
@@ -150,7 +153,7 @@
                 view.revision.0 > 0
                     && !view.shards.is_empty()
                     && view.shards.iter().all(|shard| view.owners.contains_key(shard))
-                    && view.members.len() == self.nodes.len()
+                    && live(view) == self.nodes.len()
             });
             if ready {
                 return Ok(());
@@ -163,6 +166,16 @@
         }
     }
 
+    /// The path of a job, one step a line.
+    pub async fn explain(&self, job: JobId) -> Vec<String> {
+        let path = format!("/v1/explain/{job}");
+        let reply = self.callers.operator(Method::GET, &path, TOKEN, Vec::new()).await;
+        let known: Option<border::Explanation> =
+            reply.and_then(|reply| serde_json::from_slice(&reply.body).ok());
+        let steps = known.map(|known| known.steps).unwrap_or_default();
+        steps.iter().map(|step| format!("{} {}: {}", step.at_ms, step.state, step.reason)).collect()
+    }
+
     /// The burn report of one entry VM.
     pub async fn burn(&self) -> Option<border::BurnReport> {
         let reply = self.callers.operator(Method::GET, "/v1/burn", TOKEN, Vec::new()).await?;
@@ -182,6 +195,12 @@
     }
 }
 
+/// Entry VMs that are heard.
+fn live(view: &View) -> usize {
+    let members = view.fleet.members.iter();
+    members.filter(|member| member.state == MemberState::Live).count()
+}
+
 fn places() -> Vec<Place> {
     let zones = [("zemgale-a", "zemgale"), ("zemgale-b", "zemgale"), ("latgale-a", "latgale")];
     zones.map(|(zone, region)| Place::new(zone, region)).to_vec()
--- a/crates/fake/src/worker/history.rs
+++ b/crates/fake/src/worker/history.rs
@@ -101,6 +101,18 @@
     },
 }
 
+impl Violation {
+    /// The job that broke the promise.
+    pub fn job(&self) -> JobId {
+        match self {
+            Violation::Partial { job, .. }
+            | Violation::Overlap { job, .. }
+            | Violation::Twice { job, .. }
+            | Violation::Restarted { job, .. } => *job,
+        }
+    }
+}
+
 /// Checks one gang; `bound` is how long a part of it, or two attempts, may run at once.
 pub(crate) fn check(gang: &Gang, runs: &[Run], now: Time, bound: Duration) -> Vec<Violation> {
     let mut attempts: BTreeMap<u64, Vec<&Run>> = BTreeMap::new();
