--- a/crates/gang/src/job.rs
+++ b/crates/gang/src/job.rs
@@ -13,6 +13,7 @@
 use crate::page::Stage;
 use crate::place::need::Slot;
 use crate::preempt::Plan;
+use crate::preempt::Rank;
 use crate::queue::Class;
 use crate::state::JOB;
 use model::Stamp;
@@ -127,6 +128,8 @@
     pub(crate) path: Vec<Step>,
     /// Since when it waits to run.
     pub(crate) since: Time,
+    /// How long it waited before its present attempt.
+    pub(crate) waited: Duration,
     /// Earliest time of the next placement.
     pub(crate) after: Time,
     /// When it needs attention.
@@ -171,6 +174,7 @@
             reason: record.reason.clone(),
             path: Vec::new(),
             since: now,
+            waited: Duration::ZERO,
             after: Time::ZERO,
             deadline: Time::NEVER,
             durable: false,
@@ -212,6 +216,15 @@
         }
     }
 
+    /// How it stands against preemption.
+    pub(crate) fn rank(&self) -> Rank {
+        let spec = &self.record.spec;
+        match self.guaranteed {
+            true => Rank::Guaranteed,
+            false => Rank::borrowed(spec.priority, spec.rerunnable()),
+        }
+    }
+
     /// What is stored about it once its gang is gone.
     pub(crate) fn outcome(&self) -> Stage {
         match self.aim {
--- a/crates/gang/src/lib.rs
+++ b/crates/gang/src/lib.rs
@@ -63,6 +63,7 @@
 pub use quota::Ledger;
 pub use quota::Parts;
 pub use quota::QuotaError;
+pub use settings::Discipline;
 pub use settings::Settings;
 pub use shard::Shard;
 pub use snapshot::Explanation;
--- a/crates/gang/src/place/fleet.rs
+++ b/crates/gang/src/place/fleet.rs
@@ -31,8 +31,12 @@
     pub(crate) rank: Rank,
     /// Since when its work would be lost.
     pub(crate) since: Time,
+    /// Whether it writes a checkpoint before it leaves.
+    pub(crate) saves: bool,
     /// Accelerators of the whole gang.
     pub(crate) size: u32,
+    /// When it was placed.
+    pub(crate) begun: Time,
     /// When it is expected to end.
     pub(crate) ends: Time,
 }
@@ -50,6 +54,8 @@
     pub(crate) held: u64,
     /// Accelerators kept for a job that waits for them to be vacated.
     pub(crate) claimed: u64,
+    /// Accelerators reserved for a blocked gang.
+    pub(crate) kept: u64,
     /// Accelerators of a bound guarantee.
     pub(crate) bound: u64,
     /// Accelerators held by jobs that cannot be preempted.
@@ -75,6 +81,7 @@
             health: Health::default(),
             held: 0,
             claimed: 0,
+            kept: 0,
             bound: 0,
             pinned: 0,
             holders: Vec::new(),
@@ -198,7 +205,8 @@
         if worker.usable() {
             self.cores.insert(Cores { millicores: worker.millicores, position });
         }
-        let free = if worker.usable() { worker.all() & !worker.held & !worker.claimed } else { 0 };
+        let taken = worker.held | worker.claimed | worker.kept;
+        let free = if worker.usable() { worker.all() & !taken } else { 0 };
         let room = if worker.sound() { worker.all() & !worker.bound & !worker.pinned } else { 0 };
         self.free.set(position, free);
         self.room.set(position, room);
@@ -230,6 +238,11 @@
         });
     }
 
+    /// Whether no job holds a slot's accelerators.
+    pub(crate) fn is_vacant(&self, slot: &Slot) -> bool {
+        self.at(slot.position).is_some_and(|worker| worker.held & slot.mask == 0)
+    }
+
     /// Takes accelerators back from a job.
     pub(crate) fn drop_hold(&mut self, position: u32, job: JobId) {
         self.update(position, |worker| {
--- a/crates/gang/src/place/mod.rs
+++ b/crates/gang/src/place/mod.rs
@@ -10,3 +10,4 @@
 pub(crate) mod search;
 pub(crate) mod take;
 pub(crate) mod tree;
+pub(crate) mod wait;
--- a/crates/gang/src/preempt.rs
+++ b/crates/gang/src/preempt.rs
@@ -1,6 +1,15 @@
 //! Who makes room for whom.
+//!
+//! A job makes room for one of higher rank. Among jobs of normal rank, one that can be resumed from
+//! a checkpoint makes room once it has run longer than the asker is expected to run: under
+//! long-tailed run times it will likely run as long again, as in Tiresias (NSDI 2019). The longer
+//! the asker waits, the shorter that time becomes.
 
 use crate::place::fleet::Holder;
+use crate::place::need::Slot;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
 use model::JobId;
 use model::Priority;
 use model::Time;
@@ -39,21 +48,36 @@
     pub(crate) rank: Rank,
     /// The time, for the work lost.
     pub(crate) now: Time,
+    /// Jobs of the same rank that have run at least this long and can be resumed make room too.
+    pub(crate) turn: Duration,
 }
 
 impl Asker {
     /// Whether a job makes room.
     pub(crate) fn may_take(&self, holder: &Holder) -> bool {
-        holder.rank < self.rank && holder.rank < Rank::Guaranteed
+        let lower = holder.rank < self.rank && holder.rank < Rank::Guaranteed;
+        let turn = self.now.since(holder.begun) >= self.turn;
+        lower || (holder.rank == self.rank && self.rank == Rank::Normal && holder.saves && turn)
     }
 
     /// Work that is lost with a job, in accelerator-milliseconds, and a little for the trouble.
     pub(crate) fn loss(&self, holder: &Holder) -> u64 {
-        let millis = self.now.since(holder.since).as_millis() as u64;
+        let millis = match holder.saves {
+            true => 0,
+            false => self.now.since(holder.since).as_millis() as u64,
+        };
         (millis + RESTART_MILLIS) * u64::from(holder.size.max(1))
     }
 }
 
+/// Shortest run after which a job makes room for one of the same rank.
+const TURN: Duration = Duration::from_secs(600);
+
+/// How long a job must have run to make room for one of the same rank.
+pub(crate) fn turn(expected: Duration, waited: Duration) -> Duration {
+    expected.saturating_sub(waited / 4).max(TURN)
+}
+
 /// Time that a stopped gang needs to run again, in milliseconds.
 const RESTART_MILLIS: u64 = 2_000;
 
@@ -61,9 +85,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Plan {
     /// What it takes.
-    pub(crate) slots: Vec<crate::place::need::Slot>,
+    pub(crate) slots: Vec<Slot>,
     /// Who is stopped.
-    pub(crate) victims: std::collections::BTreeSet<JobId>,
+    pub(crate) victims: BTreeSet<JobId>,
     /// Work lost, in accelerator-milliseconds.
     pub(crate) loss: u64,
 }
--- a/crates/gang/src/recover.rs
+++ b/crates/gang/src/recover.rs
@@ -22,7 +22,6 @@
 use crate::page::Record;
 use crate::page::Stage;
 use crate::place::need::Slot;
-use crate::preempt::Rank;
 use crate::shard::PURGE;
 use crate::shard::Timer;
 use model::JobId;
@@ -124,13 +123,13 @@
     }
 
     /// Books a stored placement and asks its workers about it.
+    ///
+    /// The pages may have been read at different times, so a job that had left by the time the
+    /// other was placed may still seem to be there; the second is booked when its worker shows it.
     fn recover(&mut self, now: Time, id: JobId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let record = &job.record;
-        let rank = match record.spec.rerunnable() {
-            true => Rank::borrowed(record.spec.priority, true),
-            false => Rank::Pinned,
-        };
+        let rank = job.rank();
         let attempt = record.attempt;
         let mut holds = Vec::new();
         let mut slots = Vec::new();
@@ -142,10 +141,9 @@
                 first: part.first,
                 tasks: part.tasks,
             };
-            let taken = position.and_then(|p| self.fleet.at(p)).map_or(0, |worker| worker.held);
             let mut hold = Hold::new(part.worker.clone(), slot, now, self.settings.lease);
             hold.gone = position.is_none();
-            if position.is_some() && taken & slot.mask == 0 {
+            if self.fleet.is_vacant(&slot) {
                 slots.push(slot);
             }
             holds.push(hold);
@@ -202,7 +200,7 @@
         for id in self.planned.clone() {
             self.drop_plan(id);
         }
-        self.reservation = None;
+        self.reservations.clear();
         let lost = self.guarantees.settle(&mut self.fleet, sites);
         let ids: Vec<JobId> = self.jobs.keys().copied().collect();
         for id in ids {
@@ -210,17 +208,15 @@
             if lost.contains(&id) {
                 job.guaranteed = false;
             }
-            let rank = match (job.guaranteed, job.record.spec.rerunnable()) {
-                (true, _) => Rank::Guaranteed,
-                (false, true) => Rank::borrowed(job.record.spec.priority, true),
-                (false, false) => Rank::Pinned,
-            };
+            let rank = job.rank();
             let Some(gang) = job.gang.as_mut() else { continue };
             let mut slots = Vec::new();
             for hold in gang.holds.iter_mut().filter(|hold| !hold.gone) {
                 if let Some(position) = self.fleet.position(&hold.worker) {
                     hold.slot.position = position;
-                    slots.push(hold.slot);
+                    if self.fleet.is_vacant(&hold.slot) {
+                        slots.push(hold.slot);
+                    }
                 }
             }
             let account = job.record.spec.account.clone();
--- a/crates/gang/src/report.rs
+++ b/crates/gang/src/report.rs
@@ -107,10 +107,26 @@
                 });
             }
         }
+        self.book_late(now, worker, id);
         self.note_saved(id);
         self.judge(now, worker, lease, out);
     }
 
+    /// Books a part that could not be booked when its job was read.
+    fn book_late(&mut self, now: Time, worker: &WorkerId, id: JobId) {
+        let Some(position) = self.fleet.position(worker) else { return };
+        let booked = self.fleet.at(position).is_some_and(|w| w.holders.iter().any(|h| h.job == id));
+        let Some(job) = self.jobs.get_mut(&id).filter(|_| !booked) else { return };
+        let rank = job.rank();
+        let Some(part) = job.gang.as_mut().and_then(|gang| gang.part(worker)) else { return };
+        let slot = part.slot;
+        if self.fleet.is_vacant(&slot) {
+            self.excused = true;
+            self.drop_plans_on(position);
+            self.book(now, id, &slot, rank);
+        }
+    }
+
     /// Acts on how the tasks of a lease stand.
     fn judge(&mut self, now: Time, worker: &WorkerId, lease: &LeaseReport, out: &mut Vec<Action>) {
         let id = lease.job;
--- a/crates/gang/src/room.rs
+++ b/crates/gang/src/room.rs
@@ -6,7 +6,6 @@
 use crate::Shard;
 use crate::job::Aim;
 use crate::preempt::Plan;
-use crate::preempt::Rank;
 use model::JobId;
 use model::Time;
 
@@ -94,11 +93,7 @@
                 continue;
             }
             let Some(job) = self.jobs.get_mut(&id) else { continue };
-            let spec = &job.record.spec;
-            let rank = match job.guaranteed {
-                true => Rank::Guaranteed,
-                false => Rank::borrowed(spec.priority, spec.rerunnable()),
-            };
+            let rank = job.rank();
             let guaranteed = job.guaranteed;
             self.unclaim(id);
             if let Some(job) = self.jobs.get_mut(&id) {
--- a/crates/gang/src/schedule.rs
+++ b/crates/gang/src/schedule.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use crate::Action;
+use crate::Discipline;
 use crate::JobEvent;
+use crate::JobSpec;
 use crate::Shard;
 use crate::accept::obstacle;
+use crate::learn::Expected;
 use crate::page::Stage;
 use crate::place::need::Extent;
 use crate::place::need::Slot;
@@ -18,6 +21,7 @@
 use crate::preempt::Asker;
 use crate::preempt::Plan;
 use crate::preempt::Rank;
+use crate::preempt::turn;
 use crate::queue::Waiting;
 use crate::shard::Timer;
 use model::JobId;
@@ -29,6 +33,12 @@
 /// Shortest expected run time in a response ratio.
 const SHORTEST: Duration = Duration::from_secs(5);
 
+/// Gangs that have a block reserved at a time.
+const RESERVATIONS: usize = 4;
+
+/// Share of its own work that a job of normal rank may cost others: one in this many.
+const WORTH: u64 = 8;
+
 /// What a try to place a job came to.
 enum Tried {
     /// It acquires leases.
@@ -60,7 +70,7 @@
         self.passed = now;
         let heads: Vec<Waiting> = self.queue.heads().collect();
         let mut open: Vec<Candidate> = heads.iter().map(|w| self.candidate(now, *w)).collect();
-        self.reservation = None;
+        self.lift_reservations();
         for _ in 0..self.settings.batch {
             let best = (0..open.len()).max_by(|a, b| open[*a].order(&open[*b]));
             let Some(best) = best else {
@@ -76,6 +86,9 @@
             if let (Tried::Blocked(reason), Some(job)) = (tried, self.jobs.get_mut(&id)) {
                 job.reason = reason;
             }
+            if !go_on && self.settings.discipline == Discipline::Fifo {
+                return;
+            }
             if let Some(next) = next.filter(|_| go_on) {
                 open.push(self.candidate(now, next));
             }
@@ -84,11 +97,23 @@
         self.alarm(now + PASS, Timer::Pass);
     }
 
+    /// How long a job is expected to run.
+    pub(crate) fn expected(&self, spec: &JobSpec) -> Expected {
+        match self.settings.discipline {
+            Discipline::Basilrack => self.learned.expect(spec, &self.policy),
+            _ => Expected { median: spec.declared, high: spec.declared },
+        }
+    }
+
     fn candidate(&self, now: Time, waiting: Waiting) -> Candidate {
         let Some(job) = self.jobs.get(&waiting.job) else {
             return Candidate { waiting, urgent: false, score: 0.0 };
         };
         let spec = &job.record.spec;
+        if self.settings.discipline != Discipline::Basilrack {
+            let score = now.since(waiting.since).as_secs_f64();
+            return Candidate { waiting, urgent: false, score };
+        }
         let expected = self.learned.expect(spec, &self.policy).median.max(SHORTEST);
         let ratio = 1.0 + now.since(waiting.since).as_secs_f64() / expected.as_secs_f64();
         let urgent = spec.priority == Priority::Urgent;
@@ -142,10 +167,13 @@
         &mut self,
         now: Time,
         id: JobId,
-        spec: &crate::JobSpec,
+        spec: &JobSpec,
         query: &Query,
         out: &mut Vec<Action>,
     ) -> Tried {
+        if self.settings.discipline != Discipline::Basilrack {
+            return self.place_plainly(now, id, spec, query, out);
+        }
         let entitled = spec.priority != Priority::Spare;
         let cell = if entitled { self.cell_plan(now, &spec.account, query) } else { None };
         if let Some(cell) = cell.as_ref().filter(|cell| cell.plan.victims.is_empty()) {
@@ -166,19 +194,86 @@
             self.make_room(now, id, cell.plan, out);
             return Tried::Planned;
         }
-        let asker = Asker { rank: Rank::borrowed(spec.priority, true), now };
+        let waited = self.jobs.get(&id).map_or(Duration::ZERO, |job| now.since(job.since));
+        let turn = turn(self.expected(spec).median, waited);
+        let asker = Asker { rank: Rank::borrowed(spec.priority, true), now, turn };
         let taker = Taker { fleet: &self.fleet, query, region: Region::Open, asker };
         let plan = if asker.rank > Rank::Spare { taker.find() } else { None };
         match plan {
-            Some(plan) if self.keeps_guarantees(&plan.slots, rank) => {
+            Some(plan)
+                if self.is_worth(spec, &plan) && self.keeps_guarantees(&plan.slots, rank) =>
+            {
                 self.make_room(now, id, plan, out);
                 Tried::Planned
             }
-            _ => Tried::Blocked(self.waits_for(spec)),
+            _ => self.backfill_or_wait(now, id, spec, query, out),
         }
     }
 
-    fn waits_for(&self, spec: &crate::JobSpec) -> String {
+    /// Uses reserved room that will not be needed before the job ends, or waits.
+    fn backfill_or_wait(
+        &mut self,
+        now: Time,
+        id: JobId,
+        spec: &JobSpec,
+        query: &Query,
+        out: &mut Vec<Action>,
+    ) -> Tried {
+        let rank = Rank::borrowed(spec.priority, spec.rerunnable());
+        let ends = now + self.expected(spec).high;
+        if let Some(slots) = self.backfill(ends, query)
+            && self.keeps_guarantees(&slots, rank)
+        {
+            self.place(now, id, slots, rank, out);
+            return Tried::Placed;
+        }
+        let mut reason = self.waits_for(spec);
+        if self.deserves_reservation(now, id, query)
+            && let Some(at) = self.reserve(now, query)
+        {
+            let seconds = at.since(now).as_secs();
+            reason = format!("{reason}; a block is reserved, expected free in {seconds} s");
+        }
+        Tried::Blocked(reason)
+    }
+
+    fn deserves_reservation(&self, now: Time, id: JobId, query: &Query) -> bool {
+        let waited = self.jobs.get(&id).map_or(Duration::ZERO, |job| now.since(job.since));
+        match self.settings.discipline {
+            Discipline::Fifo => false,
+            Discipline::Backfill => self.reservations.is_empty(),
+            Discipline::Basilrack => {
+                let wide = !matches!(query.extent, Extent::Worker { .. });
+                wide && waited >= self.settings.patience && self.reservations.len() < RESERVATIONS
+            }
+        }
+    }
+
+    /// Places a job on free accelerators without regard to guarantees, for comparison.
+    fn place_plainly(
+        &mut self,
+        now: Time,
+        id: JobId,
+        spec: &JobSpec,
+        query: &Query,
+        out: &mut Vec<Action>,
+    ) -> Tried {
+        match find(&self.fleet, query) {
+            Some(slots) => {
+                self.place(now, id, slots, Rank::Normal, out);
+                Tried::Placed
+            }
+            None => self.backfill_or_wait(now, id, spec, query, out),
+        }
+    }
+
+    /// Whether the work lost is small against the work that a job is expected to do.
+    fn is_worth(&self, spec: &JobSpec, plan: &Plan) -> bool {
+        let work = self.expected(spec).median.as_millis() as u64 * u64::from(spec.shape.total());
+        spec.priority == Priority::Urgent || plan.loss <= work / WORTH
+    }
+
+    fn waits_for(&self, spec: &JobSpec) -> String {
         let free = self.fleet.free.available();
         let total = spec.shape.total();
         match free >= total {
@@ -234,7 +329,7 @@
     fn cell_plan(&self, now: Time, account: &model::AccountId, query: &Query) -> Option<CellPlan> {
         let share = self.guarantees.shares.get(account)?;
         let level = query.extent.level(self.fleet.layout.width)?;
-        let asker = Asker { rank: Rank::Guaranteed, now };
+        let asker = Asker { rank: Rank::Guaranteed, now, turn: Duration::MAX };
         let within = |block: Block, new: bool| {
             let region = Region::Cell(block);
             let plan = Taker { fleet: &self.fleet, query, region, asker }.find()?;
--- a/crates/gang/src/settings.rs
+++ b/crates/gang/src/settings.rs
@@ -2,6 +2,27 @@
 
 use std::time::Duration;
 
+use strum::AsRefStr;
+use strum::Display;
+use strum::EnumString;
+use strum::VariantArray;
+
+/// How waiting jobs are ordered and placed.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, AsRefStr, Display, EnumString, VariantArray,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Discipline {
+    /// Strictly by age; a blocked job blocks all after it. For comparison.
+    Fifo,
+    /// By age; later jobs may pass a blocked one if by their declared run times they do not delay
+    /// it. For comparison.
+    Backfill,
+    /// By urgency, share and response ratio, with guarantees, preemption and reservations.
+    #[default]
+    Basilrack,
+}
+
 /// Times and bounds of a shard.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -41,6 +62,8 @@
     pub patience: Duration,
     /// Time after which a job that no set of workers can hold is ended.
     pub rule: Duration,
+    /// How waiting jobs are ordered and placed.
+    pub discipline: Discipline,
     /// Most placements tried at one event.
     pub batch: usize,
 }
@@ -66,6 +89,7 @@
             probe_max: Duration::from_secs(3_600),
             patience: Duration::from_secs(30),
             rule: Duration::from_secs(300),
+            discipline: Discipline::Basilrack,
             batch: 256,
         }
     }
--- a/crates/gang/src/shard.rs
+++ b/crates/gang/src/shard.rs
@@ -75,7 +75,7 @@
     pub(crate) queue: Queue,
     pub(crate) usage: BTreeMap<AccountId, u32>,
     pub(crate) learned: Learned,
-    pub(crate) reservation: Option<Reservation>,
+    pub(crate) reservations: Vec<Reservation>,
     /// Jobs with a plan that waits for others to make room.
     pub(crate) planned: BTreeSet<JobId>,
     /// Pages that wait for the first list of workers.
@@ -120,7 +120,7 @@
             queue: Queue::default(),
             usage: BTreeMap::new(),
             learned: Learned::default(),
-            reservation: None,
+            reservations: Vec::new(),
             planned: BTreeSet::new(),
             unread: None,
             loaded: false,
--- a/crates/gang/src/stop.rs
+++ b/crates/gang/src/stop.rs
@@ -117,6 +117,7 @@
         job.record.started = job.ran;
         job.record.parts.clear();
         job.after = now + pause;
+        job.since = now - job.waited;
         self.alarm(now + pause, Timer::Pass);
         self.enqueue(id);
     }
--- a/crates/trial/src/verdicts.rs
+++ b/crates/trial/src/verdicts.rs
@@ -35,6 +35,10 @@
     pub ran: Option<Time>,
     /// Workers on which tasks ended, by attempt.
     pub ends: BTreeMap<Attempt, BTreeSet<WorkerId>>,
+    /// When all its tasks had ended well.
+    pub done: Option<Time>,
+    saved: Duration,
+    resumed: Attempt,
     partial: Option<Time>,
 }
 
@@ -51,13 +55,16 @@
             starts: BTreeMap::new(),
             ran: None,
             ends: BTreeMap::new(),
+            done: None,
+            saved: Duration::ZERO,
+            resumed: Attempt::default(),
             partial: None,
         }
     }
 
     /// How long it has still to run.
     pub fn left(&self) -> Duration {
-        self.run
+        self.run.saturating_sub(self.saved)
     }
 
     /// Takes the reply to its submission.
@@ -99,6 +106,23 @@
     pub(crate) fn ended(&mut self, job: JobId, attempt: Attempt, worker: &WorkerId) {
         if let Some(fate) = self.fates.get_mut(&job) {
             fate.ends.entry(attempt).or_default().insert(worker.clone());
+            if !fate.doomed && fate.ends[&attempt] == fate.parts[&attempt] {
+                fate.done.get_or_insert(self.now);
+            }
+        }
+    }
+
+    /// A lease was given up: counts what is lost, and what a checkpoint has kept.
+    pub(crate) fn stopped(&mut self, job: JobId, lease: &crate::worker::Lease) {
+        if lease.tasks.is_none() || lease.ended.is_some() {
+            return;
+        }
+        let saved = lease.saved.filter(|at| *at <= self.now).unwrap_or(lease.begun);
+        let lost = self.now.since(saved).as_secs_f64();
+        self.lost_work += lost * f64::from(lease.mask.count_ones());
+        if let Some(fate) = self.fates.get_mut(&job).filter(|f| f.resumed < lease.attempt) {
+            fate.resumed = lease.attempt;
+            fate.saved += saved.since(lease.begun);
         }
     }
 
