--- /dev/null
+++ b/crates/route/benches/policy.rs
@@ -0,0 +1,387 @@
+//! Replays seeded arrivals at today's sizes through three policies; `--json` prints a JSON object a
+//! line. `fifo` is one queue for all slots and `least_loaded` a queue at each backend server, both
+//! with perfect knowledge. `basilrack` is eight real routers 1.4 ms apart, with random balancing.
+//! The run time of a request is the time that it occupies a slot, the way there and back included.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use model::AccountId;
+use model::Class;
+use model::Incarnation;
+use model::ServiceId;
+use model::Time;
+use route::AccountPolicy;
+use route::Action;
+use route::AttemptResult;
+use route::Backend;
+use route::Call;
+use route::Event;
+use route::Peer;
+use route::Policy;
+use route::PoolId;
+use route::Router;
+use route::ServicePolicy;
+use route::Settings;
+use route::Ticket;
+
+const BACKENDS: usize = 48;
+const SLOTS: usize = 8;
+const VMS: usize = 8;
+const PEER_DELAY: Duration = Duration::from_micros(1_400);
+const SHORT_MILLIS: f64 = 50.0;
+const SHORT_DEADLINE: Duration = Duration::from_secs(1);
+const BATCH_DEADLINE: Duration = Duration::from_secs(30);
+const WEIGHTS: [u32; 4] = [4, 2, 1, 1];
+const CREST_START: f64 = 5.0;
+const CREST_SECONDS: f64 = 30.0;
+
+/// One request of a replay.
+struct Job {
+    at: Time,
+    class: Class,
+    account: usize,
+    run: Duration,
+}
+
+/// A policy, from arrivals to outcomes.
+type Replay = fn(&[Job]) -> Vec<Outcome>;
+
+/// What became of a request.
+#[derive(Clone, Copy, Default)]
+struct Outcome {
+    started: Option<Time>,
+    ended: Option<Time>,
+}
+
+fn deadline(class: Class) -> Duration {
+    match class {
+        Class::Interactive => SHORT_DEADLINE,
+        Class::Batch => BATCH_DEADLINE,
+    }
+}
+
+/// Adds arrivals of `rate` requests a second between two times.
+fn arrive(
+    jobs: &mut Vec<Job>,
+    rng: &mut StdRng,
+    rate: f64,
+    span: (f64, f64),
+    account: usize,
+    class: Class,
+) {
+    let mut at = span.0;
+    loop {
+        at -= rng.random_range(f64::MIN_POSITIVE..1.0).ln() / rate;
+        if at >= span.1 {
+            return;
+        }
+        let even = rng.random_range(0.5..1.5);
+        let millis = match class {
+            Class::Interactive => SHORT_MILLIS * even,
+            Class::Batch if rng.random_ratio(3, 100) => 10_000.0 * even,
+            Class::Batch => 300.0 * even,
+        };
+        let run = Duration::from_micros((millis * 1_000.0) as u64);
+        jobs.push(Job { at: Time::from_micros((at * 1e6) as u64), class, account, run });
+    }
+}
+
+fn short_rate(load: f64) -> f64 {
+    load * (BACKENDS * SLOTS) as f64 * 1_000.0 / SHORT_MILLIS
+}
+
+fn batch_rate(load: f64) -> f64 {
+    load * (BACKENDS * SLOTS) as f64 / (0.97 * 0.3 + 0.03 * 10.0)
+}
+
+/// 80% load: steady short work, batch work with stragglers in bursts of two seconds every eight.
+fn stragglers() -> Vec<Job> {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut jobs = Vec::new();
+    for account in 0..4 {
+        let rate = short_rate(0.3) / 4.0;
+        arrive(&mut jobs, &mut rng, rate, (0.0, 64.0), account, Class::Interactive);
+        for burst in 0..8 {
+            let start = f64::from(burst) * 8.0;
+            let rate = batch_rate(0.5 * 4.0) / 4.0;
+            arrive(&mut jobs, &mut rng, rate, (start, start + 2.0), account, Class::Batch);
+        }
+    }
+    jobs.sort_by_key(|job| job.at);
+    jobs
+}
+
+/// Short work at half load jumps to three times the capacity for thirty seconds.
+fn crest() -> Vec<Job> {
+    let mut rng = StdRng::seed_from_u64(2);
+    let mut jobs = Vec::new();
+    let end = CREST_START + CREST_SECONDS;
+    for account in 0..4 {
+        for (load, span) in
+            [(0.5, (0.0, CREST_START)), (3.0, (CREST_START, end)), (0.5, (end, end + 10.0))]
+        {
+            arrive(&mut jobs, &mut rng, short_rate(load) / 4.0, span, account, Class::Interactive);
+        }
+    }
+    jobs.sort_by_key(|job| job.at);
+    jobs
+}
+
+/// Every client account wants 60% of all slots.
+fn saturation() -> Vec<Job> {
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut jobs = Vec::new();
+    for account in 0..4 {
+        arrive(&mut jobs, &mut rng, short_rate(0.6), (0.0, 20.0), account, Class::Interactive);
+    }
+    jobs.sort_by_key(|job| job.at);
+    jobs
+}
+
+/// Queues in front of equal groups of slots; a new request joins the least loaded.
+fn queues(jobs: &[Job], groups: usize) -> Vec<Outcome> {
+    let slots = BACKENDS * SLOTS / groups;
+    let mut outcomes = vec![Outcome::default(); jobs.len()];
+    let mut waiting: Vec<VecDeque<usize>> = vec![VecDeque::new(); groups];
+    let mut busy = vec![0; groups];
+    let mut ends: BTreeMap<(Time, usize), usize> = BTreeMap::new();
+    let mut next = 0;
+    while next < jobs.len() || !ends.is_empty() {
+        let arrival = jobs.get(next).map_or(Time::NEVER, |job| job.at);
+        let end = ends.first_key_value().map_or(Time::NEVER, |((time, _), _)| *time);
+        let (now, group) = if arrival < end {
+            let load = |group: &usize| waiting[*group].len() + busy[*group];
+            let group = (0..groups).min_by_key(load).unwrap_or(0);
+            waiting[group].push_back(next);
+            next += 1;
+            (arrival, group)
+        } else if let Some(((time, _), group)) = ends.pop_first() {
+            busy[group] -= 1;
+            (time, group)
+        } else {
+            break;
+        };
+        if busy[group] < slots
+            && let Some(job) = waiting[group].pop_front()
+        {
+            busy[group] += 1;
+            let end = now + jobs[job].run;
+            outcomes[job] = Outcome { started: Some(now), ended: Some(end) };
+            ends.insert((end, job), group);
+        }
+    }
+    outcomes
+}
+
+/// The routers of all entry VMs, their peer messages and their attempts.
+struct Routers<'a> {
+    jobs: &'a [Job],
+    outcomes: Vec<Outcome>,
+    routers: Vec<Router>,
+    agenda: BTreeMap<(Time, u64), (usize, Event)>,
+    wakes: Vec<Option<Time>>,
+    count: u64,
+    by_id: BTreeMap<model::RequestId, usize>,
+}
+
+impl Routers<'_> {
+    fn new(jobs: &[Job]) -> Routers<'_> {
+        let place = ("z1", "r1");
+        let router = |vm: usize| {
+            let me = Incarnation(vm as u64 + 1);
+            Router::new(Settings::default(), me, place.0.into(), place.1.into(), vm as u64)
+        };
+        let mut all = Routers {
+            jobs,
+            outcomes: vec![Outcome::default(); jobs.len()],
+            routers: (0..VMS).map(router).collect(),
+            agenda: BTreeMap::new(),
+            wakes: vec![None; VMS],
+            count: 0,
+            by_id: BTreeMap::new(),
+        };
+        for vm in 0..VMS {
+            all.handle(vm, Time::ZERO, Event::Policy { policy: policy() });
+            for other in (0..VMS).filter(|other| *other != vm) {
+                let incarnation = Incarnation(other as u64 + 1);
+                let (zone, region) = (place.0.into(), place.1.into());
+                let peer = Peer { incarnation, vm: "vm".into(), zone, region };
+                all.handle(vm, Time::ZERO, Event::PeerUp { peer });
+            }
+            let list = (0..BACKENDS).map(|index| Backend {
+                id: format!("b{index}").as_str().into(),
+                pool: PoolId::new("hub"),
+                zone: place.0.into(),
+                region: place.1.into(),
+                slots: SLOTS as u32,
+                connections: 64,
+                leaving: false,
+            });
+            all.handle(vm, Time::ZERO, Event::Backends { list: list.collect() });
+        }
+        all
+    }
+
+    fn handle(&mut self, vm: usize, now: Time, event: Event) {
+        let mut out = Vec::new();
+        self.routers[vm].handle(now, event, &mut out);
+        self.wakes[vm] = self.routers[vm].next_wake();
+        for action in out {
+            self.count += 1;
+            match action {
+                Action::Send { to, message } => {
+                    let event = Event::Peer { from: Incarnation(vm as u64 + 1), message };
+                    let to = to.0 as usize - 1;
+                    self.agenda.insert((now + PEER_DELAY, self.count), (to, event));
+                }
+                Action::Dispatch { id, attempt, .. } => {
+                    let job = self.by_id[&id];
+                    let end = now + self.jobs[job].run;
+                    self.outcomes[job] = Outcome { started: Some(now), ended: Some(end) };
+                    let result = AttemptResult::Answered { status: 200, body: Bytes::new() };
+                    let event = Event::Attempt { id, attempt, result };
+                    self.agenda.insert((end, self.count), (vm, event));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn run(mut self) -> Vec<Outcome> {
+        let mut rng = StdRng::seed_from_u64(9);
+        let last = self.jobs.last().map_or(Time::ZERO, |job| job.at) + Duration::from_secs(60);
+        let mut next = 0;
+        // Credits settle before the first arrival.
+        let warm = Duration::from_secs(2);
+        loop {
+            let arrival = self.jobs.get(next).map_or(Time::NEVER, |job| job.at + warm);
+            let planned = self.agenda.first_key_value().map_or(Time::NEVER, |((time, _), _)| *time);
+            let wake = (0..VMS).filter_map(|vm| Some((self.wakes[vm]?, vm))).min();
+            let wake = wake.unwrap_or((Time::NEVER, 0));
+            let now = arrival.min(planned).min(wake.0);
+            if now > last {
+                break;
+            }
+            if now == planned {
+                if let Some((_, (vm, event))) = self.agenda.pop_first() {
+                    self.handle(vm, now, event);
+                }
+            } else if now == wake.0 {
+                self.handle(wake.1, now, Event::Tick);
+            } else {
+                let vm = rng.random_range(0..VMS);
+                let id = self.routers[vm].issue_id();
+                self.by_id.insert(id, next);
+                let job = &self.jobs[next];
+                let service = ServiceId::new(job.class.as_ref());
+                let account = AccountId::new(&format!("a{}", job.account));
+                let call = Call {
+                    id,
+                    service,
+                    account,
+                    deadline: deadline(job.class),
+                    body: Bytes::new(),
+                };
+                self.handle(vm, now, Event::Call { ticket: Ticket(next as u64), call });
+                next += 1;
+            }
+        }
+        let back = |time: Option<Time>| time.map(|time| time - warm);
+        let shift = |o: &Outcome| Outcome { started: back(o.started), ended: back(o.ended) };
+        self.outcomes.iter().map(shift).collect()
+    }
+}
+
+fn policy() -> Arc<Policy> {
+    let service = |class: Class| {
+        let mut policy = ServicePolicy::new(PoolId::new("hub"), class);
+        policy.timeout = Duration::from_secs(60);
+        (ServiceId::new(class.as_ref()), policy)
+    };
+    let account = |(index, weight): (usize, &u32)| {
+        let policy = AccountPolicy { weight: *weight, ..AccountPolicy::default() };
+        (AccountId::new(&format!("a{index}")), policy)
+    };
+    let accounts = WEIGHTS.iter().enumerate().map(account).collect();
+    let services = BTreeMap::from([service(Class::Interactive), service(Class::Batch)]);
+    Arc::new(Policy { services, accounts, ..Policy::default() })
+}
+
+fn in_time(job: &Job, outcome: &Outcome) -> bool {
+    outcome.ended.is_some_and(|end| end <= job.at + deadline(job.class))
+}
+
+fn main() {
+    let json = std::env::args().any(|argument| argument == "--json");
+    let print = |measure: &str, policy: &str, value: f64, unit: &str| {
+        let line =
+            serde_json::json!({"measure": measure, "policy": policy, "value": value, "unit": unit});
+        if json {
+            println!("{line}")
+        } else {
+            println!("{measure:18} {policy:14} {value:10.3} {unit}")
+        }
+    };
+    let replays: [(&str, Replay); 3] = [
+        ("fifo", |jobs| queues(jobs, 1)),
+        ("least_loaded", |jobs| queues(jobs, BACKENDS)),
+        ("basilrack", |jobs| Routers::new(jobs).run()),
+    ];
+    for (name, replay) in replays {
+        let jobs = stragglers();
+        let outcomes = replay(&jobs);
+        let both = || jobs.iter().zip(&outcomes);
+        let short = both().filter(|(job, _)| job.class == Class::Interactive);
+        // A request that never started counts with its whole deadline.
+        let wait =
+            |(job, o): (&Job, &Outcome)| o.started.map_or(SHORT_DEADLINE, |s| s.since(job.at));
+        let mut waits: Vec<Duration> = short.map(wait).collect();
+        waits.sort_unstable();
+        print("short_wait_p99", name, waits[waits.len() * 99 / 100].as_secs_f64() * 1e3, "ms");
+        let batch: Vec<_> = both().filter(|(job, _)| job.class == Class::Batch).collect();
+        let late = batch.iter().filter(|(job, outcome)| !in_time(job, outcome)).count();
+        print("patient_late", name, late as f64 / batch.len() as f64 * 100.0, "%");
+
+        let jobs = crest();
+        let outcomes = replay(&jobs);
+        let both = || jobs.iter().zip(&outcomes);
+        let seconds = |time: Time| time.micros() as f64 / 1e6;
+        let end = CREST_START + CREST_SECONDS;
+        let inside =
+            |o: &Outcome| o.ended.is_some_and(|e| seconds(e) >= CREST_START && seconds(e) < end);
+        let good = both().filter(|(job, o)| inside(o) && in_time(job, o)).count();
+        print("crest_goodput", name, good as f64 / (short_rate(1.0) * CREST_SECONDS), "of best");
+        let bad = both()
+            .filter(|(job, o)| seconds(job.at) >= end && wait((job, o)) > SHORT_DEADLINE / 10);
+        let last = bad.map(|(job, _)| seconds(job.at) - end).fold(0.0, f64::max);
+        print("crest_recovery", name, last, "s");
+
+        let jobs = saturation();
+        let outcomes = replay(&jobs);
+        let mut spent = [0.0; 4];
+        for (job, o) in jobs.iter().zip(&outcomes) {
+            if o.ended.is_some_and(|e| (2.0..20.0).contains(&seconds(e))) {
+                spent[job.account] += job.run.as_secs_f64();
+            }
+        }
+        let total: f64 = spent.iter().sum();
+        let weights: u32 = WEIGHTS.iter().sum();
+        let share = |(spent, weight): (&f64, &u32)| {
+            (spent / total / (f64::from(*weight) / f64::from(weights)) - 1.0).abs() * 100.0
+        };
+        print(
+            "fair_share_error",
+            name,
+            spent.iter().zip(&WEIGHTS).map(share).fold(0.0, f64::max),
+            "%",
+        );
+    }
+}
--- /dev/null
+++ b/crates/route/benches/speed.rs
@@ -0,0 +1,90 @@
+//! Time of a routing decision: a call that is dispatched, and the end of its attempt.
+
+use std::collections::BTreeMap;
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+
+use model::AccountId;
+use model::Class;
+use model::Incarnation;
+use model::ServiceId;
+use model::Time;
+use route::AccountPolicy;
+use route::Action;
+use route::AttemptResult;
+use route::Backend;
+use route::Call;
+use route::Event;
+use route::Policy;
+use route::PoolId;
+use route::Router;
+use route::ServicePolicy;
+use route::Settings;
+use route::Ticket;
+
+/// A router with `backends` backend servers.
+fn router(backends: usize) -> Router {
+    let settings = Settings { keep_bytes: 1 << 20, ..Settings::default() };
+    let mut router = Router::new(settings, Incarnation(1), "z1".into(), "r1".into(), 1);
+    let service = ServicePolicy::new(PoolId::new("hub"), Class::Interactive);
+    let policy = Policy {
+        services: BTreeMap::from([(ServiceId::new("intake"), service)]),
+        accounts: BTreeMap::from([(AccountId::new("coop"), AccountPolicy::default())]),
+        ..Policy::default()
+    };
+    let list = (0..backends).map(|index| Backend {
+        id: format!("b{index}").as_str().into(),
+        pool: PoolId::new("hub"),
+        zone: "z1".into(),
+        region: "r1".into(),
+        slots: 8,
+        connections: 64,
+        leaving: false,
+    });
+    let mut out = Vec::new();
+    router.handle(Time::ZERO, Event::Policy { policy: Arc::new(policy) }, &mut out);
+    router.handle(Time::ZERO, Event::Backends { list: list.collect() }, &mut out);
+    router
+}
+
+fn decision(c: &mut Criterion) {
+    let mut group = c.benchmark_group("decision");
+    for backends in [48, 480, 4_800, 10_000] {
+        let mut router = router(backends);
+        let (service, account) = (ServiceId::new("intake"), AccountId::new("coop"));
+        let mut out = Vec::new();
+        let mut micros = 0;
+        group.bench_function(BenchmarkId::from_parameter(backends), |bencher| {
+            bencher.iter(|| {
+                micros += 20;
+                let now = Time::from_micros(micros);
+                let id = router.issue_id();
+                let call = Call {
+                    id,
+                    service: service.clone(),
+                    account: account.clone(),
+                    deadline: Duration::from_secs(1),
+                    body: Bytes::new(),
+                };
+                out.clear();
+                router.handle(now, Event::Call { ticket: Ticket(micros), call }, &mut out);
+                let dispatched = matches!(out[0], Action::Dispatch { .. });
+                assert!(dispatched, "the call was not dispatched: {out:?}");
+                let result = AttemptResult::Answered { status: 200, body: Bytes::new() };
+                router.handle(now, Event::Attempt { id, attempt: 1, result }, &mut out);
+                black_box(&out);
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decision);
+criterion_main!(benches);
--- a/crates/route/src/action.rs
+++ b/crates/route/src/action.rs
@@ -97,7 +97,8 @@
     pub id: RequestId,
     /// Whether it may have run.
     pub verdict: Verdict,
-    /// Whether the verdict will never change.
+    /// Whether the verdict will never change; only a repeat of an idempotent request whose home
+    /// has ended may still run.
     pub last: bool,
     /// Why.
     pub reason: Reason,
--- a/crates/route/src/backends.rs
+++ b/crates/route/src/backends.rs
@@ -25,6 +25,16 @@
 /// Highest power of two that lengthens an ejection.
 const EJECTION_STEPS: u32 = 5;
 
+/// Time for which a sign is passed on again and again.
+const SIGN_TIME: Duration = Duration::from_secs(3);
+
+/// A sign that a backend server showed to this entry VM.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OwnSign {
+    sign: Sign,
+    until: Time,
+}
+
 impl Router {
     pub(crate) fn apply_policy(&mut self, policy: Arc<Policy>) {
         let mut names = std::mem::take(&mut self.names);
@@ -191,6 +201,8 @@
             Sign::Refused | Sign::Unavailable => {
                 if self.withdraw(index, sign) {
                     self.share_sign(index, sign, None);
+                    let until = self.now + SIGN_TIME;
+                    self.signs.insert(index, OwnSign { sign, until });
                 }
             }
         }
@@ -220,6 +232,18 @@
         }
     }
 
+    /// Tells lenders again what was seen here, as the message may be lost or the lender new.
+    pub(crate) fn repeat_signs(&mut self) {
+        let now = self.now;
+        self.signs.retain(|_, own| now < own.until);
+        let signs: Vec<(usize, Sign)> = self.signs.iter().map(|(i, own)| (*i, own.sign)).collect();
+        for (index, sign) in signs {
+            if !self.seats[index].state.is_open() {
+                self.share_sign(index, sign, None);
+            }
+        }
+    }
+
     /// Takes a backend server that refuses work out of use; whether it was in use.
     fn withdraw(&mut self, index: usize, sign: Sign) -> bool {
         let state = self.seats[index].state;
@@ -319,10 +343,3 @@
         }
     }
 }
-
-impl Seat {
-    /// Whether nobody is to use it.
-    pub(crate) fn is_withdrawn(&self) -> bool {
-        matches!(self.state, BackendState::Suspect | BackendState::Leaving)
-    }
-}
--- a/crates/route/src/calls.rs
+++ b/crates/route/src/calls.rs
@@ -64,8 +64,8 @@
     fn orphan(&mut self, waiter: Waiter, call: Call, certain: bool) {
         let service = self.names.service(&call.service);
         match service.filter(|index| self.names.services[*index].policy.idempotent) {
-            Some(_) => self.admit(waiter, call, true),
-            None => {
+            Some(_) if certain => self.admit(waiter, call, true),
+            _ => {
                 let mut answer = blank(call.id, Verdict::Unknown, Reason::HomeGone);
                 answer.last = certain;
                 answer.retry = (!certain).then_some(LATER);
@@ -125,8 +125,16 @@
     /// A request of an own id that is not in the table.
     fn consider(&mut self, waiter: Waiter, call: Call) {
         let id = call.id;
-        let mut answer = match self.standing(id) {
+        let standing = self.standing(id);
+        let service = self.names.service(&call.service);
+        let idempotent = service.is_some_and(|s| self.names.services[s].policy.idempotent);
+        let mut answer = match standing {
             Standing::Unused => return self.admit(waiter, call, false),
+            Standing::Settled(Verdict::Unknown) | Standing::TooOld if idempotent => {
+                return self.admit(waiter, call, true);
+            }
+            // A home may give out ids after it sent its ledger to the heir.
+            Standing::NotIssued if id.home != self.me => return self.unclear(waiter, id),
             Standing::NotIssued => blank(id, Verdict::NotRun, Reason::NotIssued),
             Standing::TooOld => blank(id, Verdict::Unknown, Reason::TooOld),
             Standing::Settled(verdict) => blank(id, verdict, Reason::AnswerDropped),
@@ -137,7 +145,7 @@
 
     fn admit(&mut self, waiter: Waiter, call: Call, adopted: bool) {
         if let Err(refusal) = self.check_call(&call) {
-            return self.turn_away(waiter, call.id, refusal, adopted);
+            return self.turn_away(waiter, &call, refusal, adopted);
         }
         let (Some(service), Some(account)) =
             (self.names.service(&call.service), self.names.account(&call.account))
@@ -159,6 +167,7 @@
             waiters: vec![waiter],
             attempts: Vec::new(),
             tried: 0,
+            number: 0,
             stopped: 0,
             exposed: adopted,
             adopted,
@@ -173,7 +182,8 @@
         self.pump_for(call.id);
     }
 
-    fn turn_away(&mut self, waiter: Waiter, id: RequestId, refusal: Refusal, adopted: bool) {
+    fn turn_away(&mut self, waiter: Waiter, call: &Call, refusal: Refusal, adopted: bool) {
+        let id = call.id;
         let verdict = if adopted { Verdict::Unknown } else { Verdict::NotRun };
         let mut answer = blank(id, verdict, refusal.reason);
         answer.last = !adopted;
--- a/crates/route/src/credits.rs
+++ b/crates/route/src/credits.rs
@@ -162,7 +162,7 @@
         let until = self.now + lender_term(self.settings.credit_term);
         let supply = self.seats[index].supply(self.settings.reserved_percent);
         let seat = &mut self.seats[index];
-        if !seat.listed || seat.is_withdrawn() {
+        if !seat.listed || !seat.state.is_open() {
             want.total = 0;
             want.batch = 0;
         }
@@ -179,7 +179,7 @@
     /// Lends free slots of an own backend server to those who wait for them.
     fn serve(&mut self, index: usize) {
         let supply = self.seats[index].supply(self.settings.reserved_percent);
-        if !self.seats[index].listed || self.seats[index].is_withdrawn() {
+        if !self.seats[index].listed || !self.seats[index].state.is_open() {
             return;
         }
         loop {
--- a/crates/route/src/drain.rs
+++ b/crates/route/src/drain.rs
@@ -54,7 +54,10 @@
     refused: Vec<Incarnation>,
     next: u64,
     open: BTreeMap<u64, Part>,
-    /// Whether everything was sent to the present heir.
+    /// Whether the kept answers were sent to the present heir.
+    told: bool,
+    /// Whether the ledgers were, too. They follow when the heir has taken all else, as it would
+    /// otherwise take an id for settled of which it gets the request later.
     closed: bool,
     /// Homes whose ledger was sent and not declined, and to whom. Their unused ids are never
     /// dispatched here again.
@@ -102,7 +105,9 @@
         }
         let Some(drain) = &self.drain else { return };
         match drain.heir {
-            Some(_) if !drain.closed => self.hand_over_rest(),
+            Some(_) if !drain.told => self.hand_over_answers(),
+            Some(_) if !drain.closed && drain.open.is_empty() => self.hand_over_ledgers(),
+            Some(_) if !drain.closed => {}
             Some(_) if drain.open.is_empty() => self.name_heirs(),
             Some(_) => {}
             None => self.end_drain(),
@@ -193,8 +198,8 @@
         self.send(heir, message);
     }
 
-    /// Nothing is in progress: kept answers and ledgers go to the heir.
-    fn hand_over_rest(&mut self) {
+    /// Nothing is in progress: kept answers go to the heir.
+    fn hand_over_answers(&mut self) {
         let mut records: BTreeMap<Incarnation, Vec<Record>> = BTreeMap::new();
         for (id, entry) in self.table.iter() {
             if let Some(answer) = &entry.answer
@@ -209,6 +214,13 @@
                 self.send_part(home, chunk, None);
             }
         }
+        if let Some(drain) = self.drain.as_mut() {
+            drain.told = true;
+        }
+    }
+
+    /// The heir has taken everything else: from now on it answers for all ids.
+    fn hand_over_ledgers(&mut self) {
         let mut ledgers = vec![(self.me, self.ledger.image())];
         let complete = self.legacies.iter().filter(|(_, legacy)| legacy.complete);
         ledgers.extend(complete.map(|(home, legacy)| (*home, legacy.ledger.image())));
@@ -317,6 +329,7 @@
         let Some(drain) = self.drain.as_mut() else { return };
         drain.refused.push(old);
         drain.open.clear();
+        drain.told = false;
         drain.closed = false;
         let refused = drain.refused.clone();
         let heir = self.peers.choose_heir(&refused);
@@ -439,6 +452,7 @@
             waiters: Vec::<Waiter>::new(),
             attempts: Vec::new(),
             tried: 0,
+            number: 0,
             stopped: 0,
             exposed: false,
             adopted: false,
--- a/crates/route/src/homes.rs
+++ b/crates/route/src/homes.rs
@@ -87,7 +87,8 @@
 impl Router {
     /// Who may dispatch the request, unless it is in the table here.
     pub(crate) fn owner(&self, id: RequestId) -> Owner {
-        if id.home == self.me || self.legacies.contains_key(&id.home) {
+        let moved = self.table.get(id).is_some_and(|entry| entry.state == RequestState::Moved);
+        if moved || id.home == self.me || self.legacies.contains_key(&id.home) {
             return self.own_or_heir(id);
         }
         let owner = self.peers.resolve(id.home);
@@ -98,10 +99,15 @@
             Reach::Up | Reach::Down(_) => Owner::Peer(owner),
             Reach::Gone => Owner::Nobody { certain: true },
             Reach::Stranger if owner != id.home => Owner::Peer(owner),
-            Reach::Stranger => Owner::Nobody { certain: false },
+            Reach::Stranger => Owner::Nobody { certain: self.knows_all() },
         }
     }
 
+    /// Whether this router has run for so long that it must have seen every peer that lives.
+    fn knows_all(&self) -> bool {
+        self.now.since(self.started) > self.settings.list_lag
+    }
+
     /// Owner of an id whose home is, or was taken over by, this router.
     fn own_or_heir(&self, id: RequestId) -> Owner {
         let complete = self.legacies.get(&id.home).is_none_or(|legacy| legacy.complete);
@@ -230,6 +236,9 @@
             Owner::Me => {
                 let answer = match self.standing(id) {
                     Standing::Unused => open_answer(id, Reason::Unused),
+                    Standing::NotIssued if id.home != self.me => {
+                        open_answer(id, Reason::HomeUnreachable)
+                    }
                     Standing::NotIssued => blank(id, Verdict::NotRun, Reason::NotIssued),
                     Standing::TooOld => blank(id, Verdict::Unknown, Reason::TooOld),
                     Standing::Settled(verdict) => blank(id, verdict, Reason::AnswerDropped),
--- a/crates/route/src/pump.rs
+++ b/crates/route/src/pump.rs
@@ -118,8 +118,9 @@
         let service = &self.names.services[entry.service];
         let target = &mut self.seats[seat];
         entry.tried += 1;
+        entry.number += 1;
         let attempt = Attempt {
-            number: entry.tried,
+            number: entry.number,
             seat,
             started: self.now,
             lane: entry.lane,
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -18,6 +18,7 @@
 use crate::Reason;
 use crate::Settings;
 use crate::Ticket;
+use crate::backends::OwnSign;
 use crate::budget::TokenBucket;
 use crate::drain::Drain;
 use crate::homes::Forward;
@@ -69,6 +70,8 @@
     pub(crate) rng: StdRng,
     pub(crate) charts: Charts,
     pub(crate) now: Time,
+    /// Time of the first event.
+    pub(crate) started: Time,
     pub(crate) out: Vec<Action>,
     pub(crate) policy: Arc<Policy>,
     pub(crate) names: Names,
@@ -86,6 +89,7 @@
     pub(crate) vacant: Vec<usize>,
     pub(crate) borrowed: BTreeSet<usize>,
     pub(crate) settling: BTreeSet<usize>,
+    pub(crate) signs: BTreeMap<usize, OwnSign>,
     pub(crate) lenders_due: Option<Time>,
     pub(crate) turn: u64,
     pub(crate) waiting: usize,
@@ -120,6 +124,7 @@
             rng: StdRng::seed_from_u64(seed),
             charts: Charts::load(),
             now: Time::ZERO,
+            started: Time::NEVER,
             out: Vec::new(),
             policy: Arc::default(),
             names: Names::default(),
@@ -136,6 +141,7 @@
             vacant: Vec::new(),
             borrowed: BTreeSet::new(),
             settling: BTreeSet::new(),
+            signs: BTreeMap::new(),
             lenders_due: None,
             turn: 0,
             waiting: 0,
@@ -162,6 +168,7 @@
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         let paused = now.since(self.now) > self.settings.credit_term;
         self.now = self.now.max(now);
+        self.started = self.started.min(now);
         if paused {
             self.resume();
         }
@@ -214,6 +221,7 @@
         while self.table.expire(self.now, keep, most) {}
         self.keep_lenders();
         self.renew_credits();
+        self.repeat_signs();
         self.resend_handover();
         for pool in 0..self.pools.len() {
             self.pump(pool);
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -62,8 +62,10 @@
     pub(crate) cost: u64,
     pub(crate) waiters: Vec<Waiter>,
     pub(crate) attempts: Vec<Attempt>,
-    /// Attempts made so far.
+    /// Attempts made since it was last taken up.
     pub(crate) tried: u32,
+    /// Number of the last attempt; never used twice, so that late reports match nothing.
+    pub(crate) number: u32,
     /// Attempts that were stopped as stragglers.
     pub(crate) stopped: u32,
     /// Whether an attempt may have run that is over.
