Let a meeting by address name its dialler first

Cause: Peers::meet dialled without an expected incarnation, and the handshake took that for the accepting side, so both ends waited for the other's hello and no meeting ever worked. A second meeting would also have replaced a good link. Change: the side is passed by itself; a meeting is skipped while a link to that address is open and sets no target of its own; a dial that a link made needless is cancelled.

--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -171,6 +171,9 @@
     }
 
     /// Opens a link to whoever listens at `address`, which [`PeerEvent::Up`] then names.
+    ///
+    /// It is dialled once, and not at all if a link to that address is open. To keep the link, call
+    /// [`Peers::connect`] with the incarnation that answered.
     pub fn meet(&self, address: SocketAddr) {
         // After a stop there is nobody to meet.
         let _ = self.commands.send(Command::Meet { address });
--- a/crates/net/src/peer/handshake.rs
+++ b/crates/net/src/peer/handshake.rs
@@ -18,6 +18,7 @@
 use crate::counted::Counted;
 use crate::peer::Config;
 use crate::peer::Reason;
+use crate::peer::Side;
 use model::Incarnation;
 use wire::DecodeError;
 use wire::Frame;
@@ -42,7 +43,7 @@
     pub(super) address: SocketAddr,
 }
 
-/// Connects to `address`, where `expected` should answer.
+/// Connects to `address`, where `expected` should answer, or anybody.
 pub(super) async fn dial(
     address: SocketAddr,
     expected: Option<Incarnation>,
@@ -54,7 +55,8 @@
         let url = format!("ws://{address}/peer");
         let upgrade = tokio_tungstenite::client_async_with_config(url, stream, Some(limits()));
         let (mut socket, _) = upgrade.await.map_err(ws_reason)?;
-        let answer = exchange(&mut socket, hello, expected).await;
+        let answer = exchange(&mut socket, hello, Side::Dialer).await;
+        let answer = answer.and_then(|hello| check_peer(hello, expected));
         close_on_error(socket, answer).await
     };
     let (socket, hello) =
@@ -74,7 +76,7 @@
         let stream = Counted::new(stream);
         let upgrade = tokio_tungstenite::accept_async_with_config(stream, Some(limits()));
         let mut socket = upgrade.await.map_err(ws_reason)?;
-        let answer = exchange(&mut socket, hello, None).await;
+        let answer = exchange(&mut socket, hello, Side::Acceptor).await;
         close_on_error(socket, answer).await
     };
     let (socket, hello) =
@@ -97,23 +99,26 @@
 }
 
 /// The dialer names itself first, so that the acceptor's refusal is the answer to its hello.
-async fn exchange(
-    socket: &mut Socket,
-    own: &Hello,
-    expected: Option<Incarnation>,
-) -> Result<Hello, Reason> {
-    if expected.is_some() {
+async fn exchange(socket: &mut Socket, own: &Hello, side: Side) -> Result<Hello, Reason> {
+    if side == Side::Dialer {
         send_hello(socket, own).await?;
     }
     let hello = read_hello(socket).await?;
+    if hello.incarnation == own.incarnation {
+        return Err(Reason::Itself);
+    }
+    if side == Side::Acceptor {
+        send_hello(socket, own).await?;
+    }
+    Ok(hello)
+}
+
+fn check_peer(hello: Hello, expected: Option<Incarnation>) -> Result<Hello, Reason> {
     let found = hello.incarnation;
     match expected {
-        Some(expected) if expected != found => return Err(Reason::WrongPeer { found, expected }),
-        Some(_) => {}
-        None if found == own.incarnation => return Err(Reason::Itself),
-        None => send_hello(socket, own).await?,
+        Some(expected) if expected != found => Err(Reason::WrongPeer { found, expected }),
+        _ => Ok(hello),
     }
-    Ok(hello)
 }
 
 async fn send_hello(socket: &mut Socket, hello: &Hello) -> Result<(), Reason> {
--- a/crates/net/src/peer/hub.rs
+++ b/crates/net/src/peer/hub.rs
@@ -89,9 +89,25 @@
 struct Current {
     id: u64,
     dialer: Incarnation,
+    // The peer's listening address if this side dialled.
+    address: SocketAddr,
     since: Instant,
 }
 
+impl Peer {
+    fn end_dial(&mut self) {
+        if let Some(dial) = self.dial.take() {
+            dial.abort();
+        }
+    }
+
+    /// Whether a link is open to the peer that listens at `address`.
+    fn linked_at(&self, address: SocketAddr) -> bool {
+        let link = self.link.as_ref();
+        link.is_some_and(|link| link.address == address || self.target == Some(address))
+    }
+}
+
 /// The hub has to stop.
 struct Stopped;
 
@@ -125,9 +141,7 @@
     async fn finish(mut self, mut notes: mpsc::Receiver<Note>) {
         self.shared.clear_links();
         for peer in self.peers.values_mut() {
-            if let Some(dial) = peer.dial.take() {
-                dial.abort();
-            }
+            peer.end_dial();
         }
         let drain = async {
             while !self.tasks.is_empty() {
@@ -187,17 +201,13 @@
         }
         peer.target = Some(address);
         peer.failures = 0;
-        if let Some(dial) = peer.dial.take() {
-            dial.abort();
-        }
+        peer.end_dial();
         self.dial(id, Duration::ZERO);
     }
 
     async fn forget(&mut self, id: Incarnation) -> Result<(), Stopped> {
-        let Some(peer) = self.peers.remove(&id) else { return Ok(()) };
-        if let Some(dial) = peer.dial {
-            dial.abort();
-        }
+        let Some(mut peer) = self.peers.remove(&id) else { return Ok(()) };
+        peer.end_dial();
         let Some(link) = peer.link else { return Ok(()) };
         self.current.remove(&link.id);
         self.shared.set_link(id, None);
@@ -228,6 +238,9 @@
 
     /// Dials whoever listens at `address`, once.
     fn meet(&mut self, address: SocketAddr) {
+        if self.peers.values().any(|peer| peer.linked_at(address)) {
+            return;
+        }
         let own = Arc::clone(&self.own);
         let config = Arc::clone(&self.config);
         let notes = self.notes.clone();
@@ -243,11 +256,7 @@
     }
 
     async fn met(&mut self, opened: Opened) -> Result<(), Stopped> {
-        let id = opened.hello.incarnation;
-        if id == self.own.incarnation {
-            return Ok(());
-        }
-        self.peers.entry(id).or_default().target.get_or_insert(opened.address);
+        self.peers.entry(opened.hello.incarnation).or_default();
         self.adopt(Side::Dialer, opened).await
     }
 
@@ -276,7 +285,7 @@
         let dialer = if side == Side::Dialer { self.own.incarnation } else { id };
         if side == Side::Dialer {
             match self.peers.get_mut(&id) {
-                Some(peer) => peer.dial = None,
+                Some(peer) => peer.end_dial(),
                 None => return Ok(()),
             }
         }
@@ -318,7 +327,7 @@
         self.tasks.spawn(link.run(socket));
         self.current.insert(id, hello.incarnation);
         let peer = self.peers.entry(hello.incarnation).or_default();
-        peer.link = Some(Current { id, dialer, since: Instant::now() });
+        peer.link = Some(Current { id, dialer, address, since: Instant::now() });
         self.shared.set_link(hello.incarnation, Some(Arc::new(outbox)));
         self.emit(PeerEvent::Up { hello, address }).await
     }
--- a/crates/net/tests/peer_links.rs
+++ b/crates/net/tests/peer_links.rs
@@ -176,6 +176,25 @@
     }
 }
 
+#[tokio::test]
+async fn met_by_address() {
+    let mut one = Node::start(1, Config::default()).await;
+    let mut two = Node::start(2, Config::default()).await;
+    one.peers.meet(one.address);
+    one.peers.meet(two.address);
+    assert_eq!((one.up().await, two.up().await), (two.id, one.id));
+    // Neither replaces the link.
+    one.peers.meet(two.address);
+    one.peers.connect(two.id, two.address);
+    one.peers.send(two.id, Part::Fleet, number(1)).unwrap();
+    let event = two.events.recv().await.unwrap();
+    assert!(matches!(event, PeerEvent::Message { .. }), "{event:?}");
+    two.peers.stop().await;
+    let event = one.events.recv().await.unwrap();
+    assert!(matches!(event, PeerEvent::Down { .. }), "{event:?}");
+    assert_eq!((one.peers.counters().opened, two.peers.counters().opened), (1, 1));
+}
+
 #[tokio::test]
 async fn forgotten() {
     let mut one = Node::start(1, Config::default()).await;
