Look again at every waiting job after the list of workers changed

Cause: a job that was being stopped when its rack was lost was never told that it is impossible. Change: a job remembers the list that was found able to hold it. Tests of placement, pages and the quota ledger by property.

--- a/crates/gang/src/job.rs
+++ b/crates/gang/src/job.rs
@@ -160,6 +160,8 @@
     pub(crate) failures: u32,
     /// Until when it keeps away from the workers that it failed on.
     pub(crate) wary: Time,
+    /// List of workers that was found able to hold it.
+    pub(crate) listing: u64,
     /// Since when no set of workers could hold it.
     pub(crate) ruled: Time,
     /// Class under which it is queued.
@@ -190,6 +192,7 @@
             failed: BTreeSet::new(),
             failures: 0,
             wary: Time::ZERO,
+            listing: 0,
             ruled: Time::NEVER,
             class: None,
             record,
--- a/crates/gang/src/place/wait.rs
+++ b/crates/gang/src/place/wait.rs
@@ -2,8 +2,6 @@
 
 use std::collections::BTreeMap;
 
-use model::Time;
-
 use crate::WorkerState;
 use crate::place::fleet::Fleet;
 use crate::place::fleet::Worker;
@@ -14,6 +12,7 @@
 use crate::place::search::runs_in;
 use crate::place::tree::level_of;
 use crate::place::tree::low_bits;
+use model::Time;
 
 /// A block, and when all of it is expected to be free.
 #[derive(Clone, Debug)]
--- a/crates/gang/src/preempt.rs
+++ b/crates/gang/src/preempt.rs
@@ -5,11 +5,11 @@
 //! long-tailed run times it will likely run as long again, as in Tiresias (NSDI 2019). The longer
 //! the asker waits, the shorter that time becomes.
 
-use crate::place::fleet::Holder;
-use crate::place::need::Slot;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use crate::place::fleet::Holder;
+use crate::place::need::Slot;
 use model::JobId;
 use model::Priority;
 use model::Time;
--- a/crates/gang/src/report.rs
+++ b/crates/gang/src/report.rs
@@ -268,7 +268,7 @@
         self.excused = true;
         self.stirred = true;
         self.listed = true;
-        self.relisted = true;
+        self.listing += 1;
         if listed.moved {
             self.move_all(now, &old);
         }
--- a/crates/gang/src/reserve.rs
+++ b/crates/gang/src/reserve.rs
@@ -4,13 +4,12 @@
 //! The blocked gang gets the block that is expected to be free first; others may use that block
 //! only if they are expected to have ended by then (backfill).
 
-use model::Time;
-
 use crate::Shard;
 use crate::place::need::Slot;
 use crate::place::search::Query;
 use crate::place::search::find;
 use crate::place::wait::foresee;
+use model::Time;
 
 /// Room kept for a gang that is blocked, until the jobs in it have ended.
 #[derive(Clone, Debug)]
--- a/crates/gang/src/schedule.rs
+++ b/crates/gang/src/schedule.rs
@@ -74,7 +74,6 @@
         for _ in 0..self.settings.batch {
             let best = (0..open.len()).max_by(|a, b| open[*a].order(&open[*b]));
             let Some(best) = best else {
-                self.relisted = false;
                 return;
             };
             let candidate = open.swap_remove(best);
@@ -143,13 +142,14 @@
         let spec = job.record.spec.clone();
         let wary = job.failed.iter().filter(|_| now < job.wary);
         let failed: BTreeSet<u32> = wary.filter_map(|w| self.fleet.position(w)).collect();
-        if (self.relisted || job.ruled != Time::NEVER)
+        if job.listing != self.listing
             && let Some(reason) = obstacle(&self.fleet, &spec.shape)
         {
             return self.rule_out(now, id, reason);
         }
         if let Some(job) = self.jobs.get_mut(&id) {
             job.ruled = Time::NEVER;
+            job.listing = self.listing;
         }
         if let Some(reason) = self.over_quota(&spec.account, spec.shape.total()) {
             return Tried::Blocked(reason);
--- a/crates/gang/src/shard.rs
+++ b/crates/gang/src/shard.rs
@@ -82,8 +82,8 @@
     pub(crate) unread: Option<Vec<StoredPage>>,
     pub(crate) loaded: bool,
     pub(crate) listed: bool,
-    /// Whether the list of workers changed since all waiting jobs were looked at.
-    pub(crate) relisted: bool,
+    /// Number of the latest list of workers.
+    pub(crate) listing: u64,
     pub(crate) fenced: bool,
     /// Whether something changed that may let a job be placed.
     pub(crate) stirred: bool,
@@ -125,7 +125,7 @@
             unread: None,
             loaded: false,
             listed: false,
-            relisted: false,
+            listing: 0,
             fenced: false,
             stirred: false,
             passed: Time::ZERO,
