Repeat silent reads beside the first call, and leave a slow store alone

Cause: a read on a used connection was given up at half its deadline. A store slower than that, yet within the deadline, was asked twice and still failed; a silent connection cost a second. Change: after four usual answer times (at least Config.patience, 100 ms) the read goes out again on a new connection while the first is still waited for; not at all where the store is that slow. The first call's slot goes to the repetition. Conclusion: silent connections are replaced after 100 ms on a healthy store, slow ones get no second call.

--- /dev/null
+++ b/crates/store/src/attempt.rs
@@ -0,0 +1,142 @@
+//! How one call is carried out: its turn, its connection and, where that is safe, its repetition.
+//!
+//! A call that may be repeated is repeated once: when its connection breaks, or when a connection
+//! that was used before stays silent for much longer than the store usually takes. In the second
+//! case both are waited for, as the store may merely be slow, and the first answer counts.
+
+use std::pin::Pin;
+use std::pin::pin;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use crate::api::Purpose;
+use crate::client::Inner;
+use crate::connection::Call;
+use crate::counters::Outcome;
+use crate::error::Error;
+use crate::gate::Permit;
+use crate::gateway::DecodeError;
+
+/// Whether a connection had carried a call before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Age {
+    New,
+    /// Its failure says little about the store.
+    Reused,
+}
+
+/// A call with what bounds it.
+#[derive(Clone, Copy, Debug)]
+struct Request<'a> {
+    purpose: Purpose,
+    call: &'a Call,
+    deadline: Instant,
+}
+
+impl Inner {
+    /// Makes a call and reads its answer.
+    pub(crate) async fn run<T>(
+        &self,
+        purpose: Purpose,
+        call: &Call,
+        deadline: Instant,
+        decode: fn(&[u8]) -> Result<T, DecodeError>,
+    ) -> Result<T, Error> {
+        let answer = self.attempt(Request { purpose, call, deadline }).await?;
+        Ok(decode(&answer)?)
+    }
+
+    async fn attempt(&self, request: Request<'_>) -> Result<Bytes, Error> {
+        let Request { purpose, call, deadline } = request;
+        let permit = self.admit(purpose, deadline).await?;
+        let (age, answer) = match self.pool.idle(call) {
+            None => (Age::New, self.pool.call_anew(call, deadline).await),
+            Some(idle) => {
+                let sent = Instant::now();
+                let mut first = pin!(self.pool.call_on(idle, call, deadline));
+                let answer = match self.pool.patience(call, deadline) {
+                    None => Ok(first.as_mut().await),
+                    Some(patience) => timeout(patience, first.as_mut()).await,
+                };
+                let Ok(answer) = answer else {
+                    // Its slot goes to the repetition, which could otherwise wait for silent calls.
+                    drop(permit);
+                    return self.race(request, sent, first).await;
+                };
+                (Age::Reused, answer)
+            }
+        };
+        drop(permit);
+        match self.note(purpose, age, answer) {
+            Err(error) if may_repeat(call, &error) && Instant::now() < deadline => {
+                self.repeat(request).await
+            }
+            answer => answer,
+        }
+    }
+
+    /// Repeats a call that is silent for long, and takes the first answer.
+    async fn race(
+        &self,
+        request: Request<'_>,
+        sent: Instant,
+        mut first: Pin<&mut impl Future<Output = Result<Bytes, Error>>>,
+    ) -> Result<Bytes, Error> {
+        let purpose = request.purpose;
+        let mut second = pin!(self.repeat(request));
+        tokio::select! {
+            answer = first.as_mut() => match self.note(purpose, Age::Reused, answer) {
+                Err(error) if error.is_transport() => second.await,
+                answer => answer,
+            },
+            answer = second.as_mut() => {
+                if answer.is_err() {
+                    return self.note(purpose, Age::Reused, first.await);
+                }
+                self.pool.distrust(sent);
+                self.ledger.record(purpose, Outcome::Unanswered);
+                answer
+            }
+        }
+    }
+
+    /// Makes a call again on a connection of its own.
+    async fn repeat(&self, request: Request<'_>) -> Result<Bytes, Error> {
+        let Request { purpose, call, deadline } = request;
+        self.ledger.retries.fetch_add(1, Ordering::Relaxed);
+        let _permit = self.admit(purpose, deadline).await?;
+        let answer = self.pool.call_anew(call, deadline).await;
+        self.note(purpose, Age::New, answer)
+    }
+
+    async fn admit(&self, purpose: Purpose, deadline: Instant) -> Result<Permit, Error> {
+        let permit = self.gate.admit(purpose, deadline).await;
+        if permit.is_err() {
+            self.ledger.record(purpose, Outcome::Unsent);
+        }
+        permit
+    }
+
+    /// Notes what became of a call.
+    fn note<T>(&self, purpose: Purpose, age: Age, answer: Result<T, Error>) -> Result<T, Error> {
+        let outcome = answer.as_ref().err().map_or(Outcome::Answered, Outcome::of);
+        self.ledger.record(purpose, outcome);
+        match &answer {
+            Ok(_) | Err(Error::Rejected { .. }) => self.gate.succeed(),
+            Err(error) if age == Age::Reused && error.is_transport() => {}
+            Err(_) => self.gate.fail(),
+        }
+        answer
+    }
+}
+
+/// Whether a failed call may be made again. One that never left may, whatever it does.
+fn may_repeat(call: &Call, error: &Error) -> bool {
+    match error {
+        Error::Unsent { .. } => true,
+        error => call.repeatable && error.is_transport(),
+    }
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -5,7 +5,6 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::Weak;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,11 +24,9 @@
 use crate::connection::Pool;
 use crate::counters::Counters;
 use crate::counters::Ledger;
-use crate::counters::Outcome;
 use crate::error::Error;
 use crate::gate::Gate;
 use crate::gateway;
-use crate::gateway::DecodeError;
 use crate::types::GrantRequest;
 use crate::types::LeaseRequest;
 use crate::types::RangeRequest;
@@ -80,7 +77,7 @@
         let ledger = Arc::new(Ledger::default());
         let inner = Inner {
             gate: Gate::new(&config),
-            pool: Pool::new(&address, ledger.clone()),
+            pool: Pool::new(&address, config.patience, ledger.clone()),
             ledger,
             config,
             hubs: Mutex::new(BTreeMap::new()),
@@ -145,65 +142,6 @@
     }
 }
 
-impl Inner {
-    /// Makes a call and, where that is safe, makes it once more.
-    async fn run<T>(
-        &self,
-        purpose: Purpose,
-        call: &Call,
-        deadline: Instant,
-        decode: fn(&[u8]) -> Result<T, DecodeError>,
-    ) -> Result<T, Error> {
-        match self.attempt(purpose, call, deadline, false, decode).await {
-            Err(error) if may_repeat(call, &error) && Instant::now() < deadline => {
-                self.ledger.retries.fetch_add(1, Ordering::Relaxed);
-                self.attempt(purpose, call, deadline, true, decode).await
-            }
-            result => result,
-        }
-    }
-
-    async fn attempt<T>(
-        &self,
-        purpose: Purpose,
-        call: &Call,
-        deadline: Instant,
-        fresh: bool,
-        decode: fn(&[u8]) -> Result<T, DecodeError>,
-    ) -> Result<T, Error> {
-        let result = self.trial(purpose, call, deadline, fresh, decode).await;
-        let outcome = result.as_ref().err().map_or(Outcome::Answered, Outcome::of);
-        self.ledger.record(purpose, outcome);
-        result
-    }
-
-    async fn trial<T>(
-        &self,
-        purpose: Purpose,
-        call: &Call,
-        deadline: Instant,
-        fresh: bool,
-        decode: fn(&[u8]) -> Result<T, DecodeError>,
-    ) -> Result<T, Error> {
-        let permit = self.gate.admit(purpose, deadline).await?;
-        let exchange = self.pool.exchange(call, deadline, fresh).await;
-        match &exchange.answer {
-            Ok(_) | Err(Error::Rejected { .. }) => permit.succeed(),
-            Err(error) if exchange.reused && error.is_transport() => {}
-            Err(_) => permit.fail(),
-        }
-        Ok(decode(&exchange.answer?)?)
-    }
-}
-
-/// Whether a failed call may be made again. One that never left may, whatever it does.
-fn may_repeat(call: &Call, error: &Error) -> bool {
-    match error {
-        Error::Unsent { .. } => true,
-        error => call.repeatable && error.is_transport(),
-    }
-}
-
 pub(crate) fn call<T: Serialize>(path: &'static str, request: &T, repeatable: bool) -> Call {
     let body = serde_json::to_vec(request).expect("a generated type has a json form");
     Call { path, body: Bytes::from(body), repeatable }
--- a/crates/store/src/config.rs
+++ b/crates/store/src/config.rs
@@ -9,6 +9,8 @@
     pub url: String,
     /// Time that one call may take, its wait in the queue included.
     pub deadline: Duration,
+    /// Least silence on a used connection after which a read is repeated on a new one.
+    pub patience: Duration,
     /// Calls a second, on average.
     pub rate: f64,
     /// Calls that may leave at once after a quiet time.
@@ -31,6 +33,7 @@
         Config {
             url: url.to_owned(),
             deadline: Duration::from_secs(2),
+            patience: Duration::from_millis(100),
             rate: 20.0,
             burst: 20,
             inflight: 8,
--- a/crates/store/src/connection.rs
+++ b/crates/store/src/connection.rs
@@ -9,6 +9,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -39,6 +40,8 @@
 const READ_IDLE: Duration = Duration::from_secs(5);
 /// Idle time after which a connection is not used for a call that must not be repeated.
 const WRITE_IDLE: Duration = Duration::from_secs(1);
+/// Usual answer times that a call waits for before it is repeated.
+const PATIENCE_FACTOR: u32 = 4;
 /// Codes of the gateway by which a call surely had no effect: invalid argument, not found,
 /// already exists, permission denied, resource exhausted, failed precondition, out of range,
 /// unimplemented, unauthenticated.
@@ -53,8 +56,9 @@
     pub(crate) repeatable: bool,
 }
 
+/// A connection that carries no call.
 #[derive(Debug)]
-struct Connection {
+pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     heard: Instant,
 }
@@ -64,27 +68,62 @@
 pub(crate) struct Pool {
     address: String,
     idle: Mutex<Vec<Connection>>,
+    /// Smoothed time that answers take, in microseconds.
+    latency_us: AtomicU64,
+    least_patience: Duration,
     ledger: Arc<Ledger>,
 }
 
 impl Pool {
-    pub(crate) fn new(address: &str, ledger: Arc<Ledger>) -> Pool {
-        Pool { address: address.to_owned(), idle: Mutex::new(Vec::new()), ledger }
+    pub(crate) fn new(address: &str, least_patience: Duration, ledger: Arc<Ledger>) -> Pool {
+        Pool {
+            address: address.to_owned(),
+            idle: Mutex::new(Vec::new()),
+            latency_us: AtomicU64::new(0),
+            least_patience,
+            ledger,
+        }
     }
 
-    /// Sends a call and reads its whole answer.
-    pub(crate) async fn exchange(&self, call: &Call, deadline: Instant, fresh: bool) -> Exchange {
-        let limit = if call.repeatable { READ_IDLE } else { WRITE_IDLE };
-        let idle = if fresh { None } else { self.idle_within(limit) };
-        let reused = idle.is_some();
-        let answer = match idle {
-            Some(idle) => self.use_connection(idle, call, deadline_of(call, deadline)).await,
-            None => match self.connect(deadline).await {
-                Ok(connection) => self.use_connection(connection, call, deadline).await,
-                Err(error) => Err(error),
-            },
-        };
-        Exchange { answer, reused }
+    /// Sends a call on a new connection and reads its whole answer.
+    pub(crate) async fn call_anew(&self, call: &Call, deadline: Instant) -> Result<Bytes, Error> {
+        let connection = self.connect(deadline).await?;
+        self.call_on(connection, call, deadline).await
+    }
+
+    /// Sends a call on a connection and reads its whole answer.
+    pub(crate) async fn call_on(
+        &self,
+        mut connection: Connection,
+        call: &Call,
+        deadline: Instant,
+    ) -> Result<Bytes, Error> {
+        let sent = Instant::now();
+        let answer = timeout_at(deadline, self.converse(&mut connection, call)).await;
+        let answer = answer.unwrap_or_else(|_| Err(self.timeout()));
+        match &answer {
+            Ok(_) | Err(Error::Rejected { .. } | Error::Failed { .. }) => {
+                self.learn(sent.elapsed());
+                self.lock().push(connection);
+            }
+            Err(Error::Timeout { .. }) => self.distrust(sent),
+            Err(_) => {}
+        }
+        answer
+    }
+
+    /// Time after which a call on a used connection is repeated on a new one; none if the call
+    /// must not be repeated, or if the store is so slow that it would only get more to do.
+    pub(crate) fn patience(&self, call: &Call, deadline: Instant) -> Option<Duration> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let usual = Duration::from_micros(self.latency_us.load(Ordering::Relaxed));
+        let patience = (usual * PATIENCE_FACTOR).max(self.least_patience);
+        Some(patience).filter(|patience| call.repeatable && *patience <= left / 2)
+    }
+
+    /// Drops the idle connections on which nothing was heard since a call left unanswered.
+    pub(crate) fn distrust(&self, since: Instant) {
+        self.lock().retain(|connection| connection.heard > since);
     }
 
     /// Sends a call on a connection of its own and gives its answer as it comes.
@@ -103,24 +142,9 @@
         Error::Timeout { address: self.address.clone() }
     }
 
-    async fn use_connection(
-        &self,
-        mut connection: Connection,
-        call: &Call,
-        deadline: Instant,
-    ) -> Result<Bytes, Error> {
-        let sent = Instant::now();
-        let answer = timeout_at(deadline, self.converse(&mut connection, call)).await;
-        let answer = answer.unwrap_or_else(|_| Err(self.timeout()));
-        match &answer {
-            Ok(_) | Err(Error::Rejected { .. } | Error::Failed { .. }) => self.keep(connection),
-            Err(Error::Timeout { .. }) => self.distrust(sent),
-            Err(_) => {}
-        }
-        answer
-    }
-
-    fn idle_within(&self, limit: Duration) -> Option<Connection> {
+    /// Takes the idle connection that was heard last, if it was lately enough for the call.
+    pub(crate) fn idle(&self, call: &Call) -> Option<Connection> {
+        let limit = if call.repeatable { READ_IDLE } else { WRITE_IDLE };
         let mut idle = self.lock();
         idle.retain(|connection| {
             connection.heard.elapsed() < READ_IDLE && connection.sender.is_ready()
@@ -130,6 +154,14 @@
         Some(idle.swap_remove(index))
     }
 
+    /// Smooths the time that answers take.
+    fn learn(&self, latency: Duration) {
+        let latency = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+        let smooth = |old: u64| Some(old - old / 8 + latency / 8);
+        // The update never declines, so there is no error to handle.
+        let _ = self.latency_us.fetch_update(Ordering::Relaxed, Ordering::Relaxed, smooth);
+    }
+
     async fn connect(&self, deadline: Instant) -> Result<Connection, Error> {
         let failed = |source| Error::Connect { address: self.address.clone(), source };
         let stream = timeout_at(deadline, TcpStream::connect(self.address.as_str()))
@@ -186,14 +218,6 @@
         }
     }
 
-    fn keep(&self, connection: Connection) {
-        self.lock().push(connection);
-    }
-
-    fn distrust(&self, since: Instant) {
-        self.lock().retain(|connection| connection.heard > since);
-    }
-
     fn lock(&self) -> MutexGuard<'_, Vec<Connection>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -209,20 +233,6 @@
     if refused { Error::Rejected { status, message } } else { Error::Failed { status, message } }
 }
 
-/// When to give up on a connection that was used before: early enough to try a new one.
-fn deadline_of(call: &Call, deadline: Instant) -> Instant {
-    let left = deadline.saturating_duration_since(Instant::now());
-    if call.repeatable { deadline - left / 2 } else { deadline }
-}
-
-/// What became of one call on one connection.
-#[derive(Debug)]
-pub(crate) struct Exchange {
-    pub(crate) answer: Result<Bytes, Error>,
-    /// Whether the connection was used before, so that its failure says little about the store.
-    pub(crate) reused: bool,
-}
-
 /// An answer that comes line by line. The connection ends with it.
 #[derive(Debug)]
 pub(crate) struct Stream {
--- a/crates/store/src/gate.rs
+++ b/crates/store/src/gate.rs
@@ -107,6 +107,25 @@
         self.lock().rng.random()
     }
 
+    /// Notes that the store answered.
+    pub(crate) fn succeed(&self) {
+        self.lock().queue.succeed(self.now());
+    }
+
+    /// Notes that the store did not answer, and refuses the calls that wait if it fails for long.
+    pub(crate) fn fail(&self) {
+        let mut state = self.lock();
+        let jitter = state.rng.random();
+        let refused = state.queue.fail(self.now(), jitter);
+        let waiters: Vec<_> =
+            refused.iter().filter_map(|ticket| state.waiters.remove(ticket)).collect();
+        drop(state);
+        for waiter in waiters {
+            // Its caller may have gone away; then nobody is left to be told.
+            let _ = waiter.send(Turn::Down);
+        }
+    }
+
     fn enqueue(&self, purpose: Purpose) -> Result<(Ticket, oneshot::Receiver<Turn>), Error> {
         let mut state = self.lock();
         let (ticket, evicted) = match state.queue.push(self.now(), purpose) {
@@ -162,29 +181,6 @@
     }
 }
 
-impl Permit {
-    /// Notes that the store answered.
-    pub(crate) fn succeed(&self) {
-        let now = self.gate.now();
-        self.gate.lock().queue.succeed(now);
-    }
-
-    /// Notes that the store did not answer.
-    pub(crate) fn fail(&self) {
-        let now = self.gate.now();
-        let mut state = self.gate.lock();
-        let jitter = state.rng.random();
-        let refused = state.queue.fail(now, jitter);
-        let waiters: Vec<_> =
-            refused.iter().filter_map(|ticket| state.waiters.remove(ticket)).collect();
-        drop(state);
-        for waiter in waiters {
-            // Its caller may have gone away; then nobody is left to be told.
-            let _ = waiter.send(Turn::Down);
-        }
-    }
-}
-
 impl Drop for Permit {
     fn drop(&mut self) {
         self.gate.lock().queue.finish();
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`settle`] finds out.
 
 mod api;
+mod attempt;
 mod client;
 mod config;
 mod connection;
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -250,13 +250,13 @@
         let deadline = Instant::now() + config.deadline;
         let request = gateway::watch_request(&self.feed.prefix, self.feed.lock().next);
         let call = call("/v3/watch", &request, true);
-        let permit = gate.admit(self.feed.purpose, deadline).await?;
+        let _permit = gate.admit(self.feed.purpose, deadline).await?;
         let result = pool.stream(&call, deadline).await;
         let outcome = result.as_ref().err().map_or(Outcome::Answered, Outcome::of);
         ledger.record(self.feed.purpose, outcome);
         match &result {
-            Ok(_) | Err(Error::Rejected { .. }) => permit.succeed(),
-            Err(_) => permit.fail(),
+            Ok(_) | Err(Error::Rejected { .. }) => gate.succeed(),
+            Err(_) => gate.fail(),
         }
         ledger.watches.fetch_add(1, Ordering::Relaxed);
         Ok(Lines { stream: result?, buffer: BytesMut::new() })
--- a/crates/store/tests/silent_connection.rs
+++ b/crates/store/tests/silent_connection.rs
@@ -17,7 +17,8 @@
 fn start(deadline: Duration) -> (StoreServer, Client) {
     let server = StoreServer::start(1).expect("port is free");
     let quiet = Duration::from_millis(200);
-    let config = Config { rate: 10_000.0, deadline, quiet, ..Config::new(&server.url()) };
+    let patience = deadline / 4;
+    let config = Config { rate: 10_000.0, deadline, quiet, patience, ..Config::new(&server.url()) };
     let client = Client::new(config).expect("url is valid");
     (server, client)
 }
@@ -88,3 +89,19 @@
         }
     }
 }
+
+#[tokio::test]
+async fn silent_calls_free_their_slots() {
+    let server = StoreServer::start(1).expect("port is free");
+    let deadline = Duration::from_secs(20);
+    let patience = Duration::from_millis(200);
+    let config =
+        Config { rate: 10_000.0, inflight: 4, deadline, patience, ..Config::new(&server.url()) };
+    let client = Client::new(config).expect("url is valid");
+    server.set_faults(|faults| faults.delay = Duration::from_millis(20));
+    read_at_once(&client, 4).await;
+    server.silence();
+    // Would fail if the repetitions had to wait for the calls on silent connections.
+    read_at_once(&client, 4).await;
+    assert_eq!(client.counters().retries, 4);
+}
