Answer heartbeats only where the other side sends by itself; test evidence and spread

Change: a heartbeat says when it is only an answer, and is then not answered. The trial counted two successors for a member that was fenced while it was leaving (random_runs, three_members: 4 of 3 members up): mended there.

--- a/crates/fleet/src/beat.rs
+++ b/crates/fleet/src/beat.rs
@@ -80,6 +80,9 @@
     /// The last heartbeat that came the other way.
     #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
     pub echo: Option<Echo>,
+    /// Whether the sender only answers: it would not send to this receiver by itself.
+    #[serde(rename = "p", default, skip_serializing_if = "is_false")]
+    pub reply: bool,
     /// The sender, until the receiver has acknowledged a heartbeat.
     #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
     pub member: Option<Member>,
@@ -103,6 +106,10 @@
     pub ack: u64,
 }
 
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
+
 /// Acknowledges a heartbeat and says how long the answer waited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Echo {
--- a/crates/fleet/src/beats.rs
+++ b/crates/fleet/src/beats.rs
@@ -38,6 +38,8 @@
     /// Whether the peer has acknowledged a heartbeat.
     met: bool,
     reconnected: Time,
+    /// Last heartbeat that the peer sent by itself.
+    pub(crate) called: Option<Time>,
 }
 
 impl Link {
@@ -51,9 +53,12 @@
 impl Fleet {
     pub(crate) fn send_beats(&mut self, out: &mut Vec<Action>) {
         let hears = self.hears();
-        for to in self.targets() {
+        let targets = self.targets();
+        let callers = self.callers();
+        for to in targets.union(&callers).copied() {
             self.refresh(to, out);
-            let beat = self.beat(to, &hears);
+            let reply = !targets.contains(&to);
+            let beat = Beat { reply, ..self.beat(to, &hears) };
             self.send(to, Message::Beat(Box::new(beat)), out);
         }
     }
@@ -86,6 +91,7 @@
         Beat {
             seq: link.seq,
             echo: link.received.map(|(seq, at)| Echo { seq, held: held(at) }),
+            reply: false,
             member: (!link.met).then(|| self.me.clone()),
             revision: self.spread.revision(),
             checked: self.spread.checked().map(|at| self.now.since(at)),
@@ -141,6 +147,7 @@
         Beat {
             seq: 0,
             echo: None,
+            reply: false,
             member: Some(self.me.clone()),
             revision: self.spread.revision(),
             checked: None,
@@ -204,6 +211,9 @@
         }
         let seq = link.received.map_or(0, |(seq, _)| seq).max(beat.seq);
         link.received = Some((seq, self.now));
+        if !beat.reply {
+            link.called = Some(self.now);
+        }
         link.acked = link.acked.max(beat.ack);
         link.met |= beat.echo.is_some();
         let delay = beat.echo.and_then(|echo| link.delay(echo, self.now));
--- a/crates/fleet/src/tree.rs
+++ b/crates/fleet/src/tree.rs
@@ -54,9 +54,16 @@
                 targets.extend(contacts(peers, self.now));
             }
         }
-        targets.extend(others().filter(|p| is_heard(p, self.now)).map(incarnation));
         targets
     }
+
+    /// The members that send heartbeats to this one by themselves, and get answers.
+    pub(crate) fn callers(&self) -> BTreeSet<Incarnation> {
+        let lately = |at: Time| self.now.since(at) < NEAR_SILENCE;
+        let links = self.links.iter().filter(|(_, link)| link.called.is_some_and(lately));
+        let present = |incarnation: &Incarnation| self.view.members.contains_key(incarnation);
+        links.map(|(incarnation, _)| *incarnation).filter(present).collect()
+    }
 }
 
 /// Members to try, in order, up to the first that is heard.
--- a/crates/fleet/src/trial/world.rs
+++ b/crates/fleet/src/trial/world.rs
@@ -102,6 +102,8 @@
     vms: Vec<VmEntry>,
     owned: BTreeMap<ShardId, BTreeSet<Epoch>>,
     next_vm: u32,
+    /// The last process at each address.
+    addresses: BTreeMap<String, usize>,
 }
 
 /// Carries out a plan.
@@ -137,6 +139,7 @@
             vms: Vec::new(),
             owned: BTreeMap::new(),
             next_vm: 0,
+            addresses: BTreeMap::new(),
         }
     }
 
@@ -247,6 +250,7 @@
             sent: 0,
         });
         let node = self.nodes.len() - 1;
+        self.addresses.insert(vm.to_string(), node);
         self.tell(node, Event::VmList(self.vms.clone()));
         let shards = self.shards();
         self.tell(node, Event::Shards(shards));
@@ -318,7 +322,10 @@
                 self.report.fenced += 1;
                 let (site, vm) = self.place_of(node);
                 self.nodes[node].up = false;
-                self.schedule_start(site, vm);
+                // One that was leaving already has its successor.
+                if !self.nodes[node].leaving {
+                    self.schedule_start(site, vm);
+                }
             }
             Action::Disown { .. } | Action::MemberUp(_) | Action::MemberLeaving(_) => {}
         }
@@ -354,11 +361,11 @@
         self.nodes[from].sent += bytes;
         self.report.messages += 1;
         self.report.bytes += bytes;
-        let fits = |node: &Node| {
-            let me = node.fleet.me();
-            node.up && to.is_none_or(|to| to == me.incarnation) && me.address == address
-        };
-        let Some(target) = self.nodes.iter().position(fits) else { return };
+        let Some(target) = self.addresses.get(address).copied() else { return };
+        let wanted = to.is_none_or(|to| to == self.nodes[target].fleet.me().incarnation);
+        if !wanted || !self.nodes[target].up {
+            return;
+        }
         let lost = !self.quiet && self.rng.random_bool(self.plan.faults.loss);
         if lost || target == from || self.is_cut(from, target) {
             return;
--- /dev/null
+++ b/crates/fleet/tests/spreading.rs
@@ -0,0 +1,200 @@
+//! The configuration from peer to peer, without the store.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use fleet::Action;
+use fleet::Body;
+use fleet::Event;
+use fleet::Fleet;
+use fleet::Member;
+use fleet::Message;
+use fleet::Record;
+use fleet::StoreOutcome;
+use fleet::VmEntry;
+use fleet::WriteId;
+use model::Incarnation;
+use model::RegionId;
+use model::Revision;
+use model::Time;
+use model::VmId;
+use model::ZoneId;
+
+/// Members that reach each other at once, and a store that never answers.
+struct Cluster {
+    now: Time,
+    fleets: BTreeMap<Incarnation, Fleet>,
+    /// Texts that travelled whole, and as differences.
+    whole: usize,
+    spliced: usize,
+}
+
+impl Cluster {
+    fn new(members: u64) -> Cluster {
+        let mut cluster =
+            Cluster { now: Time::ZERO, fleets: BTreeMap::new(), whole: 0, spliced: 0 };
+        for number in 1..=members {
+            cluster.start(number, &format!("entry-{number}"));
+        }
+        cluster
+    }
+
+    fn start(&mut self, number: u64, vm: &str) {
+        let incarnation = Incarnation(number);
+        let member = Member {
+            incarnation,
+            vm: VmId::from(vm),
+            zone: ZoneId::from("north-a"),
+            region: RegionId::from("north"),
+            address: vm.to_owned(),
+        };
+        self.fleets.retain(|_, fleet| fleet.me().vm.as_str() != vm);
+        self.fleets.insert(incarnation, Fleet::new(member, number));
+        let entry = |fleet: &Fleet| VmEntry {
+            vm: fleet.me().vm.clone(),
+            address: fleet.me().address.clone(),
+            leaving: false,
+        };
+        let vms: Vec<VmEntry> = self.fleets.values().map(entry).collect();
+        let all: Vec<Incarnation> = self.fleets.keys().copied().collect();
+        for incarnation in all {
+            self.tell(incarnation, Event::VmList(vms.clone()));
+        }
+    }
+
+    fn tell(&mut self, to: Incarnation, event: Event) {
+        let mut open = vec![(to, event)];
+        while let Some((to, event)) = open.pop() {
+            let Some(fleet) = self.fleets.get_mut(&to) else { continue };
+            let mut out = Vec::new();
+            fleet.handle(self.now, event, &mut out);
+            for action in out {
+                self.follow(to, action, &mut open);
+            }
+        }
+    }
+
+    fn follow(&mut self, from: Incarnation, action: Action, open: &mut Vec<(Incarnation, Event)>) {
+        let (address, message) = match action {
+            Action::Send { address, message, .. } | Action::Greet { address, message } => {
+                (address, message)
+            }
+            Action::Store { call, .. } => {
+                return open.push((from, Event::Store { call, outcome: StoreOutcome::Failed }));
+            }
+            _ => return,
+        };
+        match &message {
+            Message::Text { body: Body::Whole(_), .. } => self.whole += 1,
+            Message::Text { body: Body::Splice(_), .. } => self.spliced += 1,
+            _ => {}
+        }
+        let mut fleets = self.fleets.iter();
+        let target = fleets.find(|(_, fleet)| fleet.me().address == address);
+        if let Some((to, _)) = target {
+            open.push((*to, Event::Message { from, message }));
+        }
+    }
+
+    fn pass(&mut self, seconds: u64) {
+        for _ in 0..seconds * 5 {
+            self.now = self.now + Duration::from_millis(200);
+            let all: Vec<Incarnation> = self.fleets.keys().copied().collect();
+            for incarnation in all {
+                self.tell(incarnation, Event::Tick);
+            }
+        }
+    }
+
+    fn seen(&mut self, number: u64, revision: u64) {
+        let text = Arc::from(format!("the text of revision {revision}"));
+        let event = Event::TextSeen { revision: Revision(revision), text };
+        self.tell(Incarnation(number), event);
+    }
+
+    fn revisions(&self) -> Vec<u64> {
+        self.fleets.values().map(|fleet| fleet.revision().0).collect()
+    }
+}
+
+#[test]
+fn one_tells_all() {
+    let mut cluster = Cluster::new(5);
+    cluster.pass(5);
+    cluster.seen(4, 7);
+    cluster.pass(3);
+    assert_eq!(cluster.revisions(), [7; 5]);
+    assert_eq!((cluster.whole, cluster.spliced), (4, 0));
+    cluster.seen(2, 8);
+    cluster.pass(3);
+    assert_eq!(cluster.revisions(), [8; 5]);
+    assert_eq!((cluster.whole, cluster.spliced), (4, 4), "the second text went as differences");
+}
+
+#[test]
+fn restart_without_the_store() {
+    let mut cluster = Cluster::new(3);
+    cluster.pass(5);
+    cluster.seen(1, 7);
+    cluster.pass(3);
+    cluster.start(11, "entry-1");
+    cluster.start(12, "entry-2");
+    cluster.pass(5);
+    assert_eq!(cluster.revisions(), [7; 3]);
+    let snapshot = cluster.fleets[&Incarnation(11)].snapshot();
+    assert!(!snapshot.current, "nobody can vouch without the store");
+    assert!(!snapshot.store.healthy);
+}
+
+#[test]
+fn lower_revision_loses_after_restarts() {
+    let mut cluster = Cluster::new(4);
+    cluster.pass(5);
+    cluster.seen(1, 7);
+    cluster.pass(3);
+    cluster.start(11, "entry-1");
+    cluster.start(12, "entry-2");
+    // The new processes read a store that went back to an older value.
+    cluster.seen(11, 5);
+    cluster.seen(12, 6);
+    cluster.pass(5);
+    assert_eq!(cluster.revisions(), [7; 4]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(6),
+        cases: 256,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn history_leads_back(texts in prop::collection::vec("[ab\näö]{0,12}", 1..8)) {
+        let first = Arc::from(texts[0].as_str());
+        let mut record = Record::first(WriteId(0), "ana", model::Stamp(0), &first);
+        for (number, text) in texts.iter().enumerate().skip(1) {
+            let text = Arc::from(text.as_str());
+            record = record.next(WriteId(number as u64), "ben", model::Stamp(1), &text);
+        }
+        let value = record.encode().expect("a short record encodes");
+        let record = Record::decode(&value).expect("it decodes");
+        for (number, text) in texts.iter().enumerate() {
+            let revision = Revision(number as u64 + 1);
+            let kept = record.text_at(revision);
+            prop_assert_eq!(kept.as_deref(), Some(text.as_str()));
+            prop_assert_eq!(record.revision_of(WriteId(number as u64)), Some(revision));
+        }
+    }
+
+    #[test]
+    fn any_value_decodes_or_says_why(value in "\\PC{0,80}") {
+        if let Err(error) = Record::decode(&value) {
+            prop_assert!(error.to_string().starts_with("stored configuration does not parse"));
+        }
+    }
+}
