Recognise a change that is asked for again under its write id

Cause: a change that took effect, and whose answer was lost between program and entry VM, came back as a lost race when it was repeated; without a base revision it brought an old text back. Change: fleet::Apply looks for the write id in the stored record before it compares revisions.

--- a/crates/fleet/src/apply.rs
+++ b/crates/fleet/src/apply.rs
@@ -232,6 +232,9 @@
 
     fn propose(&mut self, version: u64, record: Option<Record>) -> Step {
         let proposal = &self.proposal;
+        if let Some(outcome) = record.as_ref().and_then(|record| repeated(record, proposal.write)) {
+            return Step::Finished(outcome);
+        }
         let revision = record.as_ref().map_or(Revision(0), |record| record.revision);
         match (proposal.base, &record) {
             (Some(base), Some(record)) if base != revision => {
@@ -261,6 +264,14 @@
     }
 }
 
+/// What came of a write that took effect before this change was asked for again.
+fn repeated(record: &Record, write: WriteId) -> Option<Outcome> {
+    let revision = record.revision_of(write)?;
+    let old = record.text_at(Revision(revision.0 - 1)).unwrap_or_default();
+    let new = record.text_at(revision).unwrap_or_default();
+    Some(Outcome::Applied { revision, changes: changes(&old, &new) })
+}
+
 fn raced(base: Revision, old: &str, record: &Record) -> Outcome {
     Outcome::Raced {
         revision: record.revision,
