Add the operators' commands

Cause: operators could only call the HTTP interface by hand. Change: check, diff, apply, history, text, status, explain, jobs, burn (with a drawing), completions and man, over one small HTTP client whose errors carry a verdict. Writes carry an id and are asked for again under it until the outcome is known.

--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -65,6 +65,16 @@
     Slow,
 }
 
+impl Alert {
+    /// Burn rate at which it fires, as a multiple of the sustainable rate.
+    pub fn rate(self) -> f64 {
+        match self {
+            Alert::Fast => FAST_RATE,
+            Alert::Slow => SLOW_RATE,
+        }
+    }
+}
+
 /// One window of one series.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WindowReport {
--- /dev/null
+++ b/crates/cli/src/command/jobs.rs
@@ -0,0 +1,88 @@
+//! `basilrack jobs show` and `jobs cancel`.
+
+use hyper::Method;
+
+use crate::client::Client;
+use crate::error::Error;
+use crate::options::Format;
+use crate::options::IdOptions;
+use crate::page::Page;
+use crate::page::Tone;
+use crate::status::Status;
+use wire::border;
+
+/// State of a job that ran to its end.
+const DONE: &str = "done";
+/// State of a job that nobody can know any more.
+const UNKNOWN: &str = "unknown";
+
+/// Shows a job.
+///
+/// # Errors
+///
+/// No entry VM answers, or none knows the job.
+pub async fn show(options: &IdOptions, client: &Client, page: &mut Page) -> Result<Status, Error> {
+    let status = read(client, &options.id).await?;
+    print(&status, options.format, page)?;
+    Ok(if status.state == UNKNOWN { Status::Unknown } else { Status::Success })
+}
+
+/// Cancels a job.
+///
+/// # Errors
+///
+/// No entry VM answers, or none knows the job. A cancellation may be repeated.
+pub async fn cancel(
+    options: &IdOptions,
+    client: &Client,
+    page: &mut Page,
+) -> Result<Status, Error> {
+    let path = format!("/v1/jobs/{}", options.id);
+    let status = client.settle(Method::DELETE, &path, None::<&()>).await?;
+    print(&status, options.format, page)?;
+    Ok(Status::Success)
+}
+
+/// Asks for the state of a job.
+///
+/// # Errors
+///
+/// No entry VM answers, or none knows the job.
+pub async fn read(client: &Client, id: &str) -> Result<border::JobStatus, Error> {
+    Ok(client.read(&format!("/v1/jobs/{id}")).await?)
+}
+
+/// Prints the state of a job.
+///
+/// # Errors
+///
+/// Standard output cannot be written.
+pub fn print(status: &border::JobStatus, format: Format, page: &mut Page) -> Result<(), Error> {
+    match format {
+        Format::Json => page.json(status),
+        Format::Table => write(status, page),
+    }
+    page.show()
+}
+
+/// The exit code for a job that has ended.
+pub fn ended(status: &border::JobStatus) -> Status {
+    match status.state.as_str() {
+        DONE => Status::Success,
+        UNKNOWN => Status::Unknown,
+        _ => Status::Unsuccessful,
+    }
+}
+
+fn write(status: &border::JobStatus, page: &mut Page) {
+    page.line(Tone::Head, format!("job {}: {}", status.id, status.state));
+    let last = if status.final_ { "final" } else { "may change" };
+    page.line(Tone::Plain, format!("  verdict: {} ({last})", status.verdict));
+    page.line(Tone::Plain, format!("  reason: {}", status.reason));
+    let parts = [("waits for", &status.waits), ("shard", &status.shard)];
+    for (name, value) in parts {
+        if let Some(value) = value {
+            page.line(Tone::Plain, format!("  {name}: {value}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command/mod.rs
@@ -0,0 +1,14 @@
+//! One module for each command.
+
+pub mod apply;
+pub mod burn;
+pub mod check;
+pub mod completions;
+pub mod diff;
+pub mod explain;
+pub mod history;
+pub mod jobs;
+pub mod man;
+pub mod status;
+pub mod submit;
+pub mod text;
--- /dev/null
+++ b/crates/cli/src/command/submit.rs
@@ -0,0 +1,100 @@
+//! `basilrack jobs submit`: submits a job.
+//!
+//! The id is fetched first and the job put under it, so that a submission whose answer is lost can
+//! be repeated and starts one job only.
+
+use std::time::Duration;
+
+use hyper::Method;
+use tokio::time::sleep;
+
+use crate::client::CallError;
+use crate::client::Client;
+use crate::command::jobs;
+use crate::error::Error;
+use crate::files;
+use crate::options::JobSource;
+use crate::options::SubmitOptions;
+use crate::page::Page;
+use crate::status::Status;
+use model::Verdict;
+use wire::border;
+
+/// Pause between two looks at a job.
+const WATCH_PAUSE: Duration = Duration::from_millis(250);
+
+/// Submits a job, and waits for its end if that is wanted.
+///
+/// # Errors
+///
+/// The job is refused, or whether it was accepted is unknown.
+pub async fn run(
+    options: &SubmitOptions,
+    client: &Client,
+    page: &mut Page,
+) -> Result<Status, Error> {
+    let mut spec = match &options.source {
+        JobSource::File(path) => files::read_json(path)?,
+        JobSource::Flags(spec) => border::JobSpec::clone(spec),
+    };
+    if let Some(zone) = &options.zone {
+        spec.zone = Some(zone.clone());
+    }
+    let id = client.fresh_id().await?;
+    let mut status = match &spec.zone {
+        Some(_) => put(client, &id, &spec).await?,
+        None => put_anywhere(client, &id, spec).await?,
+    };
+    if !options.wait {
+        jobs::print(&status, options.format, page)?;
+        return Ok(Status::Success);
+    }
+    eprintln!("basilrack: job {id} is {}", status.state);
+    while !status.final_ && status.state != "unknown" {
+        sleep(WATCH_PAUSE).await;
+        status = jobs::read(client, &id).await?;
+    }
+    jobs::print(&status, options.format, page)?;
+    Ok(jobs::ended(&status))
+}
+
+async fn put(
+    client: &Client,
+    id: &str,
+    spec: &border::JobSpec,
+) -> Result<border::JobStatus, Error> {
+    let path = format!("/v1/jobs/{id}");
+    client.settle(Method::PUT, &path, Some(spec)).await.map_err(|error| {
+        if error.verdict() == Verdict::Unknown {
+            Error::SubmitUnknown { source: Box::new(error), id: id.to_owned() }
+        } else {
+            Error::Call(error)
+        }
+    })
+}
+
+/// Tries one zone after another, as long as each certainly refused the job.
+async fn put_anywhere(
+    client: &Client,
+    id: &str,
+    mut spec: border::JobSpec,
+) -> Result<border::JobStatus, Error> {
+    let mut last = Error::NoZone;
+    for zone in zones(client).await? {
+        spec.zone = Some(zone);
+        last = match put(client, id, &spec).await {
+            Err(Error::Call(error @ CallError::Problem { .. })) => Error::Call(error),
+            result => return result,
+        };
+    }
+    Err(last)
+}
+
+/// Zones whose shard has an owner, that of the entry VM first.
+async fn zones(client: &Client) -> Result<Vec<String>, Error> {
+    let status: border::Status = client.read("/v1/status").await?;
+    let owned = status.shards.into_iter().filter(|shard| shard.owner.is_some());
+    let mut zones: Vec<String> = owned.map(|shard| shard.shard).collect();
+    zones.sort_by_key(|zone| *zone != status.zone);
+    Ok(zones)
+}
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -5,7 +5,9 @@
 
 use thiserror::Error;
 
+use crate::client::CallError;
 use crate::status::Status;
+use model::Verdict;
 use text::Fault;
 
 /// Why a command failed.
@@ -19,9 +21,90 @@
         /// What the system said.
         source: io::Error,
     },
+    /// A file cannot be written.
+    #[error("{path} cannot be written: {source}", path = path.display())]
+    Write {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// A JSON file has another form than expected.
+    #[error("{path}:{line}:{column}: {reason}", path = path.display())]
+    Json {
+        /// The file.
+        path: PathBuf,
+        /// Line, from 1.
+        line: usize,
+        /// Column, from 1.
+        column: usize,
+        /// What is wrong.
+        reason: String,
+    },
     /// A configuration has faults.
-    #[error("{}", lines(.0))]
+    #[error("the configuration has faults\n{}", lines(.0))]
     Faults(Vec<Fault>),
+    /// A URL cannot be used.
+    #[error("{url:?} is not the address of an entry VM; write one such as http://10.0.0.4:8080")]
+    Url {
+        /// The URL.
+        url: String,
+    },
+    /// A call was not answered as asked.
+    #[error(transparent)]
+    Call(#[from] CallError),
+    /// Another change of the configuration came first.
+    #[error("nothing was changed: {detail}\nLook at `basilrack diff {file}`, then apply it again")]
+    Raced {
+        /// Who changed what.
+        detail: String,
+        /// The file that was to be applied.
+        file: String,
+    },
+    /// An entry VM does not have the configuration that the store holds.
+    #[error(
+        "the entry VM does not have revision {revision} of the configuration yet; nothing was \
+         changed, try again in a few seconds"
+    )]
+    Behind {
+        /// The revision in the store.
+        revision: u64,
+    },
+    /// Whether a change of the configuration is stored is not known.
+    #[error(
+        "{source}\nSettle it with `basilrack apply {file} --expect {expect} --write {write}`, or \
+         look for it in `basilrack history`"
+    )]
+    ApplyUnknown {
+        /// Why.
+        source: Box<CallError>,
+        /// The file that was to be applied.
+        file: String,
+        /// The expected revision.
+        expect: u64,
+        /// The write id.
+        write: String,
+    },
+    /// Whether a job was accepted is not known.
+    #[error("{source}\nLook for job {id} with `basilrack jobs show {id}`")]
+    SubmitUnknown {
+        /// Why.
+        source: Box<CallError>,
+        /// The job.
+        id: String,
+    },
+    /// No availability zone can be chosen for a job.
+    #[error("no placement shard has an owner, so no zone can be chosen; try again, or set --zone")]
+    NoZone,
+    /// The report cannot be drawn.
+    #[error("the report cannot be drawn: {reason}")]
+    Draw {
+        /// What the library said.
+        reason: String,
+    },
+    /// The output cannot be printed.
+    #[error("cannot print: {0}")]
+    Print(io::Error),
     /// A stand-in or the runtime cannot start.
     #[error("cannot start: {0}")]
     Start(#[from] io::Error),
@@ -40,7 +123,10 @@
     /// The exit code.
     pub fn status(&self) -> Status {
         match self {
-            Error::Faults(_) => Status::Faults,
+            Error::Faults(_) | Error::Json { .. } => Status::Faults,
+            Error::Raced { .. } => Status::Conflict,
+            Error::ApplyUnknown { .. } | Error::SubmitUnknown { .. } => Status::Unknown,
+            Error::Call(error) if error.verdict() == Verdict::Unknown => Status::Unknown,
             _ => Status::Failure,
         }
     }
--- /dev/null
+++ b/crates/cli/src/files.rs
@@ -0,0 +1,62 @@
+//! Reads and writes the operator's files.
+
+use std::fs;
+use std::path::Path;
+
+use serde::de::DeserializeOwned;
+
+use crate::error::Error;
+use text::Text;
+
+/// A configuration as it is written and as it reads.
+#[derive(Clone, Debug)]
+pub struct Source {
+    /// As it is written.
+    pub source: String,
+    /// As it reads.
+    pub text: Text,
+}
+
+/// Reads a file.
+///
+/// # Errors
+///
+/// [`Error::Read`].
+pub fn read(path: &Path) -> Result<String, Error> {
+    fs::read_to_string(path).map_err(|source| Error::Read { path: path.to_owned(), source })
+}
+
+/// Writes a file.
+///
+/// # Errors
+///
+/// [`Error::Write`].
+pub fn write(path: &Path, content: &str) -> Result<(), Error> {
+    fs::write(path, content).map_err(|source| Error::Write { path: path.to_owned(), source })
+}
+
+/// Reads and checks a configuration.
+///
+/// # Errors
+///
+/// [`Error::Read`] or [`Error::Faults`].
+pub fn read_text(path: &Path) -> Result<Source, Error> {
+    let source = read(path)?;
+    let text = text::parse(&path.display().to_string(), &source).map_err(Error::Faults)?;
+    Ok(Source { source, text })
+}
+
+/// Reads a JSON file.
+///
+/// # Errors
+///
+/// [`Error::Read`] or [`Error::Json`].
+pub fn read_json<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
+    let source = read(path)?;
+    serde_json::from_str(&source).map_err(|error| Error::Json {
+        path: path.to_owned(),
+        line: error.line(),
+        column: error.column(),
+        reason: error.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/cli/tests/commands/burn_report.rs
@@ -0,0 +1,114 @@
+//! `burn` as tables, JSON and a drawing.
+
+use std::path::PathBuf;
+
+use crate::stage::Stage;
+use cli::chart;
+use cli::command::burn;
+use cli::options::Colour;
+use cli::page::Page;
+use wire::border;
+
+fn line(service: &str, burn: f64, alert: Option<&str>) -> border::BurnLine {
+    let window = |name: &str, burn: f64, covered: f64| border::BurnWindow {
+        window: name.to_owned(),
+        good: 990,
+        bad: 8,
+        unknown: 2,
+        burn,
+        covered,
+    };
+    border::BurnLine {
+        service: service.to_owned(),
+        account: "growers".to_owned(),
+        objective: 0.999,
+        left: 0.25,
+        alert: alert.map(str::to_owned),
+        windows: vec![
+            window("5m", burn, 1.0),
+            window("1h", burn / 2.0, 1.0),
+            window("6h", burn / 4.0, 0.9),
+            window("3d", burn / 8.0, 0.5),
+        ],
+    }
+}
+
+fn report(lines: Vec<border::BurnLine>) -> border::BurnReport {
+    border::BurnReport { as_of_ms: 1_796_376_000_000, lines, unknown: Vec::new() }
+}
+
+/// Checks that every element of an SVG document is closed, in order.
+fn assert_svg(svg: &str) {
+    assert!(svg.starts_with("<svg") && svg.trim_end().ends_with("</svg>"), "{svg}");
+    let mut open = Vec::new();
+    for part in svg.split('<').skip(1) {
+        let (tag, _) = part.split_once('>').expect("an element without an end");
+        let name = tag.trim_start_matches('/').split([' ', '\n', '/']).next().unwrap_or_default();
+        if tag.starts_with('/') {
+            assert_eq!(open.pop(), Some(name), "closes another element");
+        } else if !tag.ends_with('/') {
+            open.push(name);
+        }
+    }
+    assert!(open.is_empty(), "{open:?} stay open");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn from_entry_vm() {
+    let stage = Stage::configured("burn", 1).await;
+    stage.send("tickets", "growers").await;
+    let report: border::BurnReport =
+        stage.program(&["burn", "--json"]).run().await.expect(0).json();
+    assert!(report.as_of_ms > 0);
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("burn.svg");
+    let ended = stage.program(&["burn", "--svg"]).args([&path]).run().await.expect(0);
+    ended.says(&["Error budgets at 2", "Windows", "Unknown"]);
+    assert_svg(&std::fs::read_to_string(&path).unwrap());
+    let ended = stage.program(&["burn", "--svg", "/nonexistent/a.svg"]).run().await.expect(1);
+    ended.warns(&["/nonexistent/a.svg cannot be written"]);
+}
+
+#[test]
+fn drawing() {
+    let lines = vec![line("tickets", 20.0, Some("fast")), line("sorting", 0.5, None)];
+    let svg = chart::draw(&report(lines)).unwrap();
+    assert_svg(&svg);
+    for part in ["tickets for growers", "sorting for growers", "fast alert, 14.4", "slow alert, 1"]
+    {
+        assert!(svg.contains(part), "{part:?} is not drawn: {svg}");
+    }
+    for window in ["5m", "1h", "6h", "3d"] {
+        assert_eq!(
+            svg.matches(&format!("\n{window}\n")).count(),
+            2,
+            "{window} is not labelled: {svg}"
+        );
+    }
+    for burn in ["20.00", "2.50", "0.06"] {
+        assert!(svg.contains(burn), "{burn} is not drawn: {svg}");
+    }
+}
+
+#[test]
+fn drawing_at_the_edges() {
+    assert_svg(&chart::draw(&report(Vec::new())).unwrap());
+    let mut odd = line("odd", f64::INFINITY, None);
+    assert_svg(&chart::draw(&report(vec![odd.clone()])).unwrap());
+    odd.windows.truncate(1);
+    assert_svg(&chart::draw(&report(vec![odd.clone(), odd.clone(), odd])).unwrap());
+    let mut empty = line("empty", 0.0, None);
+    empty.windows.clear();
+    assert_svg(&chart::draw(&report(vec![empty])).unwrap());
+}
+
+#[test]
+fn tables() {
+    let mut page = Page::new(Colour::Never);
+    let mut report = report(vec![line("tickets", 20.0, Some("fast"))]);
+    report.unknown.push(border::Doubt { subject: "a minute".to_owned(), why: "lost".to_owned() });
+    burn::write(&report, &mut page);
+    let text = page.text();
+    for part in ["99.9%", "25.0%", "fast", "20.00", "90.0%", "50.0%", "Unknown\n  a minute: lost"] {
+        assert!(text.contains(part), "{part:?} is not in:\n{text}");
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/commands/main.rs
@@ -0,0 +1,14 @@
+//! The built program against entry VMs in this process, one module a feature.
+
+mod apply_text;
+mod burn_report;
+mod check_faults;
+mod dev_run;
+mod explain_paths;
+mod job_round;
+mod program;
+mod relay;
+mod shell_pages;
+mod stage;
+mod status_views;
+mod urls_tokens;
--- a/crates/text/src/unit.rs
+++ b/crates/text/src/unit.rs
@@ -33,7 +33,7 @@
     }
 
     /// Reads a size such as `16GB`.
-    pub(crate) fn parse(text: &str) -> Option<Bytes> {
+    pub fn parse(text: &str) -> Option<Bytes> {
         let (digits, unit) = split(text)?;
         let (_, scale) = UNITS.iter().find(|(name, _)| *name == unit)?;
         digits.parse::<u64>().ok()?.checked_mul(*scale).map(Bytes)
