--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -46,8 +46,8 @@
                 self.may_have_run(id, &attempt, Reason::Timeout);
             }
         }
-        self.set_request_timer(id);
         self.pump(pool);
+        self.set_request_timer(id);
     }
 
     /// Learns run times and charges the account with what the run really took.
--- a/crates/route/src/calls.rs
+++ b/crates/route/src/calls.rs
@@ -11,6 +11,7 @@
 use crate::Reason;
 use crate::RequestState;
 use crate::Router;
+use crate::ServicePolicy;
 use crate::Step;
 use crate::Ticket;
 use crate::homes::Owner;
@@ -42,6 +43,9 @@
     }
 }
 
+/// Steps of a request that is answered at the first attempt.
+const FIRST_STEPS: usize = 4;
+
 const SOON: Duration = Duration::from_millis(100);
 const LATER: Duration = Duration::from_secs(1);
 
@@ -120,6 +124,7 @@
         entry.waiters = vec![waiter];
         self.requeue(id);
         self.pump_for(id);
+        self.set_request_timer(id);
     }
 
     /// A request of an own id that is not in the table.
@@ -175,11 +180,12 @@
             wake: None,
             answer: None,
             settled: self.now,
-            steps: Vec::new(),
+            steps: Vec::with_capacity(FIRST_STEPS),
         };
         self.table.insert(call.id, entry);
         self.enqueue(call.id);
         self.pump_for(call.id);
+        self.set_request_timer(call.id);
     }
 
     fn turn_away(&mut self, waiter: Waiter, call: &Call, refusal: Refusal, adopted: bool) {
@@ -246,7 +252,7 @@
 
     /// Sheds what would not meet its deadline, and batch work first where room runs out.
     fn check_load(&mut self, service: usize, account: usize, call: &Call) -> Result<(), Refusal> {
-        let lane = self.lane(service);
+        let lane = lane_of(&self.names.services[service].policy);
         let pool = self.names.services[service].pool;
         let wait = self.estimate(pool, lane, account);
         let allowed = match lane {
@@ -297,35 +303,29 @@
         Duration::from_micros(work / u64::from(slots.max(1)))
     }
 
-    pub(crate) fn lane(&self, service: usize) -> Lane {
-        let policy = &self.names.services[service].policy;
-        match (policy.class, policy.idempotent) {
-            (Class::Interactive, _) => Lane::Interactive,
-            (Class::Batch, true) => Lane::Batch,
-            (Class::Batch, false) => Lane::Firm,
-        }
-    }
-
-    /// Puts a request into its queue.
+    /// Puts a request into its queue; the caller sets its timer once it has been dispatched or not.
     pub(crate) fn enqueue(&mut self, id: RequestId) {
-        let Some(entry) = self.table.get(id) else { return };
-        let service = entry.service;
-        let lane = self.lane(service);
-        let cost = self.names.services[service].run.mean_micros();
-        let pool = self.names.services[service].pool;
         let Some(entry) = self.table.get_mut(id) else { return };
-        entry.lane = lane;
-        entry.pool = pool;
+        let service = &self.names.services[entry.service];
+        let cost = service.run.mean_micros();
+        entry.lane = lane_of(&service.policy);
         entry.cost = cost;
+        entry.pool = service.pool;
         let waiting = Waiting { deadline: entry.deadline, id };
         let account = &mut self.names.accounts[entry.account];
         account.waiting += 1;
         self.waiting += 1;
         self.waiting_bytes += entry.body.len();
         let weight = account.policy.weight;
-        self.pools[pool].queues[lane as usize].push(entry.account, weight, waiting, cost);
-        self.note(id, 0, None, None);
-        self.set_request_timer(id);
+        let queue = &mut self.pools[entry.pool].queues[entry.lane as usize];
+        queue.push(entry.account, weight, waiting, cost);
+        entry.note(Step {
+            at: self.now,
+            state: entry.state,
+            attempt: 0,
+            backend: None,
+            reason: None,
+        });
     }
 
     /// Takes a request out of its queue.
@@ -436,6 +436,14 @@
     }
 }
 
+fn lane_of(policy: &ServicePolicy) -> Lane {
+    match (policy.class, policy.idempotent) {
+        (Class::Interactive, _) => Lane::Interactive,
+        (Class::Batch, true) => Lane::Batch,
+        (Class::Batch, false) => Lane::Firm,
+    }
+}
+
 /// An answer without a body.
 pub(crate) fn blank(id: RequestId, verdict: Verdict, reason: Reason) -> Answer {
     Answer {
--- a/crates/route/src/drain.rs
+++ b/crates/route/src/drain.rs
@@ -305,6 +305,7 @@
             entry.waiters = waiters.unwrap_or_default();
         }
         self.requeue(id);
+        self.set_request_timer(id);
     }
 
     fn reopen(&mut self, id: RequestId) {
@@ -415,8 +416,10 @@
                 self.table.insert(id, entry);
                 self.enqueue(id);
                 self.pump_for(id);
+                self.set_request_timer(id);
             }
             RecordState::Done { answer } => {
+                entry.exposed = answer.verdict == Verdict::Unknown;
                 entry.state = match answer.verdict {
                     Verdict::Ran => RequestState::Answered,
                     Verdict::NotRun => RequestState::Refused,
--- a/crates/route/src/pump.rs
+++ b/crates/route/src/pump.rs
@@ -4,6 +4,7 @@
 use crate::Reason;
 use crate::Reuse;
 use crate::Router;
+use crate::Step;
 use crate::life::RequestEvent;
 use crate::seat::Lane;
 use crate::seat::Near;
@@ -111,10 +112,10 @@
 
     /// Sends a request to a backend server.
     pub(crate) fn dispatch(&mut self, id: RequestId, seat: usize) {
-        self.advance(id, RequestEvent::Dispatch);
         self.turn += 1;
         let turn = self.turn;
         let Some(entry) = self.table.get_mut(id) else { return };
+        self.charts.request.advance(&mut entry.state, RequestEvent::Dispatch);
         let service = &self.names.services[entry.service];
         let target = &mut self.seats[seat];
         entry.tried += 1;
@@ -142,12 +143,18 @@
         target.turn = turn;
         let cost = i64::try_from(entry.cost).unwrap_or(i64::MAX);
         let (account, lane, pool, number) = (entry.account, entry.lane, entry.pool, attempt.number);
+        entry.note(Step {
+            at: self.now,
+            state: entry.state,
+            attempt: number,
+            backend: Some(target.id.clone()),
+            reason: None,
+        });
         entry.attempts.push(attempt);
         self.pools[pool].queues[lane as usize].charge(account, cost);
         self.running += 1;
         self.occupy(seat, lane);
         self.out.push(action);
-        self.note(id, number, Some(seat), None);
         self.set_request_timer(id);
     }
 
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::xxh3_128_with_seed;
 
 use crate::Answer;
 use crate::Call;
@@ -13,10 +15,8 @@
 use crate::Step;
 use crate::Ticket;
 use crate::seat::Lane;
-use model::AccountId;
 use model::Incarnation;
 use model::RequestId;
-use model::ServiceId;
 use model::Time;
 
 /// Memory of an entry besides its body, for the bound on kept answers.
@@ -115,7 +115,7 @@
 /// Requests by id.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
-    entries: BTreeMap<RequestId, Entry>,
+    entries: BTreeMap<RequestId, Box<Entry>>,
     kept: VecDeque<Kept>,
     kept_bytes: usize,
     active: usize,
@@ -123,23 +123,23 @@
 
 impl Table {
     pub(crate) fn get(&self, id: RequestId) -> Option<&Entry> {
-        self.entries.get(&id)
+        self.entries.get(&id).map(Box::as_ref)
     }
 
     pub(crate) fn get_mut(&mut self, id: RequestId) -> Option<&mut Entry> {
-        self.entries.get_mut(&id)
+        self.entries.get_mut(&id).map(Box::as_mut)
     }
 
     pub(crate) fn insert(&mut self, id: RequestId, entry: Entry) {
         if !entry.is_settled() {
             self.active += 1;
         }
-        let old = self.entries.insert(id, entry);
+        let old = self.entries.insert(id, Box::new(entry));
         assert!(old.is_none(), "request {id} is in the table twice");
     }
 
     pub(crate) fn iter(&self) -> impl Iterator<Item = (&RequestId, &Entry)> {
-        self.entries.iter()
+        self.entries.iter().map(|(id, entry)| (id, entry.as_ref()))
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -196,19 +196,11 @@
     }
 }
 
-/// Digest of what a request asks for, to tell a repeat from another request.
-pub(crate) fn digest(service: &ServiceId, account: &AccountId, body: &[u8]) -> u128 {
-    let mut hash = Xxh3::new();
-    hash.update(service.as_str().as_bytes());
-    hash.update(&[0]);
-    hash.update(account.as_str().as_bytes());
-    hash.update(&[0]);
-    hash.update(body);
-    hash.digest128()
-}
-
 impl Call {
+    /// Digest of what the request asks for, to tell a repeat from another request.
     pub(crate) fn digest(&self) -> u128 {
-        digest(&self.service, &self.account, &self.body)
+        let service = xxh3_64(self.service.as_str().as_bytes());
+        let seed = xxh3_64_with_seed(self.account.as_str().as_bytes(), service);
+        xxh3_128_with_seed(&self.body, seed)
     }
 }
