Keep two entry VMs that meet each other from replacing their link again

Cause: each side forgot where the other listens once a link was replaced, so two sides that kept meeting would have replaced it every time. Change: the address at which a peer answered is kept with the peer, not with the link. Conclusion: at most one replacement in a meeting from both sides.

--- a/crates/net/src/peer/hub.rs
+++ b/crates/net/src/peer/hub.rs
@@ -80,6 +80,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Peer {
     target: Option<SocketAddr>,
+    // Where the peer answered when this side last dialled it.
+    answered: Option<SocketAddr>,
     link: Option<Current>,
     dial: Option<AbortHandle>,
     failures: u32,
@@ -89,8 +91,6 @@
 struct Current {
     id: u64,
     dialer: Incarnation,
-    // The peer's listening address if this side dialled.
-    address: SocketAddr,
     since: Instant,
 }
 
@@ -103,8 +103,7 @@
 
     /// Whether a link is open to the peer that listens at `address`.
     fn linked_at(&self, address: SocketAddr) -> bool {
-        let link = self.link.as_ref();
-        link.is_some_and(|link| link.address == address || self.target == Some(address))
+        self.link.is_some() && [self.target, self.answered].contains(&Some(address))
     }
 }
 
@@ -285,7 +284,10 @@
         let dialer = if side == Side::Dialer { self.own.incarnation } else { id };
         if side == Side::Dialer {
             match self.peers.get_mut(&id) {
-                Some(peer) => peer.end_dial(),
+                Some(peer) => {
+                    peer.end_dial();
+                    peer.answered = Some(opened.address);
+                }
                 None => return Ok(()),
             }
         }
@@ -327,7 +329,7 @@
         self.tasks.spawn(link.run(socket));
         self.current.insert(id, hello.incarnation);
         let peer = self.peers.entry(hello.incarnation).or_default();
-        peer.link = Some(Current { id, dialer, address, since: Instant::now() });
+        peer.link = Some(Current { id, dialer, since: Instant::now() });
         self.shared.set_link(hello.incarnation, Some(Arc::new(outbox)));
         self.emit(PeerEvent::Up { hello, address }).await
     }
--- a/crates/net/tests/peer_links.rs
+++ b/crates/net/tests/peer_links.rs
@@ -195,6 +195,29 @@
     assert_eq!((one.peers.counters().opened, two.peers.counters().opened), (1, 1));
 }
 
+#[tokio::test]
+async fn meeting_again() {
+    let config = Config::default();
+    let mut one = Node::start(1, config.clone()).await;
+    let mut two = Node::start(2, config.clone()).await;
+    one.peers.meet(two.address);
+    assert_eq!((one.up().await, two.up().await), (two.id, one.id));
+    // By now a second connection no longer counts as dialled at the same time.
+    tokio::time::sleep(config.handshake * 2).await;
+    two.peers.meet(one.address);
+    assert_eq!((one.up().await, two.up().await), (two.id, one.id));
+    // Both know by now whom they would meet.
+    tokio::time::sleep(config.handshake * 2).await;
+    one.peers.meet(two.address);
+    two.peers.meet(one.address);
+    one.peers.send(two.id, Part::Fleet, number(1)).unwrap();
+    two.peers.send(one.id, Part::Fleet, number(2)).unwrap();
+    assert_eq!((received(&mut one).await, received(&mut two).await), (2, 1));
+    one.peers.stop().await;
+    two.peers.stop().await;
+    assert_eq!((one.peers.counters().opened, two.peers.counters().opened), (2, 2));
+}
+
 #[tokio::test]
 async fn forgotten() {
     let mut one = Node::start(1, Config::default()).await;
