Report a worker's leases when a task is stopped

Cause: a stop hid tasks that had ended by themselves, and reports looked newer than they were. Change: a stop reports once before and once after the release; a report's age includes the time that the call took.

--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -426,14 +426,14 @@
                 let store = self.wiring.store.clone();
                 self.spawn(shard, epoch, async move {
                     let result = pages::write(&store, &key, expect, value).await;
-                    Some(Event::Written { write, result })
+                    vec![Event::Written { write, result }]
                 });
             }
             Action::Read { key } => {
                 let store = self.wiring.store.clone();
                 self.spawn(shard, epoch, async move {
                     let result = pages::read(&store, &key).await;
-                    Some(Event::PageRead { key, result })
+                    vec![Event::PageRead { key, result }]
                 });
             }
             action => {
@@ -454,13 +454,13 @@
         &self,
         shard: &ShardId,
         epoch: Epoch,
-        work: impl Future<Output = Option<Event>> + Send + 'static,
+        work: impl Future<Output = Vec<Event>> + Send + 'static,
     ) {
         let commands = self.commands.clone();
         let shard = shard.clone();
         tokio::spawn(async move {
-            if let Some(event) = work.await {
-                send(&commands, shard, epoch, event).await;
+            for event in work.await {
+                send(&commands, shard.clone(), epoch, event).await;
             }
         });
     }
--- a/crates/entry/src/workers.rs
+++ b/crates/entry/src/workers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use hyper::Uri;
 use log::debug;
@@ -51,7 +52,7 @@
 
     /// Carries out an action that concerns a worker and says what came of it; `spec` is the job
     /// whose tasks it starts.
-    pub async fn act(&self, action: Action, spec: Option<JobSpec>) -> Option<Event> {
+    pub async fn act(&self, action: Action, spec: Option<JobSpec>) -> Vec<Event> {
         match action {
             Action::Lease { worker, job, attempt, accelerators, ttl } => {
                 let call = border::LeaseCall {
@@ -63,29 +64,24 @@
                 let answer: Result<border::LeaseAnswer, _> =
                     self.post(&worker, "/lease", &call).await;
                 let result = answer.map(|answer| answer.granted);
-                Some(Event::Leased { worker, job, attempt, result: lease_answer(result) })
+                vec![Event::Leased { worker, job, attempt, result: lease_answer(result) }]
             }
             Action::Start { worker, job, attempt, tasks, ttl } => {
                 let call = start_call(job, attempt, tasks, ttl, spec.as_ref());
                 let answer: Result<border::StartAnswer, _> =
                     self.post(&worker, "/start", &call).await;
                 let result = start_answer(answer);
-                Some(Event::Started { worker, job, attempt, result })
+                vec![Event::Started { worker, job, attempt, result }]
             }
-            Action::Renew { worker, leases, ttl } => self.renew(worker, &leases, ttl).await,
+            Action::Renew { worker, leases, ttl } => vec![self.renew(worker, &leases, ttl).await],
             Action::Release { worker, job, attempt } => {
-                let call = key(job, attempt);
-                self.tell(&worker, "/release", &call).await;
-                None
-            }
-            Action::Stop { worker, job, attempt } => {
-                self.task(&worker, job, attempt, border::TaskAction::Stop).await;
                 self.tell(&worker, "/release", &key(job, attempt)).await;
-                None
+                Vec::new()
             }
+            Action::Stop { worker, job, attempt } => self.stop(worker, job, attempt).await,
             Action::Checkpoint { worker, job, attempt } => {
                 self.task(&worker, job, attempt, border::TaskAction::Checkpoint).await;
-                None
+                vec![self.report(worker).await]
             }
             Action::Throttle { worker, job, attempt, task, millicores } => {
                 let call = border::TaskCall {
@@ -94,35 +90,49 @@
                     ..task_call(job, attempt, border::TaskAction::Throttle)
                 };
                 self.tell(&worker, "/task", &call).await;
-                None
+                Vec::new()
             }
-            Action::Write { .. } | Action::Read { .. } | Action::Reply { .. } => None,
+            Action::Write { .. } | Action::Read { .. } | Action::Reply { .. } => Vec::new(),
         }
     }
 
-    async fn renew(
-        &self,
-        worker: WorkerId,
-        leases: &[gang::LeaseRef],
-        ttl: Duration,
-    ) -> Option<Event> {
+    async fn renew(&self, worker: WorkerId, leases: &[gang::LeaseRef], ttl: Duration) -> Event {
         if !leases.is_empty() {
             let leases = leases.iter().map(|lease| key(lease.job, lease.attempt)).collect();
             let call = border::RenewCall { leases, ttl_ms: millis(ttl) };
             let answer: Result<border::RenewAnswer, _> = self.post(&worker, "/renew", &call).await;
             if answer.is_err() {
-                return Some(Event::WorkerSilent { worker });
+                return Event::WorkerSilent { worker };
             }
         }
+        self.report(worker).await
+    }
+
+    /// Stops tasks, and reports once with the lease, which shows tasks that had ended by
+    /// themselves, and once without it, which shows that nothing is left.
+    async fn stop(&self, worker: WorkerId, job: JobId, attempt: Attempt) -> Vec<Event> {
+        self.task(&worker, job, attempt, border::TaskAction::Stop).await;
+        let stopped = self.report(worker.clone()).await;
+        self.tell(&worker, "/release", &key(job, attempt)).await;
+        let released = self.report(worker).await;
+        vec![stopped, released]
+    }
+
+    async fn report(&self, worker: WorkerId) -> Event {
+        let asked = Instant::now();
         let report: Result<border::WorkerReport, _> = match self.uri(&worker, "/report") {
             Some(uri) => self.rest.get_json(&uri).await,
-            None => return Some(Event::WorkerSilent { worker }),
+            None => return Event::WorkerSilent { worker },
         };
         match report {
-            Ok(report) => Some(Event::Report { worker, report: convert(&report) }),
+            Ok(report) => {
+                // The worker took it at some time after it was asked.
+                let report = convert(&report, asked.elapsed());
+                Event::Report { worker, report }
+            }
             Err(error) => {
                 debug!("workers: no report from {worker}: {error}");
-                Some(Event::WorkerSilent { worker })
+                Event::WorkerSilent { worker }
             }
         }
     }
@@ -223,7 +233,7 @@
     }
 }
 
-fn convert(report: &border::WorkerReport) -> WorkerReport {
+fn convert(report: &border::WorkerReport, travelled: Duration) -> WorkerReport {
     let leases = report.leases.iter().filter_map(|lease| {
         let job: JobId = lease.job.parse().ok()?;
         let own = report
@@ -240,7 +250,8 @@
             checkpoint: checkpoint.filter(|_| saved).map(Duration::from_millis),
         })
     });
-    WorkerReport { age: Duration::from_millis(report.lag_ms), leases: leases.collect() }
+    let age = Duration::from_millis(report.lag_ms) + travelled;
+    WorkerReport { age, leases: leases.collect() }
 }
 
 fn task_report(task: &border::TaskReport) -> TaskReport {
