--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -17,6 +17,12 @@
 use log::warn;
 use tokio::sync::watch;
 
+use crate::clock::Clock;
+use crate::members::View;
+use crate::metrics::Metrics;
+use crate::relay::Question;
+use crate::relay::Relay;
+use crate::relay::Told;
 use burn::Outcome;
 use burn::Record;
 use burn::Series;
@@ -33,13 +39,6 @@
 use store::Store;
 use wire::border;
 
-use crate::clock::Clock;
-use crate::members::View;
-use crate::metrics::Metrics;
-use crate::relay::Question;
-use crate::relay::Relay;
-use crate::relay::Told;
-
 /// Interval at which the record is written to the store.
 const WRITE_INTERVAL: Duration = Duration::from_secs(55);
 /// Pause before a first read of the store is repeated.
