Read the body of a refused call, so that its connection goes on

Change: unread bodies are read and dropped within bounds before the answer. Conclusion: mended; a caller that keeps its connection gets an answer after any refusal.

--- a/crates/entry/src/web/body.rs
+++ b/crates/entry/src/web/body.rs
@@ -38,6 +38,15 @@
     }
 }
 
+/// Reads and drops a body that no handler wanted, so that the connection can go on.
+pub async fn discard(ctx: &WebContext<'_, Shared>) {
+    let body = std::mem::take(&mut *ctx.body_borrow_mut());
+    if !matches!(body, RequestBody::None) {
+        // Whatever it is, the call has been answered without it.
+        let _ = tokio::time::timeout(BODY_TIME, collect(body, 0)).await;
+    }
+}
+
 async fn collect(body: RequestBody, limit: usize) -> Result<Bytes, Refusal> {
     let mut body = pin!(body);
     let mut whole = BytesMut::new();
--- a/crates/entry/src/web/mod.rs
+++ b/crates/entry/src/web/mod.rs
@@ -192,6 +192,7 @@
     let front = ctx.state().clone();
     let active = Active::begin(&front);
     let result = service.call(ctx.reborrow()).await;
+    body::discard(&ctx).await;
     let mut response = match result {
         Ok(response) => response,
         Err(error) => {
