--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -9,6 +9,7 @@
 mod config;
 mod handshake;
 mod hub;
+mod known;
 mod link;
 mod pulse;
 mod reason;
--- a/crates/net/src/peer/hub.rs
+++ b/crates/net/src/peer/hub.rs
@@ -13,7 +13,6 @@
 use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
-use tokio::task::AbortHandle;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -26,6 +25,8 @@
 use crate::peer::Side;
 use crate::peer::handshake;
 use crate::peer::handshake::Opened;
+use crate::peer::known::Current;
+use crate::peer::known::Peer;
 use crate::peer::link::Link;
 use crate::peer::link::Outbox;
 use crate::peer::shared::Shared;
@@ -76,37 +77,6 @@
     pub(super) last_link: u64,
 }
 
-/// What is known of one peer.
-#[derive(Debug, Default)]
-pub(super) struct Peer {
-    target: Option<SocketAddr>,
-    // Where the peer answered when this side last dialled it.
-    answered: Option<SocketAddr>,
-    link: Option<Current>,
-    dial: Option<AbortHandle>,
-    failures: u32,
-}
-
-#[derive(Debug)]
-struct Current {
-    id: u64,
-    dialer: Incarnation,
-    since: Instant,
-}
-
-impl Peer {
-    fn end_dial(&mut self) {
-        if let Some(dial) = self.dial.take() {
-            dial.abort();
-        }
-    }
-
-    /// Whether a link is open to the peer that listens at `address`.
-    fn linked_at(&self, address: SocketAddr) -> bool {
-        self.link.is_some() && [self.target, self.answered].contains(&Some(address))
-    }
-}
-
 /// The hub has to stop.
 struct Stopped;
 
@@ -273,8 +243,7 @@
             return Ok(());
         }
         peer.dial = None;
-        let pause = backoff(&self.config, peer.failures);
-        peer.failures = peer.failures.saturating_add(1);
+        let pause = peer.fail(&self.config);
         self.dial(id, pause);
         self.emit(PeerEvent::Failed { incarnation: id, address, reason }).await
     }
@@ -293,7 +262,8 @@
         }
         let peer = self.peers.entry(id).or_default();
         if let Some(old) = &peer.link {
-            if !replaces(old, dialer, id.min(self.own.incarnation), self.config.handshake) {
+            let lower = id.min(self.own.incarnation);
+            if !old.yields_to(dialer, lower, self.config.handshake) {
                 self.refuse(opened);
                 return Ok(());
             }
@@ -355,10 +325,7 @@
         let Some(id) = self.current.remove(&link) else { return Ok(()) };
         self.shared.set_link(id, None);
         if let Some(peer) = self.peers.get_mut(&id) {
-            let since = peer.link.take().map(|link| link.since);
-            let short = since.is_some_and(|since| since.elapsed() < self.config.max_backoff);
-            peer.failures = if short { peer.failures.saturating_add(1) } else { 0 };
-            let pause = backoff(&self.config, peer.failures.saturating_sub(1));
+            let pause = peer.end_link(&self.config);
             match peer.target {
                 Some(_) => self.dial(id, pause),
                 None => drop(self.peers.remove(&id)),
@@ -382,16 +349,3 @@
     };
     counter.fetch_add(1, Ordering::Relaxed);
 }
-
-/// Whether a new connection by `dialer` takes the place of `old`.
-///
-/// When both sides dial at once, the connection of the lower incarnation wins on both. A peer that
-/// dials later than that has lost the old connection, whether this side has noticed or not.
-fn replaces(old: &Current, dialer: Incarnation, lower: Incarnation, contest: Duration) -> bool {
-    old.dialer == dialer || old.since.elapsed() > contest || dialer == lower
-}
-
-fn backoff(config: &Config, failures: u32) -> Duration {
-    let doubled = config.min_backoff.saturating_mul(1 << failures.min(16));
-    doubled.min(config.max_backoff).mul_f64(rand::random_range(0.5..1.0))
-}
