Answer at once where the stand-in store is not told to be slow

Cause: an example that measures the cost of a call showed 1256 us a read; a sleep of zero length waits for the next tick of the timer. Change: no sleep without a delay. Conclusion: the stand-in no longer adds a millisecond to each call.

--- a/crates/fake/src/store/server.rs
+++ b/crates/fake/src/store/server.rs
@@ -257,7 +257,9 @@
         };
         let body = read(request.into_body()).await?;
         let (delay, stuck) = self.arrive(kind);
-        sleep(delay).await;
+        if !delay.is_zero() {
+            sleep(delay).await;
+        }
         if stuck {
             std::future::pending::<()>().await;
         }
--- a/crates/fake/src/worker/machine.rs
+++ b/crates/fake/src/worker/machine.rs
@@ -11,6 +11,9 @@
 use crate::worker::faults::WorkerFaults;
 use crate::worker::history::Ending;
 use crate::worker::history::Run;
+use crate::worker::report::millis;
+use crate::worker::report::report;
+use crate::worker::report::run;
 use crate::worker::task::Fate;
 use crate::worker::task::Task;
 use crate::worker::task::TaskTimes;
@@ -28,9 +31,7 @@
 use wire::border::TaskAction;
 use wire::border::TaskAnswer;
 use wire::border::TaskCall;
-use wire::border::TaskReport;
 use wire::border::TaskSpec;
-use wire::border::TaskState;
 use wire::border::WorkerReport;
 
 /// Ended tasks that reports show after their lease is gone.
@@ -375,42 +376,3 @@
         assert_eq!(all.len(), total, "an accelerator of {} has two holders", self.id);
     }
 }
-
-fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
-
-fn report(key: Key, task: &Task, seen: Time) -> TaskReport {
-    TaskReport {
-        job: key.job.to_string(),
-        attempt: key.attempt,
-        index: task.spec.index,
-        state: task.state,
-        millicores: task.millicores(seen),
-        memory_mib: task.memory_mib(seen),
-        ran_ms: millis(task.done()),
-        checkpoint_ms: millis(task.checkpoint),
-        throttled: task.throttled,
-        exit: task.exit(),
-    }
-}
-
-/// A task as the record shows it; `killed` says why, if it was ended from outside.
-fn run(worker: &WorkerId, key: Key, task: &Task, killed: Ending) -> Run {
-    let ending = match task.state {
-        TaskState::Running => None,
-        TaskState::Succeeded => Some(Ending::Succeeded),
-        TaskState::Failed => Some(Ending::Failed),
-        TaskState::Overrun => Some(Ending::Overrun),
-        TaskState::Stopped => Some(killed),
-    };
-    Run {
-        job: key.job,
-        attempt: key.attempt,
-        index: task.spec.index,
-        worker: worker.clone(),
-        from: task.started,
-        to: task.ended,
-        ending,
-    }
-}
--- a/crates/fake/src/worker/mod.rs
+++ b/crates/fake/src/worker/mod.rs
@@ -20,6 +20,7 @@
 mod fleet;
 mod history;
 mod machine;
+mod report;
 mod server;
 mod task;
 
