Prove the replacement of every entry VM and an outage of the store under traffic

Cause: neither promise had a proof with real processes. Change: callers that check every answer moved into a module of their own; two tests with it.

--- a/crates/entry/tests/nodes/main.rs
+++ b/crates/entry/tests/nodes/main.rs
@@ -2,5 +2,8 @@
 
 mod bad_input;
 mod kept_connections;
+mod rolling_replacement;
 mod stage;
+mod store_outage;
 mod three_processes;
+mod traffic;
--- a/crates/entry/tests/nodes/stage.rs
+++ b/crates/entry/tests/nodes/stage.rs
@@ -165,18 +165,24 @@
         };
         until("the configuration is stored", applied).await;
         for process in processes {
-            let settled = async || {
-                let status = self.caller.status(process.address).await;
-                status.is_some_and(|status| {
-                    let live = status.members.iter().filter(|m| m.state == "live").count();
-                    let owned = status.shards.iter().all(|shard| shard.owner.is_some());
-                    let ready = !status.backends.is_empty() && !status.shards.is_empty();
-                    status.revision > 0 && live == processes.len() && owned && ready
-                })
-            };
-            until("the entry VMs know each other", settled).await;
+            self.joined(process, processes.len()).await;
         }
     }
+
+    /// Waits until an entry VM hears `members` entry VMs, itself included, has the configuration
+    /// in force and knows an owner of every shard.
+    pub async fn joined(&self, process: &Process, members: usize) {
+        let settled = async || {
+            let status = self.caller.status(process.address).await;
+            status.is_some_and(|status| {
+                let live = status.members.iter().filter(|m| m.state == "live").count();
+                let owned = status.shards.iter().all(|shard| shard.owner.is_some());
+                let ready = !status.backends.is_empty() && !status.shards.is_empty();
+                status.revision > 0 && live == members && owned && ready
+            })
+        };
+        until("the entry VMs know each other", settled).await;
+    }
 }
 
 /// The program under test.
--- /dev/null
+++ b/crates/entry/tests/nodes/store_outage.rs
@@ -0,0 +1,94 @@
+//! The store goes away for a while: requests go on, and what must be stored is refused.
+
+use hyper::Method;
+
+use crate::stage::Process;
+use crate::stage::Stage;
+use crate::stage::TEXT;
+use crate::stage::until;
+use crate::traffic::Traffic;
+use model::Verdict;
+use wire::border;
+
+/// Answers that callers get in each phase.
+const PHASE: usize = 300;
+
+fn small_job() -> Vec<u8> {
+    let spec = border::JobSpec {
+        account: "growers".to_owned(),
+        service: "reviews".to_owned(),
+        shape: border::GangShape {
+            tasks: 1,
+            accelerators: 1,
+            millicores: 1_000,
+            memory_mib: 1_024,
+            adjacency: border::Adjacency::Worker,
+        },
+        priority: border::Priority::Normal,
+        idempotent: true,
+        checkpoint: false,
+        declared_ms: 1_000,
+        zone: Some("zone-a".to_owned()),
+        volatile: false,
+    };
+    serde_json::to_vec(&spec).unwrap()
+}
+
+/// Submits a job under a fresh id; answers with its id and status or refusal.
+async fn submit(stage: &Stage, process: &Process) -> (String, crate::stage::Reply) {
+    let id = stage.caller.id(process.address).await.unwrap();
+    let path = format!("/v1/jobs/{id}");
+    let reply = stage.caller.call(process.address, Method::PUT, &path, &[], small_job()).await;
+    (id, reply.unwrap())
+}
+
+async fn state(stage: &Stage, process: &Process, id: &str) -> Option<String> {
+    let path = format!("/v1/jobs/{id}");
+    let reply = stage.caller.call(process.address, Method::GET, &path, &[], "").await?;
+    serde_json::from_slice::<border::JobStatus>(&reply.body).ok().map(|status| status.state)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_go_on() {
+    let stage = Stage::start("store-outage");
+    let processes = [stage.spawn("a"), stage.spawn("b")];
+    stage.apply(&[&processes[0], &processes[1]]).await;
+    let (before, reply) = submit(&stage, &processes[0]).await;
+    assert_eq!(reply.status, 202, "{reply:?}");
+    let addresses = processes.iter().map(|process| process.address).collect();
+    let traffic = Traffic::start(&stage, addresses);
+    traffic.flow(PHASE, "with the store").await;
+
+    stage.store.set_faults(|faults| faults.down = true);
+    traffic.flow(PHASE, "without the store").await;
+    let unhealthy = async || {
+        let status = stage.caller.status(processes[0].address).await;
+        status.is_some_and(|s| !s.store.healthy && s.unknown.iter().any(|d| !d.why.is_empty()))
+    };
+    until("the status says what is unknown", unhealthy).await;
+    let (during, reply) = submit(&stage, &processes[0]).await;
+    assert!(reply.status >= 400, "a job was accepted that cannot be stored: {reply:?}");
+    assert_ne!(reply.verdict, Some(Verdict::Ran));
+    let call = border::ApplyCall {
+        expect: 0,
+        text: TEXT.replace("\"weight\": 2", "\"weight\": 3"),
+        author: "a test".to_owned(),
+        write: "2".to_owned(),
+    };
+    let body = serde_json::to_vec(&call).unwrap();
+    let change = stage.caller.operator(processes[1].address, Method::PUT, "/v1/text", body);
+    let change = change.await.unwrap();
+    assert_eq!((change.status, change.verdict), (503, Some(Verdict::NotRun)), "{change:?}");
+
+    stage.store.set_faults(|faults| faults.down = false);
+    let accepted = async || submit(&stage, &processes[1]).await.1.status == 202;
+    until("jobs are accepted again", accepted).await;
+    let done = async || state(&stage, &processes[1], &before).await.as_deref() == Some("done");
+    until("the job from before the outage is done", done).await;
+    if reply.verdict == Some(Verdict::NotRun) {
+        let runs = stage.workers.runs();
+        assert!(runs.iter().all(|run| run.job.to_string() != during), "a refused job ran");
+    }
+    assert_eq!(traffic.book().unknown(), [], "an outage of the store left doubt about requests");
+    traffic.finish(&stage).await;
+}
