--- a/crates/gang/src/place/take.rs
+++ b/crates/gang/src/place/take.rs
@@ -21,6 +21,9 @@
 /// Candidates that are compared exactly, after a rough comparison of all.
 const FINALISTS: usize = 8;
 
+/// Cost of a worker that cannot be had whole.
+const FIXED: u64 = u64::MAX;
+
 /// An aligned block of accelerators.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Block {
@@ -144,11 +147,11 @@
         let mut choices = Vec::new();
         for rack in self.racks() {
             for start in rack * size..=(rack + 1) * size - count.min(size) {
-                let window: Vec<u32> = (start..start + count).collect();
-                let costs: Option<Vec<u64>> =
-                    window.iter().map(|p| costs.get(p).copied()).collect();
-                let Some(costs) = costs else { continue };
-                choices.push(Choice { loss: costs.iter().sum(), positions: window });
+                let window = &costs[start as usize..(start + count) as usize];
+                if window.iter().all(|cost| *cost != FIXED) {
+                    let positions = (start..start + count).collect();
+                    choices.push(Choice { loss: window.iter().sum(), positions });
+                }
             }
         }
         self.best_of(choices)
@@ -156,24 +159,13 @@
 
     fn find_racks(&self, count: u32) -> Option<Plan> {
         let costs = self.worker_costs();
-        let size = self.fleet.rack_size();
-        let least = count.div_ceil(size);
+        let least = count.div_ceil(self.fleet.rack_size());
         for racks in least..=least + 1 {
             let mut choices = Vec::new();
             for zone in &self.fleet.layout.zones {
-                let last = (zone.first + zone.racks).saturating_sub(racks);
-                for rack in zone.first..=last.max(zone.first) {
-                    let within = costs.range(rack * size..(rack + racks) * size);
-                    let mut found: Vec<(u64, u32)> = within.map(|(p, cost)| (*cost, *p)).collect();
-                    if rack > last || found.len() < count as usize {
-                        continue;
-                    }
-                    found.sort_unstable();
-                    found.truncate(count as usize);
-                    let loss = found.iter().map(|(cost, _)| cost).sum();
-                    let mut positions: Vec<u32> = found.into_iter().map(|(_, p)| p).collect();
-                    positions.sort_unstable();
-                    choices.push(Choice { loss, positions });
+                let last = (zone.first + zone.racks + 1).saturating_sub(racks);
+                for rack in zone.first..last {
+                    choices.extend(self.cheapest(&costs, rack, racks, count as usize));
                 }
             }
             let best = self.best_of(choices);
@@ -184,6 +176,24 @@
         None
     }
 
+    /// The `count` workers of some consecutive racks that are cheapest to vacate.
+    fn cheapest(&self, costs: &[u64], rack: u32, racks: u32, count: usize) -> Option<Choice> {
+        let size = self.fleet.rack_size();
+        let positions = rack * size..(rack + racks) * size;
+        let found = positions.map(|position| (costs[position as usize], position));
+        let mut found: Vec<(u64, u32)> = found.filter(|(cost, _)| *cost != FIXED).collect();
+        if found.len() < count {
+            return None;
+        }
+        if found.len() > count {
+            found.select_nth_unstable(count - 1);
+            found.truncate(count);
+            found.sort_unstable_by_key(|(_, position)| *position);
+        }
+        let loss = found.iter().map(|(cost, _)| cost).sum();
+        Some(Choice { loss, positions: found.into_iter().map(|(_, position)| position).collect() })
+    }
+
     fn find_spread(&self) -> Option<Plan> {
         let size = self.fleet.rack_size();
         for zone in &self.fleet.layout.zones {
@@ -229,14 +239,14 @@
             .collect()
     }
 
-    /// Work lost by worker, for those that can be had whole.
-    fn worker_costs(&self) -> BTreeMap<u32, u64> {
-        let mut costs = BTreeMap::new();
+    /// Work lost with each worker, by position; [`FIXED`] for those that cannot be had whole.
+    fn worker_costs(&self) -> Vec<u64> {
+        let mut costs = vec![FIXED; 1 << self.fleet.layout.height];
         for position in self.positions() {
             let Some(worker) = self.fleet.at(position) else { continue };
             let all = worker.all();
             if all != 0 && self.reach(position, worker) == all {
-                costs.insert(position, self.loss_in(worker, all));
+                costs[position as usize] = self.loss_in(worker, all);
             }
         }
         costs
