Refuse impossible numbers from the store and test the lease decoders

Cause: a revision of 2^64-1 would have overflowed the watch's next revision, a huge time to live the holder's clock; the lease decoders had no property test; a watch that got no turn was not counted. Change: numbers must fit 63 bits, a time to live counts for a year at most, watches are noted like calls.

--- a/crates/store/src/attempt.rs
+++ b/crates/store/src/attempt.rs
@@ -22,7 +22,7 @@
 
 /// Whether a connection had carried a call before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Age {
+pub(crate) enum Age {
     New,
     /// Its failure says little about the store.
     Reused,
@@ -112,7 +112,8 @@
         self.note(purpose, Age::New, answer)
     }
 
-    async fn admit(&self, purpose: Purpose, deadline: Instant) -> Result<Permit, Error> {
+    /// Waits for a turn.
+    pub(crate) async fn admit(&self, purpose: Purpose, deadline: Instant) -> Result<Permit, Error> {
         let permit = self.gate.admit(purpose, deadline).await;
         if permit.is_err() {
             self.ledger.record(purpose, Outcome::Unsent);
@@ -121,7 +122,12 @@
     }
 
     /// Notes what became of a call.
-    fn note<T>(&self, purpose: Purpose, age: Age, answer: Result<T, Error>) -> Result<T, Error> {
+    pub(crate) fn note<T>(
+        &self,
+        purpose: Purpose,
+        age: Age,
+        answer: Result<T, Error>,
+    ) -> Result<T, Error> {
         let outcome = answer.as_ref().err().map_or(Outcome::Answered, Outcome::of);
         self.ledger.record(purpose, outcome);
         match &answer {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -198,19 +198,21 @@
         let seconds = ttl.as_secs_f64().ceil().max(1.0);
         let request = GrantRequest { ttl: seconds.to_string() };
         let call = call("/v3/lease/grant", &request, true);
-        let granted = self.inner.run(purpose, &call, self.deadline(), gateway::granted).await?;
-        Ok(Lease { id: granted.id, ttl: Duration::from_secs(granted.seconds), sent })
+        let deadline = self.deadline();
+        let granted = self.inner.run(purpose, &call, deadline, gateway::parse_grant).await?;
+        Ok(Lease { id: granted.id, ttl: granted.ttl, sent })
     }
 
     async fn keep_alive(&self, purpose: Purpose, lease: LeaseId) -> Result<KeepAlive, Error> {
         let sent = Instant::now();
         let request = LeaseRequest { id: lease.0.to_string() };
         let call = call("/v3/lease/keepalive", &request, true);
-        let seconds = self.inner.run(purpose, &call, self.deadline(), gateway::renewed).await?;
-        if seconds == 0 {
+        let deadline = self.deadline();
+        let ttl = self.inner.run(purpose, &call, deadline, gateway::parse_renewal).await?;
+        if ttl.is_zero() {
             return Ok(KeepAlive::Gone);
         }
-        Ok(KeepAlive::Renewed { ttl: Duration::from_secs(seconds), sent })
+        Ok(KeepAlive::Renewed { ttl, sent })
     }
 
     async fn revoke(&self, purpose: Purpose, lease: LeaseId) -> Result<(), Error> {
--- a/crates/store/src/gateway.rs
+++ b/crates/store/src/gateway.rs
@@ -1,6 +1,7 @@
 //! JSON of the store's gateway: 64-bit numbers are strings, bytes are base64, zeros are left out.
 
 use std::num::ParseIntError;
+use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -43,6 +44,12 @@
     /// A number is not one, or is out of range.
     #[error("not a number: {0}")]
     Number(#[from] ParseIntError),
+    /// A number is below zero where none may be.
+    #[error("number {number} is negative")]
+    Negative {
+        /// The number.
+        number: i64,
+    },
     /// A key is not UTF-8.
     #[error("key is not utf-8")]
     Key,
@@ -57,6 +64,8 @@
     },
 }
 
+/// Longest time to live that is believed, so that it can be added to any time.
+const MAX_TTL: Duration = Duration::from_secs(365 * 24 * 3600);
 /// Most characters of an error that is not in the gateway's form.
 const MAX_MESSAGE_CHARS: usize = 200;
 
@@ -68,10 +77,12 @@
 }
 
 /// A lease as it was granted.
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) struct Granted {
-    pub(crate) id: LeaseId,
-    pub(crate) seconds: u64,
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Granted {
+    /// Its id.
+    pub id: LeaseId,
+    /// Time to live.
+    pub ttl: Duration,
 }
 
 /// One page of a range.
@@ -157,7 +168,8 @@
 }
 
 fn number(text: Option<&str>) -> Result<u64, DecodeError> {
-    Ok(text.unwrap_or("0").parse()?)
+    let number: i64 = text.unwrap_or("0").parse()?;
+    u64::try_from(number).map_err(|_| DecodeError::Negative { number })
 }
 
 fn text(encoded: &str) -> Result<String, DecodeError> {
@@ -246,16 +258,26 @@
     Ok(WatchLine::Changes(answer.events.iter().map(event).collect::<Result<_, _>>()?))
 }
 
-pub(crate) fn granted(body: &[u8]) -> Result<Granted, DecodeError> {
+/// Reads the answer to a grant.
+///
+/// # Errors
+/// The answer is not what the gateway defines.
+pub fn parse_grant(body: &[u8]) -> Result<Granted, DecodeError> {
     let answer: LeaseResponse = serde_json::from_slice(body)?;
-    let id = answer.id.ok_or(DecodeError::Missing("ID"))?;
-    Ok(Granted { id: LeaseId(id.parse()?), seconds: number(answer.ttl.as_deref())? })
+    let id = answer.id.as_deref().ok_or(DecodeError::Missing("ID"))?;
+    Ok(Granted { id: LeaseId(id.parse()?), ttl: ttl(&answer)? })
+}
+
+/// Reads the answer to a renewal: the time to live, zero if the lease is gone.
+///
+/// # Errors
+/// The answer is not what the gateway defines.
+pub fn parse_renewal(line: &[u8]) -> Result<Duration, DecodeError> {
+    ttl(&serde_json::from_slice::<LeaseStream>(line)?.result)
 }
 
-/// Time to live in seconds of a renewed lease; 0 if it is gone.
-pub(crate) fn renewed(line: &[u8]) -> Result<u64, DecodeError> {
-    let answer = serde_json::from_slice::<LeaseStream>(line)?.result;
-    number(answer.ttl.as_deref())
+fn ttl(answer: &LeaseResponse) -> Result<Duration, DecodeError> {
+    Ok(Duration::from_secs(number(answer.ttl.as_deref())?).min(MAX_TTL))
 }
 
 pub(crate) fn failure(body: &[u8]) -> Failure {
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -25,11 +25,11 @@
 
 use crate::api::Purpose;
 use crate::api::WatchEvent;
+use crate::attempt::Age;
 use crate::client::Inner;
 use crate::client::call;
 use crate::connection::MAX_ANSWER_BYTES;
 use crate::connection::Stream;
-use crate::counters::Outcome;
 use crate::error::Error;
 use crate::gateway;
 use crate::gateway::DecodeError;
@@ -246,20 +246,15 @@
     }
 
     async fn open(&self) -> Result<Lines, Error> {
-        let Inner { config, gate, pool, ledger, .. } = &*self.inner;
-        let deadline = Instant::now() + config.deadline;
+        let inner = &*self.inner;
+        let deadline = Instant::now() + inner.config.deadline;
         let request = gateway::watch_request(&self.feed.prefix, self.feed.lock().next);
         let call = call("/v3/watch", &request, true);
-        let _permit = gate.admit(self.feed.purpose, deadline).await?;
-        let result = pool.stream(&call, deadline).await;
-        let outcome = result.as_ref().err().map_or(Outcome::Answered, Outcome::of);
-        ledger.record(self.feed.purpose, outcome);
-        match &result {
-            Ok(_) | Err(Error::Rejected { .. }) => gate.succeed(),
-            Err(_) => gate.fail(),
-        }
-        ledger.watches.fetch_add(1, Ordering::Relaxed);
-        Ok(Lines { stream: result?, buffer: BytesMut::new() })
+        let _permit = inner.admit(self.feed.purpose, deadline).await?;
+        let stream = inner.pool.stream(&call, deadline).await;
+        let stream = inner.note(self.feed.purpose, Age::New, stream)?;
+        inner.ledger.watches.fetch_add(1, Ordering::Relaxed);
+        Ok(Lines { stream, buffer: BytesMut::new() })
     }
 
     /// Reads the stream until it ends; says why it did.
--- a/crates/store/tests/decoders.rs
+++ b/crates/store/tests/decoders.rs
@@ -1,5 +1,7 @@
 //! Decoders of the store's answers, on arbitrary and on well-formed input.
 
+use std::time::Duration;
+
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
@@ -16,12 +18,18 @@
 
 use store::Cas;
 use store::Entry;
+use store::LeaseId;
 use store::WatchEvent;
 use store::WatchLine;
+use store::parse_grant;
 use store::parse_range;
+use store::parse_renewal;
 use store::parse_txn;
 use store::parse_watch;
 
+/// Longest time to live that the client believes.
+const YEAR: Duration = Duration::from_secs(365 * 24 * 3600);
+
 fn entry() -> impl Strategy<Value = Entry> {
     let value = vec(any::<u8>(), 0..64).prop_map(Bytes::from);
     ("[a-z/é]{0,12}", value, 1..i64::MAX as u64).prop_map(|(key, value, version)| Entry {
@@ -66,6 +74,22 @@
         prop_assert!(parse_range(&body).is_err());
         prop_assert!(parse_txn(&body).is_err());
         prop_assert!(parse_watch(&body).is_err());
+        prop_assert!(parse_grant(&body).is_err());
+        prop_assert!(parse_renewal(&body).is_err());
+    }
+
+    #[test]
+    fn leases_round_trip(id in any::<i64>(), seconds in any::<i64>()) {
+        let lease = json!({"ID": id.to_string(), "TTL": seconds.to_string()});
+        let granted = parse_grant(lease.to_string().as_bytes());
+        let renewed = parse_renewal(json!({"result": lease}).to_string().as_bytes());
+        prop_assert_eq!(granted.is_ok(), seconds >= 0);
+        prop_assert_eq!(renewed.is_ok(), seconds >= 0);
+        if let (Ok(granted), Ok(renewed)) = (granted, renewed) {
+            prop_assert_eq!(granted.id, LeaseId(id));
+            prop_assert_eq!(granted.ttl, renewed);
+            prop_assert!(renewed <= YEAR);
+        }
     }
 
     #[test]
@@ -121,6 +145,14 @@
     }
 }
 
+#[test]
+fn impossible_numbers_are_refused() {
+    for revision in ["-1", "9223372036854775808", "18446744073709551615", "", "1e3"] {
+        let line = json!({"result": {"header": {"revision": revision}}}).to_string();
+        assert!(parse_watch(line.as_bytes()).is_err(), "{revision}");
+    }
+}
+
 #[test]
 fn watch_reports_are_told_apart() {
     let line = |result: Value| {
