--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -21,6 +21,7 @@
 
 use crate::attempt;
 use crate::clock::Clock;
+use model::AccountId;
 use model::BackendId;
 use model::Incarnation;
 use model::RequestId;
@@ -69,6 +70,27 @@
     }
 }
 
+/// A request that has no id yet.
+#[derive(Clone, Debug)]
+pub struct Fresh {
+    /// Service that is to run it.
+    pub service: ServiceId,
+    /// Client account that pays for it.
+    pub account: AccountId,
+    /// Time left in which the caller wants the answer.
+    pub deadline: Duration,
+    /// Passed to the backend server as it is.
+    pub body: Bytes,
+}
+
+impl Fresh {
+    /// The request under its id.
+    pub fn named(self, id: RequestId) -> Call {
+        let Fresh { service, account, deadline, body } = self;
+        Call { id, service, account, deadline, body }
+    }
+}
+
 /// What the request part is asked to do.
 #[derive(Debug)]
 pub enum Command {
@@ -81,6 +103,15 @@
         /// Takes the answer.
         reply: oneshot::Sender<Answer>,
     },
+    /// Run a request under a fresh id.
+    Fresh {
+        /// Names the caller.
+        ticket: Ticket,
+        /// The request.
+        work: Fresh,
+        /// Takes the answer.
+        reply: oneshot::Sender<Answer>,
+    },
     /// Tell the verdict on a request.
     Query {
         /// Names the caller.
@@ -162,6 +193,18 @@
         self.wait(ticket, answer).await
     }
 
+    /// Runs a request under a fresh id.
+    ///
+    /// # Errors
+    ///
+    /// [`Busy`] says whether the request may have run.
+    pub async fn run(&self, work: Fresh) -> Result<Answer, Busy> {
+        let ticket = self.ticket();
+        let (reply, answer) = oneshot::channel();
+        self.offer(Command::Fresh { ticket, work, reply })?;
+        self.wait(ticket, answer).await
+    }
+
     /// Tells the verdict on a request.
     ///
     /// # Errors
@@ -321,6 +364,11 @@
                 self.replies.insert(ticket, reply);
                 self.decide(Event::Call { ticket, call });
             }
+            Command::Fresh { ticket, work, reply } => {
+                self.replies.insert(ticket, reply);
+                let call = work.named(self.router.issue_id());
+                self.decide(Event::Call { ticket, call });
+            }
             Command::Query { ticket, id, reply } => {
                 self.replies.insert(ticket, reply);
                 self.decide(Event::Query { ticket, id });
--- a/crates/entry/src/web/callers.rs
+++ b/crates/entry/src/web/callers.rs
@@ -8,6 +8,8 @@
 use xitca_web::http::header::HeaderValue;
 
 use crate::requests::Busy;
+use crate::requests::Fresh;
+use crate::web::Front;
 use crate::web::Shared;
 use crate::web::body;
 use crate::web::problem;
@@ -18,9 +20,9 @@
 use model::AccountId;
 use model::RequestId;
 use model::ServiceId;
+use model::Time;
 use model::Verdict;
 use route::Answer;
-use route::Call;
 use route::Reason;
 use wire::border;
 
@@ -54,15 +56,28 @@
 pub async fn put_request(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
     let id = request_id(ctx)?;
     let service = body::required(ctx, SERVICE).map_err(Refusal::uncertain)?.into();
-    run(ctx, id, service).await.map_err(Refusal::uncertain)
+    put(ctx, id, service).await.map_err(Refusal::uncertain)
+}
+
+async fn put(
+    ctx: &WebContext<'_, Shared>,
+    id: RequestId,
+    service: ServiceId,
+) -> Result<WebResponse, Refusal> {
+    let work = read(ctx, service).await?;
+    let front = ctx.state();
+    let asked = Asked::new(front, &work);
+    let answer = front.requests.call(work.named(id)).await.map_err(busy)?;
+    Ok(asked.respond(front, &answer))
 }
 
 /// `POST /v1/services/{service}`
 pub async fn post_service(ctx: &WebContext<'_, Shared>) -> Result<WebResponse, Refusal> {
-    let service: ServiceId = body::param(ctx, "service").into();
-    let ids = ctx.state().requests.ids(1).await.map_err(busy)?;
-    let id = ids.first().copied().ok_or_else(|| busy(Busy::Full))?;
-    run(ctx, id, service).await
+    let work = read(ctx, body::param(ctx, "service").into()).await?;
+    let front = ctx.state();
+    let asked = Asked::new(front, &work);
+    let answer = front.requests.run(work).await.map_err(busy)?;
+    Ok(asked.respond(front, &answer))
 }
 
 /// `GET /v1/requests/{id}`
@@ -79,20 +94,33 @@
     Ok(problem::json(200, &status))
 }
 
-async fn run(
-    ctx: &WebContext<'_, Shared>,
-    id: RequestId,
-    service: ServiceId,
-) -> Result<WebResponse, Refusal> {
-    let front = ctx.state();
-    let account: AccountId = body::required(ctx, ACCOUNT)?.into();
+/// Reads what every request has, whether it has an id or not.
+async fn read(ctx: &WebContext<'_, Shared>, service: ServiceId) -> Result<Fresh, Refusal> {
+    let account = body::required(ctx, ACCOUNT)?.into();
     let deadline = deadline(ctx, &service)?;
     let body = body::read(ctx).await?;
-    let started = front.clock.now();
-    let call = Call { id, service: service.clone(), account: account.clone(), deadline, body };
-    let answer = front.requests.call(call).await.map_err(busy)?;
-    front.ledger.request(&service, &account, &answer, front.clock.now().since(started));
-    Ok(respond(&answer))
+    Ok(Fresh { service, account, deadline, body })
+}
+
+/// What has to be known of a request when its answer is counted.
+struct Asked {
+    service: ServiceId,
+    account: AccountId,
+    at: Time,
+}
+
+impl Asked {
+    fn new(front: &Front, work: &Fresh) -> Asked {
+        let Fresh { service, account, .. } = work;
+        Asked { service: service.clone(), account: account.clone(), at: front.clock.now() }
+    }
+
+    /// Counts the answer and makes it an HTTP response.
+    fn respond(&self, front: &Front, answer: &Answer) -> WebResponse {
+        let took = front.clock.now().since(self.at);
+        front.ledger.request(&self.service, &self.account, answer, took);
+        respond(answer)
+    }
 }
 
 fn deadline(ctx: &WebContext<'_, Shared>, service: &ServiceId) -> Result<Duration, Refusal> {
