--- a/crates/gang/src/commit.rs
+++ b/crates/gang/src/commit.rs
@@ -327,7 +327,9 @@
     pub(crate) fn written(&mut self, now: Time, write: WriteId, result: WriteResult) -> Outcome {
         let Some(page) = self.flights.remove(&write) else { return Outcome::default() };
         self.pages[page].flight = None;
-        self.down = matches!(result, WriteResult::Unknown | WriteResult::Unavailable);
+        if result != WriteResult::Unknown {
+            self.down = result == WriteResult::Unavailable;
+        }
         match result {
             WriteResult::Committed { version } => self.resolve(page, write, version),
             WriteResult::Conflict { version, value } => self.found(now, page, version, &value),
--- /dev/null
+++ b/crates/gang/tests/bad_workers.rs
@@ -0,0 +1,155 @@
+//! Workers that fail everything, jobs that fail everywhere, tasks that take more than their share.
+
+use std::time::Duration;
+
+use gang::Action;
+use gang::Event;
+use gang::JobState;
+use gang::LeaseReport;
+use gang::Settings;
+use gang::TaskReport;
+use gang::TaskStatus;
+use gang::WorkerReport;
+use model::Adjacency;
+use model::JobId;
+use model::Time;
+use model::WorkerId;
+use trial::World;
+use trial::sample;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn ready(racks: u32) -> World {
+    let mut world = World::new(6, Settings::default(), sample::policy(), &sample::workers(racks));
+    world.begin();
+    world.run_for(SECOND);
+    world
+}
+
+fn set_bad(world: &mut World, id: &str, bad: bool) {
+    world.workers.get_mut(id).expect("the worker exists").bad = bad;
+}
+
+fn state(world: &World, id: JobId) -> JobState {
+    world.owners[world.last()].shard.explain(id).expect("the job is known").state
+}
+
+#[test]
+fn worker_that_fails_everything_is_quarantined_and_probed() {
+    let mut world = ready(1);
+    set_bad(&mut world, "w0-0", true);
+    for number in 0..60 {
+        let spec = sample::job(number, "bank", sample::shape(1, 8, Adjacency::Worker));
+        world.submit(spec, SECOND * 5, true);
+        world.run_for(SECOND);
+    }
+    world.run_for(SECOND * 60);
+    let view = world.owners[0].shard.snapshot();
+    assert_eq!(view.quarantined, [WorkerId::new("w0-0")]);
+    let ids: Vec<JobId> = world.fates.keys().copied().collect();
+    assert!(ids.iter().all(|id| state(&world, *id) == JobState::Done));
+
+    let on_bad = |world: &World| {
+        let starts = world.fates.values().flat_map(|fate| fate.starts.values());
+        starts.filter(|workers| workers.contains("w0-0")).count()
+    };
+    assert!(on_bad(&world) < 10, "{} starts on a bad worker", on_bad(&world));
+
+    set_bad(&mut world, "w0-0", false);
+    for number in 100..600 {
+        let spec = sample::job(number, "bank", sample::shape(1, 8, Adjacency::Worker));
+        world.submit(spec, SECOND * 5, true);
+        world.run_for(SECOND * 2);
+    }
+    let view = world.owners[0].shard.snapshot();
+    assert!(view.quarantined.is_empty(), "{:?}", view.quarantined);
+}
+
+#[test]
+fn job_that_fails_everywhere_is_stopped_and_no_worker_blamed() {
+    let mut world = ready(2);
+    for number in 0..6 {
+        let spec = sample::job(number, "bank", sample::shape(1, 4, Adjacency::Worker));
+        let id = spec.id;
+        world.submit(spec, SECOND, true);
+        world.doom(id);
+    }
+    world.run_for(SECOND * 600);
+    for id in world.fates.keys() {
+        let view = world.owners[0].shard.explain(*id).expect("the job is known");
+        assert_eq!(view.state, JobState::Failed, "{view:?}");
+        assert!(view.reason.contains("different workers"), "{}", view.reason);
+    }
+    assert!(world.owners[0].shard.snapshot().quarantined.is_empty());
+}
+
+/// A report of one running job with one task.
+fn report(id: JobId, world: &World, task: TaskReport) -> WorkerReport {
+    let attempt = world.owners[0].shard.explain(id).expect("the job is known").attempt;
+    let lease = LeaseReport {
+        job: id,
+        attempt,
+        accelerators: vec![0],
+        tasks: vec![task],
+        checkpoint: None,
+    };
+    WorkerReport { age: Duration::ZERO, leases: vec![lease] }
+}
+
+fn running(world: &mut World) -> JobId {
+    let spec = sample::job(1, "bank", sample::shape(1, 1, Adjacency::Worker));
+    let id = spec.id;
+    world.submit(spec, SECOND * 500, true);
+    world.run_for(SECOND);
+    assert_eq!(state(world, id), JobState::Running);
+    id
+}
+
+fn handle(world: &mut World, now: Time, worker: WorkerId, report: WorkerReport) -> Vec<Action> {
+    let mut out = Vec::new();
+    world.owners[0].shard.handle(now, Event::Report { worker, report }, &mut out);
+    out
+}
+
+#[test]
+fn task_above_its_share_is_throttled() {
+    let mut world = ready(1);
+    let id = running(&mut world);
+    let worker = world.owners[0].shard.workers_of(id)[0].clone();
+    let mut task = TaskReport {
+        index: 0,
+        status: TaskStatus::Running,
+        millicores: 1_050,
+        memory_mib: 10,
+        exit: None,
+    };
+    let fair = report(id, &world, task.clone());
+    let now = world.now;
+    let throttles = |out: &[Action]| out.iter().any(|a| matches!(a, Action::Throttle { .. }));
+    assert!(!throttles(&handle(&mut world, now, worker.clone(), fair)));
+    task.millicores = 4_000;
+    let greedy = report(id, &world, task);
+    assert!(throttles(&handle(&mut world, now, worker, greedy)));
+    assert_eq!(state(&world, id), JobState::Running);
+}
+
+#[test]
+fn memory_overrun_stops_the_gang_with_the_reason() {
+    let mut world = ready(1);
+    let id = running(&mut world);
+    let worker = world.owners[0].shard.workers_of(id)[0].clone();
+    let task = TaskReport {
+        index: 0,
+        status: TaskStatus::Overrun,
+        millicores: 0,
+        memory_mib: 9_000,
+        exit: None,
+    };
+    let overrun = report(id, &world, task);
+    let now = world.now;
+    let out = handle(&mut world, now, worker, overrun);
+    assert!(out.iter().any(|action| matches!(action, Action::Stop { .. })));
+    let view = world.owners[0].shard.explain(id).expect("the job is known");
+    assert_eq!(view.state, JobState::Stopping);
+    assert!(view.reason.contains("9000 MiB"), "{}", view.reason);
+}
