Count watches that could not be opened

Cause: nothing tested that a watch which reaches no store is counted as unsent. Change: the outage test looks at the counters. Conclusion: the count is there.

--- a/crates/store/tests/watch_resume.rs
+++ b/crates/store/tests/watch_resume.rs
@@ -10,6 +10,7 @@
 use fake::StoreServer;
 use store::Client;
 use store::Config;
+use store::Outcome;
 use store::Purpose;
 use store::Store;
 use store::Watch;
@@ -66,6 +67,7 @@
     let mut seen = versions(&mut watch, 1).await;
     server.set_faults(|faults| faults.down = true);
     until(&mut watch, lost).await;
+    assert!(client.counters().calls(Purpose::Configuration, Outcome::Unsent) > 0);
     expected.extend((0..50).map(|number: u32| server.set("t/a", &number.to_le_bytes())));
     server.set_faults(|faults| faults.down = false);
     seen.extend(versions(&mut watch, 50).await);
