--- a/crates/cli/src/command/apply.rs
+++ b/crates/cli/src/command/apply.rs
@@ -134,7 +134,7 @@
     answer: &border::ApplyAnswer,
     page: &mut Page,
 ) {
-    if answer.revision == old.revision {
+    if answer.revision == old.revision && options.write.is_none() {
         page.line(Tone::Plain, format!("revision {} already says this", answer.revision));
     } else {
         page.line(Tone::Good, format!("revision {} is stored", answer.revision));
--- a/crates/cli/tests/commands/apply_text.rs
+++ b/crates/cli/tests/commands/apply_text.rs
@@ -91,6 +91,18 @@
     assert_eq!(stage.history().await.entries.len(), 2, "stored more than once");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_settled_elsewhere() {
+    let stage = Stage::configured("apply-elsewhere", 2).await;
+    let relay = Relay::start(stage.nodes[0].callers(), usize::MAX).await;
+    let urls = format!("{},{}", relay.url(), stage.url(1));
+    let next = weight("apply-elsewhere", 5);
+    let ended = stage.program_at(&urls, &["apply", &next]).run().await.expect(0);
+    ended.says(&["revision 2 is stored"]);
+    assert_eq!(relay.cut(), 1, "the other entry VM was not asked");
+    assert_eq!(stage.history().await.entries.len(), 2, "stored more than once");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_answer_overtaken() {
     // The write takes effect, its answers are lost, and another operator changes the configuration
@@ -101,6 +113,7 @@
     let args = ["apply", &mine, "--expect", "1", "--write", "00000000000000aa"];
     let ended = stage.program_at(&relay.url(), &args).run().await.expect(5);
     ended.warns(&["unknown", "--expect 1 --write 00000000000000aa", "basilrack history"]);
+    stage.program(&args).run().await.expect(0).says(&["revision 2 is stored"]);
     let theirs = weight("apply-overtaken", 7);
     stage.program(&["apply", &theirs, "--expect", "2"]).run().await.expect(0);
     let ended = stage.program(&args).run().await.expect(0);
--- a/crates/cli/tests/commands/stage.rs
+++ b/crates/cli/tests/commands/stage.rs
@@ -36,7 +36,7 @@
 /// The configuration that the stages run.
 pub const TEXT: &str = r#"{
   "services": {
-    // A doubled ticket is a doubled bill.
+    // Not idempotent.
     "tickets": {
       "class": "interactive", "idempotent": false, "timeout": "2s", "deadline": "10s",
       "objective": { "availability": "99.9%", "latency": "1s" }, "pool": "hub",
