--- a/crates/route/benches/policy.rs
+++ b/crates/route/benches/policy.rs
@@ -3,6 +3,9 @@
 //! with perfect knowledge. `basilrack` is eight real routers 1.4 ms apart, with random balancing.
 //! The run time of a request is the time that it occupies a slot, the way there and back included.
 
+#[path = "policy/arrivals.rs"]
+mod arrivals;
+
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -13,10 +16,15 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use model::AccountId;
+use self::arrivals::CREST_SECONDS;
+use self::arrivals::CREST_START;
+use self::arrivals::Job;
+use self::arrivals::crest;
+use self::arrivals::saturation;
+use self::arrivals::short_rate;
+use self::arrivals::stragglers;
 use model::Class;
 use model::Incarnation;
-use model::ServiceId;
 use model::Time;
 use route::AccountPolicy;
 use route::Action;
@@ -26,7 +34,6 @@
 use route::Event;
 use route::Peer;
 use route::Policy;
-use route::PoolId;
 use route::Router;
 use route::ServicePolicy;
 use route::Settings;
@@ -36,20 +43,11 @@
 const SLOTS: usize = 8;
 const VMS: usize = 8;
 const PEER_DELAY: Duration = Duration::from_micros(1_400);
-const SHORT_MILLIS: f64 = 50.0;
 const SHORT_DEADLINE: Duration = Duration::from_secs(1);
 const BATCH_DEADLINE: Duration = Duration::from_secs(30);
+/// Time before the first arrival in which credits settle.
+const WARM: Duration = Duration::from_secs(2);
 const WEIGHTS: [u32; 4] = [4, 2, 1, 1];
-const CREST_START: f64 = 5.0;
-const CREST_SECONDS: f64 = 30.0;
-
-/// One request of a replay.
-struct Job {
-    at: Time,
-    class: Class,
-    account: usize,
-    run: Duration,
-}
 
 /// A policy, from arrivals to outcomes.
 type Replay = fn(&[Job]) -> Vec<Outcome>;
@@ -68,84 +66,6 @@
     }
 }
 
-/// Adds arrivals of `rate` requests a second between two times.
-fn arrive(
-    jobs: &mut Vec<Job>,
-    rng: &mut StdRng,
-    rate: f64,
-    span: (f64, f64),
-    account: usize,
-    class: Class,
-) {
-    let mut at = span.0;
-    loop {
-        at -= rng.random_range(f64::MIN_POSITIVE..1.0).ln() / rate;
-        if at >= span.1 {
-            return;
-        }
-        let even = rng.random_range(0.5..1.5);
-        let millis = match class {
-            Class::Interactive => SHORT_MILLIS * even,
-            Class::Batch if rng.random_ratio(3, 100) => 10_000.0 * even,
-            Class::Batch => 300.0 * even,
-        };
-        let run = Duration::from_micros((millis * 1_000.0) as u64);
-        jobs.push(Job { at: Time::from_micros((at * 1e6) as u64), class, account, run });
-    }
-}
-
-fn short_rate(load: f64) -> f64 {
-    load * (BACKENDS * SLOTS) as f64 * 1_000.0 / SHORT_MILLIS
-}
-
-fn batch_rate(load: f64) -> f64 {
-    load * (BACKENDS * SLOTS) as f64 / (0.97 * 0.3 + 0.03 * 10.0)
-}
-
-/// 80% load: steady short work, batch work with stragglers in bursts of two seconds every eight.
-fn stragglers() -> Vec<Job> {
-    let mut rng = StdRng::seed_from_u64(1);
-    let mut jobs = Vec::new();
-    for account in 0..4 {
-        let rate = short_rate(0.3) / 4.0;
-        arrive(&mut jobs, &mut rng, rate, (0.0, 64.0), account, Class::Interactive);
-        for burst in 0..8 {
-            let start = f64::from(burst) * 8.0;
-            let rate = batch_rate(0.5 * 4.0) / 4.0;
-            arrive(&mut jobs, &mut rng, rate, (start, start + 2.0), account, Class::Batch);
-        }
-    }
-    jobs.sort_by_key(|job| job.at);
-    jobs
-}
-
-/// Short work at half load jumps to three times the capacity for thirty seconds.
-fn crest() -> Vec<Job> {
-    let mut rng = StdRng::seed_from_u64(2);
-    let mut jobs = Vec::new();
-    let end = CREST_START + CREST_SECONDS;
-    for account in 0..4 {
-        for (load, span) in
-            [(0.5, (0.0, CREST_START)), (3.0, (CREST_START, end)), (0.5, (end, end + 10.0))]
-        {
-            arrive(&mut jobs, &mut rng, short_rate(load) / 4.0, span, account, Class::Interactive);
-        }
-    }
-    jobs.sort_by_key(|job| job.at);
-    jobs
-}
-
-/// Every client account wants 60% of all slots.
-fn saturation() -> Vec<Job> {
-    let mut rng = StdRng::seed_from_u64(3);
-    let mut jobs = Vec::new();
-    for account in 0..4 {
-        arrive(&mut jobs, &mut rng, short_rate(0.6), (0.0, 20.0), account, Class::Interactive);
-    }
-    jobs.sort_by_key(|job| job.at);
-    jobs
-}
-
 /// Queues in front of equal groups of slots; a new request joins the least loaded.
 fn queues(jobs: &[Job], groups: usize) -> Vec<Outcome> {
     let slots = BACKENDS * SLOTS / groups;
@@ -218,7 +138,7 @@
             }
             let list = (0..BACKENDS).map(|index| Backend {
                 id: format!("b{index}").as_str().into(),
-                pool: PoolId::new("hub"),
+                pool: "hub".into(),
                 zone: place.0.into(),
                 region: place.1.into(),
                 slots: SLOTS as u32,
@@ -245,7 +165,8 @@
                 Action::Dispatch { id, attempt, .. } => {
                     let job = self.by_id[&id];
                     let end = now + self.jobs[job].run;
-                    self.outcomes[job] = Outcome { started: Some(now), ended: Some(end) };
+                    self.outcomes[job] =
+                        Outcome { started: Some(now - WARM), ended: Some(end - WARM) };
                     let result = AttemptResult::Answered { status: 200, body: Bytes::new() };
                     let event = Event::Attempt { id, attempt, result };
                     self.agenda.insert((end, self.count), (vm, event));
@@ -259,10 +180,8 @@
         let mut rng = StdRng::seed_from_u64(9);
         let last = self.jobs.last().map_or(Time::ZERO, |job| job.at) + Duration::from_secs(60);
         let mut next = 0;
-        // Credits settle before the first arrival.
-        let warm = Duration::from_secs(2);
         loop {
-            let arrival = self.jobs.get(next).map_or(Time::NEVER, |job| job.at + warm);
+            let arrival = self.jobs.get(next).map_or(Time::NEVER, |job| job.at + WARM);
             let planned = self.agenda.first_key_value().map_or(Time::NEVER, |((time, _), _)| *time);
             let wake = (0..VMS).filter_map(|vm| Some((self.wakes[vm]?, vm))).min();
             let wake = wake.unwrap_or((Time::NEVER, 0));
@@ -281,8 +200,8 @@
                 let id = self.routers[vm].issue_id();
                 self.by_id.insert(id, next);
                 let job = &self.jobs[next];
-                let service = ServiceId::new(job.class.as_ref());
-                let account = AccountId::new(&format!("a{}", job.account));
+                let service = job.class.as_ref().into();
+                let account = format!("a{}", job.account).as_str().into();
                 let call = Call {
                     id,
                     service,
@@ -294,21 +213,19 @@
                 next += 1;
             }
         }
-        let back = |time: Option<Time>| time.map(|time| time - warm);
-        let shift = |o: &Outcome| Outcome { started: back(o.started), ended: back(o.ended) };
-        self.outcomes.iter().map(shift).collect()
+        self.outcomes
     }
 }
 
 fn policy() -> Arc<Policy> {
     let service = |class: Class| {
-        let mut policy = ServicePolicy::new(PoolId::new("hub"), class);
+        let mut policy = ServicePolicy::new("hub".into(), class);
         policy.timeout = Duration::from_secs(60);
-        (ServiceId::new(class.as_ref()), policy)
+        (class.as_ref().into(), policy)
     };
     let account = |(index, weight): (usize, &u32)| {
         let policy = AccountPolicy { weight: *weight, ..AccountPolicy::default() };
-        (AccountId::new(&format!("a{index}")), policy)
+        (format!("a{index}").as_str().into(), policy)
     };
     let accounts = WEIGHTS.iter().enumerate().map(account).collect();
     let services = BTreeMap::from([service(Class::Interactive), service(Class::Batch)]);
