Call an unknown verdict at an heir not final

Cause: seed 61270: with homes stopping one after another, a request was on its way along heirs while the last heir already called its verdict a last unknown. Change: an heir calls an unknown that it only knows from a ledger not final.

--- a/crates/route/benches/policy.rs
+++ b/crates/route/benches/policy.rs
@@ -237,7 +237,7 @@
 }
 
 fn main() {
-    let json = std::env::args().any(|argument| argument == "--json");
+    let json = std::env::args().any(|a| a == "--json");
     let print = |measure: &str, policy: &str, value: f64, unit: &str| {
         let line =
             serde_json::json!({"measure": measure, "policy": policy, "value": value, "unit": unit});
--- a/crates/route/src/calls.rs
+++ b/crates/route/src/calls.rs
@@ -152,12 +152,20 @@
             Standing::NotIssued => blank(id, Verdict::NotRun, Reason::NotIssued),
             Standing::TooOld => blank(id, Verdict::Unknown, Reason::TooOld),
             Standing::Unused => return,
-            Standing::Settled(verdict) => blank(id, verdict, Reason::AnswerDropped),
+            Standing::Settled(verdict) => self.settled_answer(id, verdict),
         };
         answer.retry = answer.verdict.permits_resend().then_some(Duration::ZERO);
         self.deliver(waiter, answer);
     }
 
+    /// Answer to a repeat of which only the verdict is known. What a stopped home did not know may
+    /// still be on its way from one heir to the next.
+    pub(crate) fn settled_answer(&self, id: RequestId, verdict: Verdict) -> Answer {
+        let mut answer = blank(id, verdict, Reason::AnswerDropped);
+        answer.last = verdict != Verdict::Unknown || id.home == self.me;
+        answer
+    }
+
     fn admit(&mut self, waiter: Waiter, call: Call, adopted: bool) {
         let Parties { service, account } = match self.check_call(&call) {
             Ok(parties) => parties,
--- a/crates/route/src/homes.rs
+++ b/crates/route/src/homes.rs
@@ -243,7 +243,7 @@
                     }
                     Standing::NotIssued => blank(id, Verdict::NotRun, Reason::NotIssued),
                     Standing::TooOld => blank(id, Verdict::Unknown, Reason::TooOld),
-                    Standing::Settled(verdict) => blank(id, verdict, Reason::AnswerDropped),
+                    Standing::Settled(verdict) => self.settled_answer(id, verdict),
                 };
                 self.tell(waiter, answer);
             }
