Bound how many plans are sought in one pass

Cause: a pass sought a plan with preemption for every blocked class of jobs, milliseconds each at 9,300 workers. Change: at most eight a pass for jobs without urgency, best scores first.

--- a/crates/gang/src/schedule.rs
+++ b/crates/gang/src/schedule.rs
@@ -36,6 +36,9 @@
 /// Gangs that have a block reserved at a time.
 const RESERVATIONS: usize = 4;
 
+/// Blocked jobs without urgency for which room is sought in one pass.
+const PLANS: u32 = 8;
+
 /// Share of its own work that a job of normal rank may cost others: one in this many.
 const WORTH: u64 = 8;
 
@@ -71,6 +74,7 @@
         let heads: Vec<Waiting> = self.queue.heads().collect();
         let mut open: Vec<Candidate> = heads.iter().map(|w| self.candidate(now, *w)).collect();
         self.lift_reservations();
+        self.sought = 0;
         for _ in 0..self.settings.batch {
             let best = (0..open.len()).max_by(|a, b| open[*a].order(&open[*b]));
             let Some(best) = best else {
@@ -198,7 +202,10 @@
         let turn = turn(self.expected(spec).median, waited);
         let asker = Asker { rank: Rank::borrowed(spec.priority, true), now, turn };
         let taker = Taker { fleet: &self.fleet, query, region: Region::Open, asker };
-        let plan = if asker.rank > Rank::Spare { taker.find() } else { None };
+        let urgent = spec.priority == Priority::Urgent;
+        let tries = asker.rank > Rank::Spare && (urgent || self.sought < PLANS);
+        let plan = if tries { taker.find() } else { None };
+        self.sought += 1;
         match plan {
             Some(plan)
                 if self.is_worth(spec, &plan) && self.keeps_guarantees(&plan.slots, rank) =>
--- a/crates/gang/src/shard.rs
+++ b/crates/gang/src/shard.rs
@@ -88,6 +88,8 @@
     /// Whether something changed that may let a job be placed.
     pub(crate) stirred: bool,
     pub(crate) passed: Time,
+    /// Blocked jobs for which room was sought in this pass.
+    pub(crate) sought: u32,
     /// Guarantees that cannot be reclaimed, at the last check.
     pub(crate) missing: u32,
     /// Whether a fault or a new policy may have changed what can be reclaimed.
@@ -129,6 +131,7 @@
             fenced: false,
             stirred: false,
             passed: Time::ZERO,
+            sought: 0,
             missing: 0,
             excused: false,
             alarms: BTreeSet::new(),
