Wait for a job's end, not for its final verdict

Change: the states that are ends are named in jobs::End; the scripted entry VM gives answers in turn and holds the case.

--- a/crates/cli/src/command/jobs.rs
+++ b/crates/cli/src/command/jobs.rs
@@ -1,6 +1,7 @@
 //! `basilrack jobs show` and `jobs cancel`.
 
 use hyper::Method;
+use strum::EnumString;
 
 use crate::client::CallError;
 use crate::client::Client;
@@ -12,10 +13,37 @@
 use crate::status::Status;
 use wire::border;
 
-/// State of a job that ran to its end.
-const DONE: &str = "done";
-/// State of a job that nobody can know any more.
-const UNKNOWN: &str = "unknown";
+/// State of a job that has ended. A verdict may be final before that, while the end is stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum End {
+    /// It ran to its end.
+    Done,
+    /// It fails wherever it runs.
+    Failed,
+    /// It was cancelled.
+    Cancelled,
+    /// No set of workers can hold it.
+    Impossible,
+    /// It may have run and will not run again.
+    Unknown,
+}
+
+impl End {
+    /// How a job has ended, if it has.
+    pub fn of(status: &border::JobStatus) -> Option<End> {
+        status.state.parse().ok()
+    }
+
+    /// The exit code.
+    pub fn status(self) -> Status {
+        match self {
+            End::Done => Status::Success,
+            End::Unknown => Status::Unknown,
+            End::Failed | End::Cancelled | End::Impossible => Status::Unsuccessful,
+        }
+    }
+}
 
 /// Shows a job.
 ///
@@ -25,7 +53,7 @@
 pub async fn show(options: &IdOptions, client: &Client, page: &mut Page) -> Result<Status, Error> {
     let status = read(client, &options.id).await?;
     print(&status, options.format, page)?;
-    Ok(if is_unknown(&status) { Status::Unknown } else { Status::Success })
+    Ok(if End::of(&status) == Some(End::Unknown) { Status::Unknown } else { Status::Success })
 }
 
 /// Cancels a job.
@@ -66,20 +94,6 @@
     page.show()
 }
 
-/// Whether nobody can know any more what became of a job.
-pub fn is_unknown(status: &border::JobStatus) -> bool {
-    status.state == UNKNOWN
-}
-
-/// The exit code for a job that has ended.
-pub fn ended(status: &border::JobStatus) -> Status {
-    match status.state.as_str() {
-        DONE => Status::Success,
-        UNKNOWN => Status::Unknown,
-        _ => Status::Unsuccessful,
-    }
-}
-
 fn write(status: &border::JobStatus, page: &mut Page) {
     page.line(Tone::Head, format!("job {}: {}", status.id, status.state));
     let last = if status.final_ { "final" } else { "may change" };
--- a/crates/cli/src/command/submit.rs
+++ b/crates/cli/src/command/submit.rs
@@ -11,6 +11,7 @@
 use crate::client::CallError;
 use crate::client::Client;
 use crate::command::jobs;
+use crate::command::jobs::End;
 use crate::error::Error;
 use crate::files;
 use crate::options::JobSource;
@@ -43,7 +44,7 @@
         spec.zone = Some(zone.clone());
     }
     let id = client.fresh_id().await?;
-    let mut status = match &spec.zone {
+    let status = match &spec.zone {
         Some(_) => put(client, &id, &spec).await?,
         None => put_anywhere(client, &id, spec).await?,
     };
@@ -52,9 +53,9 @@
         return Ok(Status::Success);
     }
     eprintln!("basilrack: job {id} is {}", status.state);
-    status = watch(client, status).await?;
-    jobs::print(&status, options.format, page)?;
-    Ok(jobs::ended(&status))
+    let watched = watch(client, status).await?;
+    jobs::print(&watched.status, options.format, page)?;
+    Ok(watched.end.status())
 }
 
 async fn put(
@@ -72,10 +73,20 @@
     })
 }
 
+/// A job that has ended.
+#[derive(Clone, Debug)]
+struct Watched {
+    status: border::JobStatus,
+    end: End,
+}
+
 /// Looks at a job until it has ended, through times in which no entry VM can tell.
-async fn watch(client: &Client, mut status: border::JobStatus) -> Result<border::JobStatus, Error> {
+async fn watch(client: &Client, mut status: border::JobStatus) -> Result<Watched, Error> {
     let mut failures = 0;
-    while !status.final_ && !jobs::is_unknown(&status) {
+    loop {
+        if let Some(end) = End::of(&status) {
+            return Ok(Watched { status, end });
+        }
         sleep(WATCH_PAUSE).await;
         match jobs::read(client, &status.id).await {
             Ok(later) => {
@@ -88,7 +99,6 @@
             Err(_) => failures += 1,
         }
     }
-    Ok(status)
 }
 
 /// Tries one zone after another, as long as each certainly refused the job.
--- a/crates/cli/tests/commands/odd_answers.rs
+++ b/crates/cli/tests/commands/odd_answers.rs
@@ -104,6 +104,8 @@
         let answers = vec![
             Answer::new("POST /v1/ids", &json!({ "ids": ["00000000000000aa:1"] })),
             Answer::new("PUT /v1/jobs", &job("queued", "unknown", false)),
+            Answer::new("GET /v1/jobs", &job("running", "unknown", false)),
+            Answer::new("GET /v1/jobs", &job("finishing", verdict, last)),
             Answer::new("GET /v1/jobs", &job(state, verdict, last)),
         ];
         let script = Script::start(answers).await;
--- a/crates/cli/tests/commands/script.rs
+++ b/crates/cli/tests/commands/script.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 
 use serde_json::Value;
 use tokio::io::AsyncReadExt;
@@ -15,6 +16,7 @@
 const HEAD_LEN: usize = 16 << 10;
 
 /// One answer.
+#[derive(Clone)]
 pub struct Answer {
     /// Start of the request line, such as `GET /v1/text`.
     pub call: &'static str,
@@ -36,12 +38,15 @@
     address: SocketAddr,
 }
 
+/// Answers that are left. Those to the same call are given in turn, the last one again and again.
+type Answers = Arc<Mutex<Vec<Answer>>>;
+
 impl Script {
     /// Starts one; a call without an answer has its connection closed.
     pub async fn start(answers: Vec<Answer>) -> Script {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let answers = Arc::new(answers);
+        let answers: Answers = Arc::new(Mutex::new(answers));
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 tokio::spawn(serve(stream, answers.clone()));
@@ -56,12 +61,19 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, answers: Arc<Vec<Answer>>) {
+fn take(answers: &Answers, head: &str) -> Option<Answer> {
+    let mut answers = answers.lock().unwrap();
+    let matches = |answer: &&Answer| head.starts_with(answer.call);
+    let first = answers.iter().position(|answer| matches(&answer))?;
+    let more = answers.iter().filter(matches).count() > 1;
+    Some(if more { answers.remove(first) } else { answers[first].clone() })
+}
+
+async fn serve(mut stream: TcpStream, answers: Answers) {
     let mut head = vec![0; HEAD_LEN];
     let length = stream.read(&mut head).await.unwrap_or(0);
     let head = String::from_utf8_lossy(&head[..length]).into_owned();
-    let Some(answer) = answers.iter().find(|answer| head.starts_with(answer.call)) else { return };
-    let Answer { status, body, .. } = answer;
+    let Some(Answer { status, body, .. }) = take(&answers, &head) else { return };
     let length = body.len();
     let text = format!(
         "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\
