--- a/crates/route/src/calls.rs
+++ b/crates/route/src/calls.rs
@@ -2,18 +2,14 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-
-use crate::Action;
-use crate::Answer;
 use crate::Call;
-use crate::Message;
 use crate::Reason;
 use crate::RequestState;
 use crate::Router;
 use crate::ServicePolicy;
 use crate::Step;
 use crate::Ticket;
+use crate::answers::blank;
 use crate::homes::Owner;
 use crate::ledger::Standing;
 use crate::life::RequestEvent;
@@ -158,14 +154,6 @@
         self.deliver(waiter, answer);
     }
 
-    /// Answer to a repeat of which only the verdict is known. What a stopped home did not know may
-    /// still be on its way from one heir to the next.
-    pub(crate) fn settled_answer(&self, id: RequestId, verdict: Verdict) -> Answer {
-        let mut answer = blank(id, verdict, Reason::AnswerDropped);
-        answer.last = verdict != Verdict::Unknown || id.home == self.me;
-        answer
-    }
-
     fn admit(&mut self, waiter: Waiter, call: Call, adopted: bool) {
         let Parties { service, account } = match self.check_call(&call) {
             Ok(parties) => parties,
@@ -403,21 +391,6 @@
         }
     }
 
-    /// Hands an answer to whoever waits for it.
-    pub(crate) fn deliver(&mut self, waiter: Waiter, answer: Answer) {
-        match waiter {
-            Waiter::Ticket(ticket) => {
-                if self.tickets.remove(&ticket).is_none() {
-                    return;
-                }
-                let key = (answer.verdict, answer.reason);
-                *self.totals.answers.entry(key).or_default() += 1;
-                self.out.push(Action::Answer { ticket, answer });
-            }
-            Waiter::Peer(peer) => self.send(peer, Message::Answer { answer }),
-        }
-    }
-
     /// A caller went away.
     pub(crate) fn hang_up(&mut self, ticket: Ticket) {
         let Some(id) = self.tickets.remove(&ticket) else { return };
@@ -462,43 +435,3 @@
         (Class::Batch, false) => Lane::Firm,
     }
 }
-
-/// An answer without a body.
-pub(crate) fn blank(id: RequestId, verdict: Verdict, reason: Reason) -> Answer {
-    Answer {
-        id,
-        verdict,
-        last: true,
-        reason,
-        retry: None,
-        status: status(reason),
-        body: Bytes::new(),
-        backend: None,
-        dependency: None,
-    }
-}
-
-fn status(reason: Reason) -> u16 {
-    match reason {
-        Reason::Answered
-        | Reason::AnswerDropped
-        | Reason::Queued
-        | Reason::Running
-        | Reason::Unused => 200,
-        Reason::NotIssued | Reason::NoService => 404,
-        Reason::NoAccount => 403,
-        Reason::TooOld => 410,
-        Reason::Conflict => 409,
-        Reason::RateLimit | Reason::QueueLimit => 429,
-        Reason::Cancelled => 499,
-        Reason::ConnectionLost | Reason::HomeGone => 502,
-        Reason::Timeout | Reason::DeadlinePassed | Reason::HomeUnreachable => 504,
-        Reason::Shed
-        | Reason::Expired
-        | Reason::DependencyDown
-        | Reason::NoBackend
-        | Reason::ConnectFailed
-        | Reason::Unavailable
-        | Reason::Draining => 503,
-    }
-}
--- a/crates/route/src/homes.rs
+++ b/crates/route/src/homes.rs
@@ -10,7 +10,7 @@
 use crate::Reason;
 use crate::RequestState;
 use crate::Router;
-use crate::calls::blank;
+use crate::answers::blank;
 use crate::ledger::Ledger;
 use crate::ledger::Standing;
 use crate::peers::Reach;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -4,6 +4,7 @@
 //! that a shell carries out. The same events in the same order give the same actions.
 
 mod action;
+mod answers;
 mod attempts;
 mod backends;
 mod budget;
--- a/crates/route/src/settle.rs
+++ b/crates/route/src/settle.rs
@@ -9,7 +9,7 @@
 use crate::Reason;
 use crate::RequestState;
 use crate::Router;
-use crate::calls::blank;
+use crate::answers::blank;
 use crate::ledger::Standing;
 use crate::life::RequestEvent;
 use crate::names::Service;
