--- a/crates/burn/src/ledger.rs
+++ b/crates/burn/src/ledger.rs
@@ -17,7 +17,7 @@
 use model::Stamp;
 use model::VmId;
 
-/// Most series of one entry VM; requests beyond them are counted under [`OTHERS`].
+/// Most series of one entry VM; requests beyond them are counted together.
 pub const MAX_SERIES: usize = 2_000;
 /// Client account that stands for all whose series found no room.
 const OTHERS: &str = "(others)";
