Keep gangs running when ownership lapses, and messages to a worker in order

Cause: a store outage longer than the store lease made the fleet part disown its shards, and the job part then dropped them: nobody renewed the workers' leases. Found by reading the shell against what the gang machine asks of it; messages to one worker also ran as unordered tasks. Change: only a later owner fences a shard; a lapsed owner goes on renewing and answers for its jobs, and the status says so; one lane of messages for each worker; a first text is only stored over none. Conclusion: running gangs outlive the lapse of ownership.

--- a/crates/cli/src/dev/world.rs
+++ b/crates/cli/src/dev/world.rs
@@ -152,7 +152,7 @@
             let ready = views.iter().all(|view| {
                 view.revision.0 > 0
                     && !view.shards.is_empty()
-                    && view.shards.iter().all(|shard| view.owners.contains_key(shard))
+                    && view.shards.iter().all(|shard| view.is_held(shard))
                     && live(view) == self.nodes.len()
             });
             if ready {
--- a/crates/entry/benches/control.rs
+++ b/crates/entry/benches/control.rs
@@ -201,6 +201,7 @@
     _workers: WorkerFleet,
     processes: Vec<Process>,
     platform: Arc<AtomicU64>,
+    revision: AtomicU64,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -240,7 +241,17 @@
             })
             .collect();
         let client = Client::builder(TokioExecutor::new()).build(HttpConnector::new());
-        Stage { store, _vms: vms, _pool: pool, _workers: workers, processes, platform, client }
+        let revision = AtomicU64::new(0);
+        Stage {
+            store,
+            _vms: vms,
+            _pool: pool,
+            _workers: workers,
+            processes,
+            platform,
+            revision,
+            client,
+        }
     }
 
     async fn call(&self, method: Method, path: &str, body: Vec<u8>) -> Option<Bytes> {
@@ -260,13 +271,19 @@
 
     async fn change(&self, weight: u32) -> bool {
         let call = border::ApplyCall {
-            expect: 0,
+            expect: self.revision.load(Ordering::Relaxed),
             text: TEXT.replace("WEIGHT", &weight.to_string()),
             author: "bench".to_owned(),
             write: format!("{weight:016x}"),
         };
         let body = serde_json::to_vec(&call).expect("a value");
-        self.call(Method::PUT, "/v1/text", body).await.is_some()
+        let answer = self.call(Method::PUT, "/v1/text", body).await;
+        let answer: Option<border::ApplyAnswer> =
+            answer.and_then(|body| serde_json::from_slice(&body).ok());
+        if let Some(answer) = &answer {
+            self.revision.store(answer.revision, Ordering::Relaxed);
+        }
+        answer.is_some()
     }
 
     async fn ready(&self, size: Size) {
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -31,7 +31,7 @@
 
 /// Replaces the configuration and says what came of it.
 pub async fn apply<S: Store>(store: &S, call: &border::ApplyCall, at: Stamp) -> Outcome {
-    let base = (call.expect > 0).then_some(Revision(call.expect));
+    let base = Some(Revision(call.expect));
     let write = WriteId(u64::from_str_radix(&call.write, 16).unwrap_or_default());
     let mut machine = Apply::new(&call.text, base, &call.author, write, at);
     loop {
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -33,6 +33,7 @@
 use model::JobId;
 use model::ShardId;
 use model::Verdict;
+use model::WorkerId;
 use store::Store;
 
 /// Commands that may wait for the shards.
@@ -131,17 +132,19 @@
         /// Epoch of the ownership.
         epoch: Epoch,
     },
-    /// Stop owning a shard.
-    Disown {
+    /// Another entry VM owns a shard.
+    Superseded {
         /// The shard.
         shard: ShardId,
+        /// Epoch of its ownership.
+        epoch: Epoch,
     },
     /// The workers of all availability zones.
     Workers {
         /// For the shards.
         list: BTreeMap<ShardId, Vec<WorkerInfo>>,
         /// Where each worker listens.
-        addresses: BTreeMap<model::WorkerId, String>,
+        addresses: BTreeMap<WorkerId, String>,
     },
     /// A newer configuration.
     Policy {
@@ -227,6 +230,7 @@
         commands: commands.downgrade(),
         shards: BTreeMap::new(),
         workers: Workers::default(),
+        lanes: BTreeMap::new(),
         lists: BTreeMap::new(),
         policies: BTreeMap::new(),
         replies: BTreeMap::new(),
@@ -247,6 +251,7 @@
     commands: mpsc::WeakSender<Command>,
     shards: BTreeMap<ShardId, Owned>,
     workers: Workers,
+    lanes: BTreeMap<WorkerId, mpsc::UnboundedSender<Load>>,
     lists: BTreeMap<ShardId, Vec<WorkerInfo>>,
     policies: BTreeMap<ShardId, Arc<Policy>>,
     replies: BTreeMap<Ticket, oneshot::Sender<Answer>>,
@@ -281,7 +286,7 @@
                 let _ = reply.send(state.collect());
             }
             Command::Own { shard, epoch } => self.own(shard, epoch),
-            Command::Disown { shard } => self.disown(&shard),
+            Command::Superseded { shard, epoch } => self.fence(&shard, epoch),
             Command::Workers { list, addresses } => self.set_workers(list, addresses),
             Command::Policy { policies } => self.set_policies(policies),
             Command::Event { shard, epoch, event } => self.arrive(&shard, epoch, event),
@@ -311,6 +316,7 @@
 
     fn own(&mut self, id: ShardId, epoch: Epoch) {
         info!("jobs: owning shard {id} under epoch {epoch}");
+        self.forget(&id);
         let settings = self.wiring.settings.clone();
         let seed = self.wiring.seed ^ epoch.0;
         let shard = Shard::new(settings, id.clone(), self.wiring.me, epoch, seed);
@@ -345,14 +351,22 @@
         });
     }
 
-    fn disown(&mut self, id: &ShardId) {
-        if !self.shards.contains_key(id) {
+    /// Gives a shard up for a later owner.
+    ///
+    /// A shard whose ownership merely lapsed goes on: its gangs need renewals while the store is
+    /// down, and what an outdated owner does is harmless.
+    fn fence(&mut self, id: &ShardId, epoch: Epoch) {
+        if self.shards.get(id).is_none_or(|owned| owned.epoch >= epoch) {
             return;
         }
-        info!("jobs: giving up shard {id}");
+        info!("jobs: giving up shard {id}, which has an owner under epoch {epoch}");
         self.decide(id, Event::Fenced);
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: &ShardId) {
         if let Some(owned) = self.shards.remove(id) {
-            // Dropping a reply tells its caller that the shard is owned elsewhere now.
+            // Dropping a reply tells its caller that the shard moved.
             for ticket in owned.tickets {
                 self.replies.remove(&ticket);
             }
@@ -362,8 +376,9 @@
     fn set_workers(
         &mut self,
         lists: BTreeMap<ShardId, Vec<WorkerInfo>>,
-        addresses: BTreeMap<model::WorkerId, String>,
+        addresses: BTreeMap<WorkerId, String>,
     ) {
+        self.lanes.retain(|worker, _| addresses.contains_key(worker));
         self.workers.set_addresses(addresses);
         let changed: Vec<ShardId> =
             lists.iter().filter(|(id, list)| self.lists.get(*id) != Some(*list)).map(key).collect();
@@ -437,9 +452,8 @@
                 });
             }
             action => {
-                let workers = self.workers.clone();
                 let spec = self.spec(shard, &action);
-                self.spawn(shard, epoch, async move { workers.act(action, spec).await });
+                self.errand(shard, epoch, action, spec);
             }
         }
     }
@@ -450,6 +464,17 @@
         self.shards.get(shard).and_then(|owned| owned.shard.spec(*job)).cloned()
     }
 
+    /// Hands an action to the worker's lane, which keeps the order of its messages.
+    fn errand(&mut self, shard: &ShardId, epoch: Epoch, action: Action, spec: Option<JobSpec>) {
+        let Some(worker) = action.worker().cloned() else { return };
+        let errand = Errand { shard: shard.clone(), epoch, action, spec };
+        let commands = self.commands.clone();
+        let lane = self.lanes.entry(worker).or_insert_with(|| start_lane(commands));
+        let load = Load { errand, workers: self.workers.clone() };
+        // A lane ends only with the job part.
+        let _ = lane.send(load);
+    }
+
     fn spawn(
         &self,
         shard: &ShardId,
@@ -466,6 +491,34 @@
     }
 }
 
+/// An action for one worker.
+struct Errand {
+    shard: ShardId,
+    epoch: Epoch,
+    action: Action,
+    spec: Option<JobSpec>,
+}
+
+/// An errand, and the workers as they were listed when it was given.
+struct Load {
+    errand: Errand,
+    workers: Workers,
+}
+
+/// Starts the task that sends one worker its messages, one after another.
+fn start_lane(commands: mpsc::WeakSender<Command>) -> mpsc::UnboundedSender<Load> {
+    let (lane, mut loads) = mpsc::unbounded_channel::<Load>();
+    tokio::spawn(async move {
+        while let Some(Load { errand, workers }) = loads.recv().await {
+            let Errand { shard, epoch, action, spec } = errand;
+            for event in workers.act(action, spec).await {
+                send(&commands, shard.clone(), epoch, event).await;
+            }
+        }
+    });
+    lane
+}
+
 fn key<V>(entry: (&ShardId, V)) -> ShardId {
     entry.0.clone()
 }
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -52,7 +52,7 @@
 pub struct View {
     /// This entry VM.
     pub me: fleet::Member,
-    /// Owner of each shard that has one.
+    /// Owner of each shard that has one, or the last one that it had.
     pub owners: BTreeMap<ShardId, Incarnation>,
     /// Epoch of each ownership.
     pub epochs: BTreeMap<ShardId, Epoch>,
@@ -82,6 +82,11 @@
         self.text.services.get(service).map_or(USUAL_DEADLINE, |service| service.deadline)
     }
 
+    /// Whether a shard has an owner whose ownership has not lapsed.
+    pub fn is_held(&self, shard: &ShardId) -> bool {
+        self.fleet.owners.iter().any(|owner| owner.shard == *shard && !owner.released)
+    }
+
     /// Name of the entry VM of an incarnation.
     pub fn vm_name(&self, incarnation: Incarnation) -> String {
         let known = self.fleet.members.iter().find(|m| m.member.incarnation == incarnation);
@@ -180,6 +185,7 @@
         vms: Sorted::default(),
         view,
         fence,
+        successors: BTreeMap::new(),
     };
     tokio::spawn(part.run(inbox));
     Started { handle: Handle { commands }, view: seen, fenced }
@@ -197,6 +203,8 @@
     vms: Sorted,
     view: watch::Sender<Arc<View>>,
     fence: watch::Sender<bool>,
+    /// Epochs under which others own shards, as the job part was told.
+    successors: BTreeMap<ShardId, Epoch>,
 }
 
 impl<S: Store> Members<S> {
@@ -210,7 +218,7 @@
                 },
                 () = sleep_until(wake) => self.decide(Event::Tick).await,
             }
-            self.publish();
+            self.publish().await;
         }
         if let Some(task) = self.watching.take() {
             task.abort();
@@ -270,8 +278,8 @@
             Action::Own { shard, epoch } => {
                 self.wiring.jobs.send(jobs::Command::Own { shard, epoch }).await;
             }
-            Action::Disown { shard, .. } => {
-                self.wiring.jobs.send(jobs::Command::Disown { shard }).await;
+            Action::Disown { shard, epoch } => {
+                info!("fleet: ownership of shard {shard} under epoch {epoch} has ended");
             }
             Action::MemberUp(member) => self.member_up(member).await,
             Action::MemberLeaving(incarnation) => {
@@ -391,9 +399,11 @@
         self.connect(member.incarnation, &member.address);
     }
 
-    fn publish(&self) {
+    async fn publish(&mut self) {
         let fleet = self.machine.snapshot();
-        let held = fleet.owners.iter().filter(|owner| !owner.released);
+        self.tell_successors(&fleet).await;
+        // A shard whose last owner lapsed is still best known to that one.
+        let held = fleet.owners.iter();
         let view = View {
             me: self.machine.me().clone(),
             owners: held.clone().map(|owner| (owner.shard.clone(), owner.owner)).collect(),
@@ -412,6 +422,22 @@
     }
 }
 
+impl<S: Store> Members<S> {
+    /// Tells the job part which shards others own now.
+    async fn tell_successors(&mut self, fleet: &Snapshot) {
+        let me = self.machine.me().incarnation;
+        for owner in fleet.owners.iter().filter(|owner| owner.owner != me) {
+            let known = self.successors.get(&owner.shard);
+            if known.is_some_and(|epoch| *epoch >= owner.epoch) {
+                continue;
+            }
+            self.successors.insert(owner.shard.clone(), owner.epoch);
+            let (shard, epoch) = (owner.shard.clone(), owner.epoch);
+            self.wiring.jobs.send(jobs::Command::Superseded { shard, epoch }).await;
+        }
+    }
+}
+
 fn members(fleet: &Snapshot) -> Vec<border::MemberStatus> {
     let status = |m: &fleet::MemberView| border::MemberStatus {
         vm: m.member.vm.to_string(),
--- a/crates/entry/src/views.rs
+++ b/crates/entry/src/views.rs
@@ -78,7 +78,7 @@
         owned.shards.push(shard(view, id, state));
         add_workers(&mut owned, id, state);
         add_guarantees(&mut owned, id, state);
-        add_doubts(&mut owned, id, state);
+        add_doubts(&mut owned, view, id, state);
     }
     owned
 }
@@ -90,7 +90,7 @@
     };
     border::ShardStatus {
         shard: id.to_string(),
-        owner: Some(view.me.vm.to_string()),
+        owner: view.is_held(id).then(|| view.me.vm.to_string()),
         epoch: view.epochs.get(id).map(|epoch| epoch.0),
         queued: Some(count(&[gang::JobState::Queued])),
         running: Some(count(&[gang::JobState::Running])),
@@ -132,7 +132,16 @@
     }
 }
 
-fn add_doubts(owned: &mut Owned, shard: &ShardId, state: &gang::Snapshot) {
+fn add_doubts(owned: &mut Owned, view: &View, shard: &ShardId, state: &gang::Snapshot) {
+    if !view.is_held(shard) {
+        owned.unknown.push(border::Doubt {
+            subject: format!("whether shard {shard} has an owner"),
+            why: format!(
+                "the ownership of entry VM {} has lapsed; it keeps the gangs running",
+                view.me.vm
+            ),
+        });
+    }
     for job in &state.unknown {
         owned.unknown.push(border::Doubt {
             subject: format!("whether job {job} ran"),
@@ -153,7 +162,8 @@
         described.into_iter().map(|shard| (shard.shard.clone(), shard)).collect();
     for id in &view.shards {
         let name = id.to_string();
-        let owner = view.owners.get(id).map(|owner| view.vm_name(*owner));
+        let owner = view.owners.get(id).filter(|_| view.is_held(id));
+        let owner = owner.map(|owner| view.vm_name(*owner));
         shards.entry(name.clone()).or_insert(border::ShardStatus {
             shard: name,
             owner,
--- a/crates/entry/src/workers.rs
+++ b/crates/entry/src/workers.rs
@@ -76,7 +76,7 @@
             Action::Renew { worker, leases, ttl } => vec![self.renew(worker, &leases, ttl).await],
             Action::Release { worker, job, attempt } => {
                 self.tell(&worker, "/release", &key(job, attempt)).await;
-                Vec::new()
+                vec![self.report(worker).await]
             }
             Action::Stop { worker, job, attempt } => self.stop(worker, job, attempt).await,
             Action::Checkpoint { worker, job, attempt } => {
--- a/crates/entry/tests/nodes/store_outage.rs
+++ b/crates/entry/tests/nodes/store_outage.rs
@@ -1,5 +1,7 @@
 //! The store goes away for a while: requests go on, and what must be stored is refused.
 
+use std::time::Duration;
+
 use hyper::Method;
 
 use crate::stage::Process;
@@ -13,12 +15,19 @@
 /// Answers that callers get in each phase.
 const PHASE: usize = 300;
 
+/// Longer than a store lease, after which ownership has lapsed, and a worker lease together.
+const OUTAGE: Duration = Duration::from_secs(65);
+
 fn small_job() -> Vec<u8> {
-    let spec = border::JobSpec {
+    serde_json::to_vec(&spec(1, 1_000)).unwrap()
+}
+
+fn spec(tasks: u32, declared_ms: u64) -> border::JobSpec {
+    border::JobSpec {
         account: "growers".to_owned(),
         service: "reviews".to_owned(),
         shape: border::GangShape {
-            tasks: 1,
+            tasks,
             accelerators: 1,
             millicores: 1_000,
             memory_mib: 1_024,
@@ -27,11 +36,43 @@
         priority: border::Priority::Normal,
         idempotent: true,
         checkpoint: false,
-        declared_ms: 1_000,
+        declared_ms,
         zone: Some("zone-a".to_owned()),
         volatile: false,
+    }
+}
+
+/// Tasks that run now.
+fn running(stage: &Stage) -> Vec<fake::Run> {
+    stage.workers.runs().into_iter().filter(|run| run.to.is_none()).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gangs_go_on() {
+    let stage = Stage::start("store-outage-gangs");
+    let process = stage.spawn("a");
+    stage.apply(&[&process]).await;
+    let body = serde_json::to_vec(&spec(8, 10_000_000)).unwrap();
+    let reply = stage.caller.call(process.address, Method::POST, "/v1/jobs", &[], body).await;
+    let id = reply.unwrap().json::<border::JobStatus>().id;
+    until("the gang runs", async || running(&stage).len() == 8).await;
+    let before = running(&stage);
+
+    stage.store.set_faults(|faults| faults.down = true);
+    tokio::time::sleep(OUTAGE).await;
+    assert_eq!(running(&stage), before, "an outage of the store stopped or restarted tasks");
+    let answered = state(&stage, &process, &id).await;
+    assert_eq!(answered.as_deref(), Some("running"), "the status of a running gang is lost");
+
+    stage.store.set_faults(|faults| faults.down = false);
+    let owned = async || {
+        let status = stage.caller.status(process.address).await;
+        status.is_some_and(|s| s.store.healthy && s.shards.iter().all(|s| s.owner.is_some()))
     };
-    serde_json::to_vec(&spec).unwrap()
+    until("the shard has an owner again", owned).await;
+    let known = async || state(&stage, &process, &id).await.as_deref() == Some("running");
+    until("the new ownership has found the gang", known).await;
+    assert_eq!(running(&stage), before, "the recovery stopped or restarted tasks");
 }
 
 /// Submits a job under a fresh id; answers with its id and status or refusal.
--- a/crates/gang/src/action.rs
+++ b/crates/gang/src/action.rs
@@ -135,6 +135,22 @@
     },
 }
 
+impl Action {
+    /// The worker that it is for, if it is for one.
+    pub fn worker(&self) -> Option<&WorkerId> {
+        match self {
+            Action::Lease { worker, .. }
+            | Action::Release { worker, .. }
+            | Action::Start { worker, .. }
+            | Action::Stop { worker, .. }
+            | Action::Checkpoint { worker, .. }
+            | Action::Throttle { worker, .. }
+            | Action::Renew { worker, .. } => Some(worker),
+            Action::Write { .. } | Action::Read { .. } | Action::Reply { .. } => None,
+        }
+    }
+}
+
 /// Answer to a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -316,7 +316,7 @@
             }
             Action::Reply { ticket, reply } => self.replied(ticket, reply),
             other => {
-                let Some(worker) = worker_of(&other).cloned() else { return };
+                let Some(worker) = other.worker().cloned() else { return };
                 let span = self.delay();
                 let channel = self.channels.entry((owner, worker.clone())).or_default();
                 let at = (self.now + span).max(*channel);
@@ -416,20 +416,6 @@
     }
 }
 
-/// The worker that an action is for.
-pub fn worker_of(action: &Action) -> Option<&WorkerId> {
-    match action {
-        Action::Lease { worker, .. }
-        | Action::Release { worker, .. }
-        | Action::Start { worker, .. }
-        | Action::Stop { worker, .. }
-        | Action::Checkpoint { worker, .. }
-        | Action::Throttle { worker, .. }
-        | Action::Renew { worker, .. } => Some(worker),
-        Action::Write { .. } | Action::Read { .. } | Action::Reply { .. } => None,
-    }
-}
-
 /// The attempt that an action is about.
 pub fn attempt_of(action: &Action) -> Option<(JobId, Attempt)> {
     match action {
