Show a shard how tasks ended that a stop found ended

Change: the report after a stop shows the ended lease with its tasks. Conclusion: the shard learns of such ends.

--- a/crates/entry/src/workers.rs
+++ b/crates/entry/src/workers.rs
@@ -14,6 +14,7 @@
 use gang::Attempt;
 use gang::Event;
 use gang::JobSpec;
+use gang::LeaseRef;
 use gang::LeaseReport;
 use gang::TaskRange;
 use gang::TaskReport;
@@ -96,7 +97,7 @@
         }
     }
 
-    async fn renew(&self, worker: WorkerId, leases: &[gang::LeaseRef], ttl: Duration) -> Event {
+    async fn renew(&self, worker: WorkerId, leases: &[LeaseRef], ttl: Duration) -> Event {
         if !leases.is_empty() {
             let leases = leases.iter().map(|lease| key(lease.job, lease.attempt)).collect();
             let call = border::RenewCall { leases, ttl_ms: millis(ttl) };
@@ -112,13 +113,19 @@
     /// themselves, and once without it, which shows that nothing is left.
     async fn stop(&self, worker: WorkerId, job: JobId, attempt: Attempt) -> Vec<Event> {
         self.task(&worker, job, attempt, border::TaskAction::Stop).await;
-        let stopped = self.report(worker.clone()).await;
+        let stopped = self.report_with(worker.clone(), Some(LeaseRef { job, attempt })).await;
         self.tell(&worker, "/release", &key(job, attempt)).await;
         let released = self.report(worker).await;
         vec![stopped, released]
     }
 
     async fn report(&self, worker: WorkerId) -> Event {
+        self.report_with(worker, None).await
+    }
+
+    /// Asks for a report and shows `ended` in it as a lease that is still held, so that the shard
+    /// sees how its tasks ended.
+    async fn report_with(&self, worker: WorkerId, ended: Option<LeaseRef>) -> Event {
         let asked = Instant::now();
         let report: Result<border::WorkerReport, _> = match self.uri(&worker, "/report") {
             Some(uri) => self.rest.get_json(&uri).await,
@@ -127,8 +134,9 @@
         match report {
             Ok(report) => {
                 // The worker took it at some time after it was asked.
-                let report = convert(&report, asked.elapsed());
-                Event::Report { worker, report }
+                let mut shown = convert(&report, asked.elapsed());
+                shown.leases.extend(ended.and_then(|lease| ended_lease(&report, lease)));
+                Event::Report { worker, report: shown }
             }
             Err(error) => {
                 debug!("workers: no report from {worker}: {error}");
@@ -235,25 +243,36 @@
 
 fn convert(report: &border::WorkerReport, travelled: Duration) -> WorkerReport {
     let leases = report.leases.iter().filter_map(|lease| {
-        let job: JobId = lease.job.parse().ok()?;
-        let own = report
-            .tasks
-            .iter()
-            .filter(|task| task.job == lease.job && task.attempt == lease.attempt);
-        let checkpoint = own.clone().map(|t| t.ran_ms.saturating_sub(t.checkpoint_ms)).max();
-        let saved = own.clone().any(|task| task.checkpoint_ms > 0);
-        Some(LeaseReport {
-            job,
-            attempt: Attempt(lease.attempt),
-            accelerators: lease.accelerators.clone(),
-            tasks: own.map(task_report).collect(),
-            checkpoint: checkpoint.filter(|_| saved).map(Duration::from_millis),
-        })
+        let key = LeaseRef { job: lease.job.parse().ok()?, attempt: Attempt(lease.attempt) };
+        Some(LeaseReport { accelerators: lease.accelerators.clone(), ..tasks_of(report, key) })
     });
     let age = Duration::from_millis(report.lag_ms) + travelled;
     WorkerReport { age, leases: leases.collect() }
 }
 
+/// A lease that the worker no longer holds, if it still tells how its tasks ended.
+fn ended_lease(report: &border::WorkerReport, key: LeaseRef) -> Option<LeaseReport> {
+    let job = key.job.to_string();
+    let held = report.leases.iter().any(|l| l.job == job && l.attempt == key.attempt.0);
+    let ended = tasks_of(report, key);
+    (!held && !ended.tasks.is_empty()).then_some(ended)
+}
+
+/// What a report tells of the tasks of one lease.
+fn tasks_of(report: &border::WorkerReport, key: LeaseRef) -> LeaseReport {
+    let job = key.job.to_string();
+    let own = report.tasks.iter().filter(|t| t.job == job && t.attempt == key.attempt.0);
+    let unsaved = own.clone().map(|t| t.ran_ms.saturating_sub(t.checkpoint_ms)).max();
+    let saved = own.clone().any(|task| task.checkpoint_ms > 0);
+    LeaseReport {
+        job: key.job,
+        attempt: key.attempt,
+        accelerators: Vec::new(),
+        tasks: own.map(task_report).collect(),
+        checkpoint: unsaved.filter(|_| saved).map(Duration::from_millis),
+    }
+}
+
 fn task_report(task: &border::TaskReport) -> TaskReport {
     TaskReport {
         index: task.index,
--- /dev/null
+++ b/crates/entry/tests/worker_calls.rs
@@ -0,0 +1,94 @@
+//! What the shell tells a shard about its calls to workers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use entry::workers::Workers;
+use fake::TaskTimes;
+use fake::WorkerFleet;
+use fake::WorkerOptions;
+use gang::Action;
+use gang::Attempt;
+use gang::Event;
+use gang::JobSpec;
+use gang::TaskRange;
+use gang::TaskStatus;
+use gang::WorkerAnswer;
+use model::Adjacency;
+use model::GangShape;
+use model::Incarnation;
+use model::JobId;
+use model::Priority;
+use model::WorkerId;
+
+/// Time to live of the leases.
+const TTL: Duration = Duration::from_secs(60);
+const JOB: JobId = JobId { home: Incarnation(1), sequence: 1 };
+const ATTEMPT: Attempt = Attempt(1);
+
+fn spec() -> JobSpec {
+    JobSpec {
+        id: JOB,
+        account: "growers".into(),
+        service: "reviews".into(),
+        shape: GangShape {
+            tasks: 2,
+            accelerators: 1,
+            millicores: 1_000,
+            memory_mib: 1_024,
+            adjacency: Adjacency::Worker,
+        },
+        priority: Priority::Normal,
+        idempotent: true,
+        checkpoint: false,
+        declared: Duration::from_secs(1),
+    }
+}
+
+/// Runs two tasks that take `second` each, and returns what a stop tells once they ended or not.
+async fn stopped(second: Duration, wait_for_end: bool) -> Vec<Event> {
+    let times = TaskTimes { second, ..TaskTimes::default() };
+    let fleet = WorkerFleet::start(WorkerOptions { times, ..WorkerOptions::new(1) }).unwrap();
+    let vm = &fleet.vms()[0];
+    let worker = WorkerId::new(&vm.name);
+    let mut workers = Workers::default();
+    let url = format!("http://{}{}", vm.address, vm.path);
+    workers.set_addresses(BTreeMap::from([(worker.clone(), url)]));
+    let lease = Action::Lease {
+        worker: worker.clone(),
+        job: JOB,
+        attempt: ATTEMPT,
+        accelerators: vec![0, 1],
+        ttl: TTL,
+    };
+    let granted = workers.act(lease, None).await;
+    assert!(matches!(granted[..], [Event::Leased { result: WorkerAnswer::Granted, .. }]));
+    let tasks = TaskRange { first: 0, count: 2, millicores: 1_000, memory_mib: 1_024 };
+    let start =
+        Action::Start { worker: worker.clone(), job: JOB, attempt: ATTEMPT, tasks, ttl: TTL };
+    let started = workers.act(start, Some(spec())).await;
+    assert!(matches!(started[..], [Event::Started { result: WorkerAnswer::Granted, .. }]));
+    while wait_for_end && fleet.runs().iter().any(|run| run.to.is_none()) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    workers.act(Action::Stop { worker, job: JOB, attempt: ATTEMPT }, None).await
+}
+
+fn statuses(event: &Event) -> Vec<TaskStatus> {
+    let Event::Report { report, .. } = event else { panic!("{event:?} is no report") };
+    report.leases.iter().flat_map(|lease| &lease.tasks).map(|task| task.status).collect()
+}
+
+#[tokio::test]
+async fn ended_before_stop() {
+    let events = stopped(Duration::from_millis(10), true).await;
+    assert_eq!(statuses(&events[0]), [TaskStatus::Done, TaskStatus::Done], "{events:?}");
+    assert_eq!(statuses(&events[1]), [], "a released lease is still shown: {events:?}");
+}
+
+#[tokio::test]
+async fn stopped_while_running() {
+    let events = stopped(Duration::from_secs(600), false).await;
+    assert!(!statuses(&events[0]).contains(&TaskStatus::Done), "{events:?}");
+    assert_eq!(statuses(&events[1]), [], "a released lease is still shown: {events:?}");
+}
