--- a/crates/entry/src/web/mod.rs
+++ b/crates/entry/src/web/mod.rs
@@ -43,8 +43,8 @@
 use crate::web::token::Token;
 use wire::border;
 
-/// Threads that run handlers.
-const THREADS: usize = 2;
+/// Most threads that run handlers.
+const MAX_THREADS: usize = 8;
 /// Time for the head of a request.
 const HEAD_TIME: Duration = Duration::from_secs(10);
 /// Time for which an idle connection is kept.
@@ -173,13 +173,18 @@
     let server = app
         .serve()
         .disable_signal()
-        .worker_threads(THREADS)
+        .worker_threads(threads())
         .request_head_timeout(HEAD_TIME)
         .keep_alive_timeout(IDLE_TIME)
         .listen(listener)?;
     Ok(server.run())
 }
 
+/// A thread for each core, up to a limit.
+fn threads() -> usize {
+    std::thread::available_parallelism().map_or(1, usize::from).min(MAX_THREADS)
+}
+
 fn answer(result: Result<WebResponse, Refusal>) -> Result<WebResponse, Infallible> {
     Ok(result.unwrap_or_else(|refusal| refusal.response()))
 }
