Fetch the list of VMs only when it has changed

Cause: bench control showed 534 bytes/s for each listed worker, all of it the list of VMs read whole every 0.5 s; at 9,300 workers that is 5 MB/s for each entry VM. Change: entity tags: the JSON client sends the last one and takes 304; the stand-in serves them. Conclusion: the list costs nothing while it is unchanged; each change still sends it whole.

--- a/crates/entry/benches/control.rs
+++ b/crates/entry/benches/control.rs
@@ -46,6 +46,8 @@
 const SECONDS: u64 = 10;
 /// Time for a fleet to settle before a measurement.
 const SETTLE: Duration = Duration::from_secs(6);
+/// Time after which renewals of started tasks have reached their longest interval.
+const AGED: Duration = Duration::from_secs(40);
 /// Clock ticks a second in /proc/<pid>/stat.
 const TICKS: f64 = 100.0;
 /// Accelerators of a worker, and tasks of a job.
@@ -456,7 +458,7 @@
         let stage = Stage::start(*size).await;
         stage.ready(*size).await;
         stage.submit(size.tasks).await;
-        stage.work(*size, SETTLE).await;
+        stage.work(*size, if size.tasks > 0 { AGED } else { SETTLE }).await;
         let cost = stage.measure(*size, span).await;
         for (measure, amount, unit) in cost.measures() {
             let line = serde_json::json!({
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -395,10 +395,13 @@
         return;
     };
     let rest = Rest::new(net::rest::Config::default());
+    let mut tag = None;
     loop {
-        match rest.get_json::<border::VmList>(&uri).await {
-            Ok(list) => {
-                let vms = Box::new(vms::sort(list));
+        match rest.get_json_unless::<border::VmList>(&uri, tag.as_ref()).await {
+            Ok(None) => {}
+            Ok(Some(list)) => {
+                tag = list.tag;
+                let vms = Box::new(vms::sort(list.value));
                 members.send(members::Command::Vms(vms)).await;
             }
             Err(error) => debug!("vms: the list cannot be read: {error}"),
--- a/crates/fake/src/vms.rs
+++ b/crates/fake/src/vms.rs
@@ -15,6 +15,9 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::http::HeaderValue;
+use hyper::http::header::ETAG;
+use hyper::http::header::IF_NONE_MATCH;
 use tokio::time::Instant;
 
 use crate::http::Address;
@@ -91,10 +94,12 @@
         self.editions.back().map_or(&[], |edition| &edition.vms)
     }
 
-    /// The list as it was before the lag.
-    fn shown(&self, now: Instant) -> &[Vm] {
-        let old = self.editions.iter().rev().find(|edition| edition.from + self.lag <= now);
-        old.or(self.editions.front()).map_or(&[], |edition| &edition.vms)
+    /// The list as it was before the lag, and its entity tag.
+    fn shown(&self, now: Instant) -> (HeaderValue, &[Vm]) {
+        let old = self.editions.iter().rposition(|edition| edition.from + self.lag <= now);
+        let number = old.unwrap_or(0);
+        let vms = self.editions.get(number).map_or(&[][..], |edition| &edition.vms);
+        (HeaderValue::from(number), vms)
     }
 }
 
@@ -175,11 +180,17 @@
         }
         let mut state = lock(&self.state);
         state.calls += 1;
-        let vms = state.shown(Instant::now()).to_vec();
+        let (tag, vms) = state.shown(Instant::now());
+        if request.headers().get(IF_NONE_MATCH) == Some(&tag) {
+            return Ok(status(StatusCode::NOT_MODIFIED));
+        }
+        let vms = vms.to_vec();
         let as_of = SystemTime::now().checked_sub(state.lag).unwrap_or(UNIX_EPOCH);
         let since_epoch = as_of.duration_since(UNIX_EPOCH).unwrap_or_default();
         let as_of_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
-        Ok(json(StatusCode::OK, &VmList { vms, as_of_ms }))
+        let mut response = json(StatusCode::OK, &VmList { vms, as_of_ms });
+        response.headers_mut().insert(ETAG, tag);
+        Ok(response)
     }
 }
 
--- a/crates/net/src/rest.rs
+++ b/crates/net/src/rest.rs
@@ -17,6 +17,8 @@
 use hyper::http::HeaderValue;
 use hyper::http::header::ACCEPT;
 use hyper::http::header::CONTENT_TYPE;
+use hyper::http::header::ETAG;
+use hyper::http::header::IF_NONE_MATCH;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -193,6 +195,25 @@
         self.call(Method::GET, uri, Bytes::new()).await
     }
 
+    /// Fetches a value unless it is still the one that was served under `known`.
+    ///
+    /// # Errors
+    ///
+    /// See [`RestError`].
+    pub async fn get_json_unless<A: DeserializeOwned>(
+        &self,
+        uri: &Uri,
+        known: Option<&HeaderValue>,
+    ) -> Result<Option<Tagged<A>>, RestError> {
+        let call = Call { method: &Method::GET, uri, config: &self.config, known };
+        let fetched = self.limited(&call, Bytes::new()).await?;
+        if fetched.status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        let value = fetched.parse().map_err(|error| call.answer(error.to_string()))?;
+        Ok(Some(Tagged { value, tag: fetched.tag }))
+    }
+
     /// Posts a value and returns the answer.
     ///
     /// # Errors
@@ -231,47 +252,80 @@
         uri: &Uri,
         body: Bytes,
     ) -> Result<A, RestError> {
-        let call = Call { method: &method, uri, config: &self.config };
+        let call = Call { method: &method, uri, config: &self.config, known: None };
+        let fetched = self.limited(&call, body).await?;
+        fetched.parse().map_err(|error| call.answer(error.to_string()))
+    }
+
+    async fn limited(&self, call: &Call<'_>, body: Bytes) -> Result<Fetched, RestError> {
         let limit = self.config.deadline;
         match timeout(limit, call.run(&self.client, body)).await {
             Ok(result) => result,
-            Err(_) => Err(RestError::Deadline { method, uri: uri.clone(), limit }),
+            Err(_) => {
+                let (method, uri) = (call.method.clone(), call.uri.clone());
+                Err(RestError::Deadline { method, uri, limit })
+            }
         }
     }
 }
 
+/// A value with the tag that it was served under, if any.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tagged<A> {
+    /// The value.
+    pub value: A,
+    /// Its entity tag.
+    pub tag: Option<HeaderValue>,
+}
+
+/// A whole HTTP answer.
+struct Fetched {
+    status: StatusCode,
+    tag: Option<HeaderValue>,
+    bytes: Bytes,
+}
+
+impl Fetched {
+    /// The answer's value; an empty answer counts as `null`.
+    fn parse<A: DeserializeOwned>(&self) -> serde_json::Result<A> {
+        let text: &[u8] = if self.bytes.is_empty() { b"null" } else { &self.bytes };
+        serde_json::from_slice(text)
+    }
+}
+
 struct Call<'a> {
     method: &'a Method,
     uri: &'a Uri,
     config: &'a Config,
+    known: Option<&'a HeaderValue>,
 }
 
 impl Call<'_> {
-    async fn run<A: DeserializeOwned>(
+    async fn run(
         &self,
         client: &Client<HttpConnector, Full<Bytes>>,
         body: Bytes,
-    ) -> Result<A, RestError> {
+    ) -> Result<Fetched, RestError> {
         let response = client.request(self.request(body)).await.map_err(|error| {
             let reason = chain(&error);
             if error.is_connect() { self.connect(reason) } else { self.broken(reason) }
         })?;
         let status = response.status();
+        let tag = response.headers().get(ETAG).cloned();
         let body = Limited::new(response.into_body(), self.config.answer_len);
         let bytes = match body.collect().await {
             Ok(body) => body.to_bytes(),
             Err(error) if error.is::<LengthLimitError>() => return Err(self.too_long()),
             Err(error) => return Err(self.broken(error.to_string())),
         };
-        if !status.is_success() {
+        if !status.is_success() && status != StatusCode::NOT_MODIFIED {
             return Err(self.status(status, &bytes));
         }
-        let text: &[u8] = if bytes.is_empty() { b"null" } else { &bytes };
-        serde_json::from_slice(text).map_err(|error| RestError::Answer {
-            method: self.method.clone(),
-            uri: self.uri.clone(),
-            reason: error.to_string(),
-        })
+        Ok(Fetched { status, tag, bytes })
+    }
+
+    fn answer(&self, reason: String) -> RestError {
+        RestError::Answer { method: self.method.clone(), uri: self.uri.clone(), reason }
     }
 
     fn request(&self, body: Bytes) -> Request<Full<Bytes>> {
@@ -281,6 +335,9 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         request.headers_mut().insert(ACCEPT, json.clone());
+        if let Some(known) = self.known {
+            request.headers_mut().insert(IF_NONE_MATCH, known.clone());
+        }
         if filled {
             request.headers_mut().insert(CONTENT_TYPE, json);
         }
