Split the start of a node, and show no figure that nobody sets

Cause: Node::start had grown over 70 lines; JobStatus.attempt and GuaranteeStatus.accelerators were always 0 and JobStatus.waits always empty. Change: the parts of a node start apart from its web servers; the two fields are gone from the schema; a queued job's status says what it waits for.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -103,85 +103,19 @@
     ///
     /// A part of it cannot start; see [`Error`].
     pub fn start(settings: &Settings, listeners: Listeners) -> Result<Node, Error> {
-        let clock = Clock::start();
-        let incarnation = Incarnation(rand::random());
-        let seed: u64 = rand::random();
-        let me = member(settings, incarnation, &listeners.peers)?;
-        let mut tasks = Vec::new();
-
-        let store = Client::new(store_config(settings))?;
-        let (peer_events, peer_inbox) = mpsc::channel(EVENTS);
-        let peers = start_peers(settings, incarnation, listeners.peers, peer_events)?;
-        let (closed, closed_inbox) = mpsc::channel(EVENTS);
-        let pool = Pool::new(pool_config(settings), closed);
-
-        let router = Router::new(
-            route_settings(settings),
-            incarnation,
-            settings.zone.clone(),
-            settings.region.clone(),
-            seed,
-        );
-        let wiring = requests::Wiring { clock, pool, peers: peers.clone() };
-        let requests = requests::start(router, wiring);
-        let jobs = jobs::start(jobs::Wiring {
-            clock,
-            me: incarnation,
-            store: store.clone(),
-            seed,
-            settings: gang::Settings::default(),
-        });
-        let wiring = members::Wiring {
-            clock,
-            store: store.clone(),
-            peers: peers.clone(),
-            requests: requests.clone(),
-            jobs: jobs.clone(),
-        };
-        let started = members::start(me.clone(), seed, wiring);
-        let relay = Relay::new(peers.clone());
-        let metrics = Metrics::new()?;
-        let view = started.view.clone();
-        let ledger = Ledger::new(clock, me.vm.clone(), metrics.clone(), view.clone());
-        let directory = Directory::new(incarnation, jobs, relay.clone(), view, ledger.clone());
-
-        let pump = Pump {
-            requests: requests.clone(),
-            members: started.handle.clone(),
-            relay: relay.clone(),
-            directory: directory.clone(),
-        };
-        tasks.push(tokio::spawn(pump.run(peer_inbox)));
-        tasks.push(tokio::spawn(report_closed(closed_inbox, requests.clone())));
-        tasks.push(tokio::spawn(poll_vms(settings.vms.clone(), started.handle.clone())));
-
-        tasks.push(tokio::spawn(ledger.clone().keep(store.clone())));
-        let front = Arc::new(Front {
-            clock,
-            me,
-            requests,
-            directory,
-            members: started.handle,
-            store,
-            runtime: tokio::runtime::Handle::current(),
-            peers: peers.clone(),
-            view: started.view,
-            relay,
-            ledger,
-            metrics,
-            token: Token::new(settings.token.as_deref().unwrap_or_default()),
-            body_limit: usize::try_from(settings.limits.body.0).unwrap_or(usize::MAX),
-            ready: AtomicBool::new(true),
-            active: AtomicUsize::new(0),
-        });
+        let mut parts = Parts::start(settings, listeners.peers)?;
+        let peers = parts.peers.clone();
+        let fenced = parts.started.fenced.clone();
+        let tasks = std::mem::take(&mut parts.tasks);
+        let front = Arc::new(parts.front(settings));
         let callers = listeners.callers.local_addr().map_err(Error::Web)?;
         let mut servers = Vec::new();
         for listener in [Some(listeners.callers), listeners.operators].into_iter().flatten() {
             servers.push(Server::start(listener, front.clone())?);
         }
-        info!("node: entry VM {} serves callers on {callers} as {incarnation}", settings.vm);
-        let drain = settings.limits.drain;
-        Ok(Node { front, callers, fenced: started.fenced, peers, servers, tasks, drain })
+        let name = &settings.vm;
+        info!("node: entry VM {name} serves callers on {callers} as {}", front.me.incarnation);
+        Ok(Node { front, callers, fenced, peers, servers, tasks, drain: settings.limits.drain })
     }
 
     /// Where callers are served.
@@ -255,6 +189,115 @@
     }
 }
 
+/// The parts of a node, connected with each other and not yet with callers.
+struct Parts {
+    clock: Clock,
+    me: fleet::Member,
+    store: Client,
+    peers: Peers,
+    requests: requests::Handle,
+    started: members::Started,
+    relay: Relay,
+    ledger: Ledger,
+    metrics: Metrics,
+    directory: Directory,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Parts {
+    fn start(settings: &Settings, peers: TcpListener) -> Result<Parts, Error> {
+        let clock = Clock::start();
+        let me = member(settings, Incarnation(rand::random()), &peers)?;
+        let seed: u64 = rand::random();
+        let store = Client::new(store_config(settings))?;
+        let (peer_events, peer_inbox) = mpsc::channel(EVENTS);
+        let peers = start_peers(settings, me.incarnation, peers, peer_events)?;
+        let (closed, closed_inbox) = mpsc::channel(EVENTS);
+        let pool = Pool::new(pool_config(settings), closed);
+        let requests = start_requests(settings, &me, seed, clock, pool, &peers);
+        let jobs = jobs::start(jobs::Wiring {
+            clock,
+            me: me.incarnation,
+            store: store.clone(),
+            seed,
+            settings: gang::Settings::default(),
+        });
+        let wiring = members::Wiring {
+            clock,
+            store: store.clone(),
+            peers: peers.clone(),
+            requests: requests.clone(),
+            jobs: jobs.clone(),
+        };
+        let started = members::start(me.clone(), seed, wiring);
+        let relay = Relay::new(peers.clone());
+        let metrics = Metrics::new()?;
+        let view = started.view.clone();
+        let ledger = Ledger::new(clock, me.vm.clone(), metrics.clone(), view.clone());
+        let directory = Directory::new(me.incarnation, jobs, relay.clone(), view, ledger.clone());
+        let pump = Pump {
+            requests: requests.clone(),
+            members: started.handle.clone(),
+            relay: relay.clone(),
+            directory: directory.clone(),
+        };
+        let tasks = vec![
+            tokio::spawn(pump.run(peer_inbox)),
+            tokio::spawn(report_closed(closed_inbox, requests.clone())),
+            tokio::spawn(poll_vms(settings.vms.clone(), started.handle.clone())),
+            tokio::spawn(ledger.clone().keep(store.clone())),
+        ];
+        Ok(Parts {
+            clock,
+            me,
+            store,
+            peers,
+            requests,
+            started,
+            relay,
+            ledger,
+            metrics,
+            directory,
+            tasks,
+        })
+    }
+
+    /// What web handlers work with.
+    fn front(self, settings: &Settings) -> Front {
+        Front {
+            clock: self.clock,
+            me: self.me,
+            requests: self.requests,
+            directory: self.directory,
+            members: self.started.handle,
+            store: self.store,
+            runtime: tokio::runtime::Handle::current(),
+            peers: self.peers,
+            view: self.started.view,
+            relay: self.relay,
+            ledger: self.ledger,
+            metrics: self.metrics,
+            token: Token::new(settings.token.as_deref().unwrap_or_default()),
+            body_limit: usize::try_from(settings.limits.body.0).unwrap_or(usize::MAX),
+            ready: AtomicBool::new(true),
+            active: AtomicUsize::new(0),
+        }
+    }
+}
+
+fn start_requests(
+    settings: &Settings,
+    me: &fleet::Member,
+    seed: u64,
+    clock: Clock,
+    pool: Pool,
+    peers: &Peers,
+) -> requests::Handle {
+    let (zone, region) = (me.zone.clone(), me.region.clone());
+    let router = Router::new(route_settings(settings), me.incarnation, zone, region, seed);
+    requests::start(router, requests::Wiring { clock, pool, peers: peers.clone() })
+}
+
 /// A web server on a thread of its own, since it brings a runtime that must not end inside another.
 struct Server {
     handle: ServerHandle,
--- a/crates/entry/src/views.rs
+++ b/crates/entry/src/views.rs
@@ -123,7 +123,6 @@
                 owned.guarantees.push(border::GuaranteeStatus {
                     account: view.account.to_string(),
                     shard: shard.to_string(),
-                    accelerators: 0,
                     count,
                     state: condition.to_owned(),
                 });
--- a/crates/entry/src/web/jobs.rs
+++ b/crates/entry/src/web/jobs.rs
@@ -14,6 +14,7 @@
 use crate::web::problem::Refusal;
 use crate::web::problem::border_verdict;
 use gang::JobSpec;
+use gang::JobState;
 use model::Adjacency;
 use model::GangShape;
 use model::JobId;
@@ -62,7 +63,10 @@
     let found = ctx.state().directory.find(|| Call::Query { job: id }).await;
     match found.answer {
         Answer::Status { state, verdict, reason } => {
-            let status = status(id, state, verdict, reason, found.shard.as_ref());
+            let mut status = status(id, state, verdict, reason, found.shard.as_ref());
+            // While it is queued, its reason is what it waits for.
+            let queued = status.state == JobState::Queued.as_ref();
+            status.waits = queued.then(|| status.reason.clone());
             Ok(problem::json(200, &status))
         }
         other => Err(refusal(other)),
@@ -176,7 +180,6 @@
         final_: verdict.is_some(),
         reason,
         waits: None,
-        attempt: 0,
         shard: shard.map(ShardId::to_string),
     }
 }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -199,8 +199,6 @@
 ///A client account's guaranteed shape.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct GuaranteeStatus {
-    ///Adjacent accelerators of the shape.
-    pub accelerators: u32,
     ///The client account.
     pub account: ::std::string::String,
     ///How many of them.
@@ -261,8 +259,6 @@
 ///State of one job.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct JobStatus {
-    ///The latest attempt.
-    pub attempt: u64,
     ///Whether the verdict can no longer change.
     #[serde(rename = "final")]
     pub final_: bool,
@@ -276,7 +272,7 @@
     ///State in its life cycle.
     pub state: ::std::string::String,
     pub verdict: Verdict,
-    ///What it waits for.
+    ///What it waits for, while it is queued.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub waits: ::std::option::Option<::std::string::String>,
 }
