Let eight entry VMs share the link between regions

Cause: the default of link_budget, 1 MB/s for each entry VM, comes to 64 Mbit/s at today's 8 on a link of 30 Mbit/s that carries all traffic.

--- a/crates/text/src/settings.rs
+++ b/crates/text/src/settings.rs
@@ -261,7 +261,7 @@
         let log_level = reader.or(object, path, "log_level", LogLevel::Info);
         let log_format = reader.or(object, path, "log_format", LogFormat::Text);
         let limits = reader.or(object, path, "limits", Bounds::default());
-        let link_budget = reader.or(object, path, "link_budget", Bytes(1_000_000));
+        let link_budget = reader.or(object, path, "link_budget", Bytes(200_000));
         if store.as_ref().is_some_and(Vec::is_empty) {
             reader.fault("store", "is empty", format!("write {example}"));
         }
