--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -16,7 +16,6 @@
 use fleet::WriteId;
 use model::Revision;
 use model::Stamp;
-use model::Verdict;
 use store::Cas;
 use store::Purpose;
 use store::Store;
@@ -125,8 +124,3 @@
     };
     text::diff(&old, &new).iter().map(ToString::to_string).collect()
 }
-
-/// Whether an outcome means that the change is stored.
-pub fn is_stored(outcome: &Outcome) -> bool {
-    outcome.verdict() == Verdict::Ran
-}
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,7 +1,6 @@
 //! What the node counts for Prometheus.
 
 use prometheus::Encoder;
-use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
@@ -28,7 +27,6 @@
     waits: HistogramVec,
     store_calls: IntCounterVec,
     peer_bytes: IntCounterVec,
-    store_time: Histogram,
     queued: IntGauge,
     running: IntGauge,
     shards: IntGauge,
@@ -59,10 +57,6 @@
                 "Bytes to and from peers",
                 &["direction", "distance"],
             )?,
-            store_time: Histogram::with_opts(
-                HistogramOpts::new("basilrack_store_seconds", "Time of a store call")
-                    .buckets(WAITS.to_vec()),
-            )?,
             queued: gauge("requests_queued", "Requests that wait here")?,
             running: gauge("requests_running", "Requests in progress here")?,
             shards: gauge("shards_owned", "Placement shards owned here")?,
@@ -84,7 +78,6 @@
         self.add(self.waits.clone())?;
         self.add(self.store_calls.clone())?;
         self.add(self.peer_bytes.clone())?;
-        self.add(self.store_time.clone())?;
         self.add(self.queued.clone())?;
         self.add(self.running.clone())?;
         self.add(self.shards.clone())?;
