--- /dev/null
+++ b/crates/batch/src/directory.rs
@@ -0,0 +1,154 @@
+//! Workers as the directory and their own answers show them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::spec::Need;
+use crate::spec::WorkerId;
+use model::Time;
+
+/// A worker as the directory lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerInfo {
+    /// Its id.
+    pub id: WorkerId,
+    /// Service whose tasks it runs.
+    pub service: String,
+    /// Where it is called.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+    /// Its rack.
+    pub rack: String,
+    /// Its labels.
+    pub labels: Vec<String>,
+    /// What it holds.
+    pub capacity: Need,
+    /// Start of its incarnation in ms of Unix time, where the entry says so.
+    pub born: Option<u64>,
+    /// Time that is left at least, if it is draining.
+    pub leaves: Option<Duration>,
+}
+
+/// A worker as the planner knows it.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub info: WorkerInfo,
+    /// Whether the directory lists it now.
+    pub listed: bool,
+    /// Incarnation that answered last.
+    pub born: u64,
+    /// When it answered last, with its clock then, in ms.
+    pub clock: Option<(Time, u64)>,
+    /// Latest lease end that was ever sent in this ownership, in ms of its clock.
+    pub deadline: u64,
+    /// Time by which a worker that never answered this owner holds nothing of former owners.
+    pub clear: Time,
+    /// Whether its last call was answered.
+    pub answers: bool,
+    /// Calls in a row without an answer.
+    pub silent: u32,
+    /// A renewal is on its way.
+    pub holding: bool,
+    /// When the last renewal was sent.
+    pub asked: Time,
+    /// Last end that is stored.
+    pub stored: u64,
+    /// Last end that was taken in.
+    pub heard: u64,
+    /// Last end that the worker was told to forget.
+    pub acked: u64,
+    /// What its runs use, those that are being stopped included.
+    pub used: Need,
+    /// Runs of other owners that it still lists.
+    pub strays: u32,
+    /// No new runs before this.
+    pub shunned: Time,
+    /// Failures in a row, over all jobs.
+    pub failures: u32,
+    /// When it leaves at the earliest, if it is draining.
+    pub leaves: Option<Time>,
+}
+
+/// Most that a worker's clock may be slow, in parts of a thousand.
+const CLOCK_SLOW_MILLIS: u64 = 20;
+/// Room for delays between our clock and a worker's, in ms.
+const CLOCK_MARGIN_MS: u64 = 100;
+
+impl Worker {
+    pub fn new(info: WorkerInfo, clear: Time) -> Worker {
+        Worker {
+            born: info.born.unwrap_or(0),
+            info,
+            listed: true,
+            clock: None,
+            deadline: 0,
+            clear,
+            answers: false,
+            silent: 0,
+            holding: false,
+            asked: Time::ZERO,
+            stored: 0,
+            heard: 0,
+            acked: 0,
+            used: Need::default(),
+            strays: 0,
+            shunned: Time::ZERO,
+            failures: 0,
+            leaves: None,
+        }
+    }
+
+    /// Whether a new run may go there.
+    pub fn usable(&self, now: Time) -> bool {
+        self.listed
+            && self.leaves.is_none()
+            && self.answers
+            && self.clock.is_some()
+            && self.strays == 0
+            && self.shunned <= now
+    }
+
+    /// What is left of its capacity.
+    pub fn room(&self) -> Need {
+        self.info.capacity.less(&self.used)
+    }
+
+    /// The lease end that renews everything for `lease`, in ms of its clock.
+    pub fn renewal(&self, now: Time, lease: Duration) -> Option<u64> {
+        let (heard, clock) = self.clock?;
+        let passed = millis(now.since(heard));
+        Some(clock + passed + millis(lease))
+    }
+
+    /// When all leases that were sent there have run out, whatever its clock's error.
+    pub fn lapsed(&self) -> Time {
+        let Some((heard, clock)) = self.clock else { return self.clear };
+        let left = self.deadline.saturating_sub(clock);
+        let slow = left * CLOCK_SLOW_MILLIS / (1_000 - CLOCK_SLOW_MILLIS) + 1;
+        (heard + Duration::from_millis(left + slow + CLOCK_MARGIN_MS)).max(self.clear)
+    }
+
+    /// Another incarnation answers: nothing of the last one counts.
+    pub fn reborn(&mut self, born: u64) {
+        self.born = born;
+        self.clock = None;
+        self.deadline = 0;
+        self.clear = Time::ZERO;
+        self.stored = 0;
+        self.heard = 0;
+        self.acked = 0;
+        self.strays = 0;
+        self.failures = 0;
+        self.shunned = Time::ZERO;
+    }
+}
+
+/// Whole milliseconds of `span`.
+pub(crate) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// All workers by id.
+pub(crate) type Workers = BTreeMap<WorkerId, Worker>;
--- /dev/null
+++ b/crates/batch/src/job.rs
@@ -0,0 +1,245 @@
+//! Jobs, steps and tasks in memory.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use strum::AsRefStr;
+use strum::Display;
+use strum::EnumString;
+
+use crate::record::Record;
+use crate::record::TaskRecord;
+use crate::spec::Spec;
+use crate::spec::StepSpec;
+use crate::spec::Submission;
+use crate::spec::WorkerId;
+use model::Time;
+
+/// State of a job as callers are shown it.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, AsRefStr, Display, EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum JobState {
+    /// No task has started.
+    Pending,
+    /// Tasks run, or have run.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// The caller cancelled it.
+    Cancelled,
+}
+
+impl JobState {
+    /// Whether nothing can change any more.
+    pub fn ended(self) -> bool {
+        matches!(self, JobState::Completed | JobState::Failed | JobState::Cancelled)
+    }
+}
+
+/// A run on its worker.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Run {
+    pub worker: WorkerId,
+    pub born: u64,
+    /// Whether the store holds it.
+    pub stored: bool,
+    /// When a start was sent last; none before the first.
+    pub sent: Option<Time>,
+    /// Latest lease end that a start was sent with, in ms of the worker's clock.
+    pub deadline: u64,
+    /// When the worker said that it has the run; for a former owner's run, the takeover, since
+    /// no start of a former owner is carried out after a call with a higher fencing token.
+    pub taken: Option<Time>,
+    /// Starts without an answer.
+    pub unsure: u32,
+    /// When a stop was first asked for.
+    pub stopping: Option<Time>,
+    /// When the last stop was sent.
+    pub stop_sent: Option<Time>,
+    /// When the worker answered a stop.
+    pub stop_done: Option<Time>,
+    /// Last reported progress, with the time at which it last grew.
+    pub percent: u32,
+    pub grew: Time,
+}
+
+/// What a task is doing.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Stage {
+    /// It has no run.
+    Idle,
+    /// Room is being made for it on this worker.
+    Reserved(WorkerId),
+    /// It has a run.
+    Placed(Run),
+}
+
+/// A task in memory.
+#[derive(Clone, Debug)]
+pub(crate) struct Task {
+    pub stage: Stage,
+    /// Whether its work is done. A run may still be there, being stopped.
+    pub done: bool,
+    /// Highest run number given out.
+    pub run: u32,
+    pub failures: u32,
+    pub saved: String,
+    /// Worker on which it failed last.
+    pub failed_on: Option<WorkerId>,
+}
+
+/// A step of one occurrence.
+#[derive(Clone, Debug)]
+pub(crate) struct Step {
+    pub tasks: Vec<Task>,
+    /// When its turn came.
+    pub since: Option<Time>,
+}
+
+impl Step {
+    pub fn done(&self) -> bool {
+        self.tasks.iter().all(|task| task.done)
+    }
+
+    /// Whether any task waits for a place.
+    pub fn waiting(&self) -> bool {
+        self.tasks.iter().any(|task| !task.done && task.stage == Stage::Idle)
+    }
+
+    /// Whether no task has a run or room made for it.
+    pub fn idle(&self) -> bool {
+        self.tasks.iter().all(|task| task.stage == Stage::Idle)
+    }
+}
+
+/// A job in memory.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub queue: String,
+    pub account: Option<String>,
+    pub spec: Arc<Spec>,
+    pub cancelled: bool,
+    pub begun: bool,
+    pub state: JobState,
+    /// When this owner counts its age from.
+    pub since: Time,
+    /// Occurrences that have come due.
+    pub turns: Vec<Vec<Step>>,
+}
+
+impl Job {
+    pub fn new(submission: &Submission, since: Time) -> Job {
+        Job {
+            queue: submission.queue.clone(),
+            account: submission.account.clone(),
+            spec: Arc::clone(&submission.spec),
+            cancelled: submission.cancelled,
+            begun: false,
+            state: JobState::Pending,
+            since,
+            turns: Vec::new(),
+        }
+    }
+
+    /// Puts the stored state in force.
+    pub fn restore(&mut self, record: &Record, now: Time) {
+        self.state = record.state;
+        self.begun = record.begun;
+        let step = |tasks: &Vec<TaskRecord>| Step {
+            tasks: tasks.iter().map(|task| restored(task, now)).collect(),
+            since: None,
+        };
+        self.turns = record.turns.iter().map(|turn| turn.iter().map(step).collect()).collect();
+    }
+
+    /// The next occurrence comes due.
+    pub fn open_turn(&mut self) {
+        let fresh = Task {
+            stage: Stage::Idle,
+            done: false,
+            run: 0,
+            failures: 0,
+            saved: String::new(),
+            failed_on: None,
+        };
+        let steps = self.spec.steps.iter();
+        let step =
+            |step: &StepSpec| Step { tasks: vec![fresh.clone(); step.count as usize], since: None };
+        let steps = steps.map(step);
+        self.turns.push(steps.collect());
+    }
+
+    /// Whether the steps before `step` of `turn` are done.
+    pub fn reached(&self, turn: usize, step: usize) -> bool {
+        let steps = &self.turns[turn];
+        self.spec.steps[step].after.iter().all(|&before| steps[before as usize].done())
+    }
+
+    pub fn tasks(&self) -> impl Iterator<Item = &Task> {
+        self.turns.iter().flatten().flat_map(|step| &step.tasks)
+    }
+
+    /// Whether any run may still be on a worker.
+    pub fn placed(&self) -> bool {
+        self.tasks().any(|task| matches!(task.stage, Stage::Placed(_)))
+    }
+
+    /// What the store has to hold.
+    pub fn record(&self) -> Record {
+        let turns = if self.state.ended() && !self.placed() {
+            Vec::new()
+        } else {
+            let step = |step: &Step| step.tasks.iter().map(task_record).collect();
+            self.turns.iter().map(|turn| turn.iter().map(step).collect()).collect()
+        };
+        Record { state: self.state, begun: self.begun, turns }
+    }
+}
+
+fn restored(record: &TaskRecord, now: Time) -> Task {
+    let stage = match &record.place {
+        None => Stage::Idle,
+        Some((worker, born)) => Stage::Placed(Run {
+            worker: worker.clone(),
+            born: *born,
+            stored: true,
+            sent: Some(now),
+            deadline: 0,
+            taken: Some(now),
+            unsure: 0,
+            stopping: None,
+            stop_sent: None,
+            stop_done: None,
+            percent: 0,
+            grew: now,
+        }),
+    };
+    Task {
+        stage,
+        done: record.done,
+        run: record.run,
+        failures: record.failures,
+        saved: record.saved.clone(),
+        failed_on: None,
+    }
+}
+
+fn task_record(task: &Task) -> TaskRecord {
+    let place = match &task.stage {
+        Stage::Placed(run) => Some((run.worker.clone(), run.born)),
+        _ => None,
+    };
+    TaskRecord {
+        run: task.run,
+        failures: task.failures,
+        done: task.done,
+        place,
+        saved: task.saved.clone(),
+    }
+}
--- /dev/null
+++ b/crates/batch/src/order.rs
@@ -0,0 +1,120 @@
+//! The order in which steps get their places.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::Planner;
+use crate::job::Job;
+use crate::spec::JobId;
+use crate::spec::StepSpec;
+use model::Time;
+
+/// Multiple of its objective after which a job earns nothing more.
+const WORTHLESS: u32 = 3;
+
+/// A step that waits for places.
+#[derive(Clone, Debug)]
+pub(crate) struct Unit {
+    pub job: JobId,
+    pub turn: usize,
+    pub step: usize,
+    pub rank: Rank,
+    /// When the objective of its job ends.
+    pub due: Time,
+}
+
+/// How urgent a step is; lower goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Rank {
+    /// Within its client account's guarantee.
+    Guaranteed,
+    /// By its queue's priority.
+    Priority(u32),
+    /// Too late to be of use.
+    Late,
+}
+
+impl Planner {
+    /// All steps whose turn has come and that wait for places, the most urgent first.
+    pub(crate) fn order(&mut self, now: Time) -> Vec<Unit> {
+        let guaranteed = self.guaranteed();
+        let mut units = Vec::new();
+        for id in &self.live {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            if job.state.ended() {
+                continue;
+            }
+            let objective = objective(job, &self.policy);
+            let (due, last) = (job.since + objective, job.since + objective * WORTHLESS);
+            let priority =
+                self.policy.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
+            let rank = match priority {
+                0 if guaranteed.contains_key(id) => Rank::Guaranteed,
+                _ if last < now => Rank::Late,
+                _ => Rank::Priority(priority),
+            };
+            for turn in 0..job.turns.len() {
+                for step in 0..job.turns[turn].len() {
+                    let open = &job.turns[turn][step];
+                    let reserved = !open.idle() && !open.done();
+                    if !(open.waiting() || reserved) || !job.reached(turn, step) {
+                        continue;
+                    }
+                    job.turns[turn][step].since.get_or_insert(now);
+                    units.push(Unit { job: id.clone(), turn, step, rank, due });
+                }
+            }
+        }
+        units.sort_by(|a, b| (a.rank, a.due, &a.job).cmp(&(b.rank, b.due, &b.job)));
+        units
+    }
+
+    /// Jobs of priority zero that lie within their client account's guarantee, the oldest first,
+    /// with the accelerators that they need.
+    pub(crate) fn guaranteed(&self) -> BTreeMap<JobId, u64> {
+        let mut urgent: Vec<(Time, &JobId, &Job)> = Vec::new();
+        for id in &self.live {
+            let Some(job) = self.jobs.get(id) else { continue };
+            let priority = self.policy.queues.get(&job.queue).map(|queue| queue.priority);
+            if priority == Some(0) && !job.state.ended() {
+                urgent.push((job.since, id, job));
+            }
+        }
+        urgent.sort_by_key(|(since, id, _)| (*since, *id));
+        let mut used: BTreeMap<&str, u64> = BTreeMap::new();
+        let mut inside = BTreeMap::new();
+        for (_, id, job) in urgent {
+            let Some(account) = &job.account else { continue };
+            let limit = self.policy.accounts.get(account).map_or(0, |account| account.guaranteed);
+            let need = job.spec.steps.iter().map(accelerators).max().unwrap_or(0);
+            let used = used.entry(account).or_default();
+            if *used + need <= limit {
+                *used += need;
+                inside.insert(id.clone(), need);
+            }
+        }
+        inside
+    }
+}
+
+/// Accelerators of a whole step.
+fn accelerators(step: &StepSpec) -> u64 {
+    step.need.gpu * u64::from(step.count)
+}
+
+/// Latency objective of a job: its longest chain of work, stretched, and the queue's part.
+pub(crate) fn objective(job: &Job, policy: &crate::Policy) -> Duration {
+    let Some(queue) = policy.queues.get(&job.queue) else { return Duration::ZERO };
+    let stretched = chain(&job.spec.steps) as f64 * queue.stretch;
+    Duration::from_millis(stretched as u64 + queue.objective_ms)
+}
+
+/// Longest chain of estimates, in ms.
+fn chain(steps: &[StepSpec]) -> u64 {
+    let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
+    for step in steps {
+        let start = step.after.iter().map(|&before| ends[before as usize]).max().unwrap_or(0);
+        ends.push(start + step.estimate_ms);
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/batch/src/place.rs
@@ -0,0 +1,430 @@
+//! The search for places.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::Planner;
+use crate::job::JobState;
+use crate::job::Run;
+use crate::job::Stage;
+use crate::job::Step;
+use crate::order::Rank;
+use crate::order::Unit;
+use crate::planner::task_mut;
+use crate::room::Slot;
+use crate::spec::Spec;
+use crate::spec::StepSpec;
+use crate::spec::TaskKey;
+use crate::spec::WorkerId;
+use model::Time;
+
+/// Share of its estimate that a task waits for a place near its data before it goes elsewhere.
+const NEAR_PATIENCE_PERCENT: u64 = 100;
+/// Time between searches while steps wait, for patience that runs out.
+const SEARCH_PAUSE: Duration = Duration::from_millis(250);
+
+/// Where tasks of a step are to go.
+type Places = Vec<(u32, usize)>;
+
+impl Planner {
+    /// Looks for places for all steps that wait.
+    pub(crate) fn place(&mut self, now: Time) {
+        let units = self.order(now);
+        if units.is_empty() {
+            return;
+        }
+        let mut slots = self.slots(now);
+        let mut waiting = false;
+        for unit in &units {
+            if self.finish_reserved(now, unit) {
+                continue;
+            }
+            let Some(job) = self.jobs.get(&unit.job) else { continue };
+            let spec = Arc::clone(&job.spec);
+            let step = &spec.steps[unit.step];
+            let open = &job.turns[unit.turn][unit.step];
+            if step.gang && !open.idle() || !open.waiting() {
+                waiting |= !open.done();
+                continue;
+            }
+            let service = self.policy.queues.get(&job.queue).map(|queue| queue.service.clone());
+            let Some(service) = service else { continue };
+            count_taken(&mut slots, open);
+            let patient = self.patient(now, open, step);
+            let found = match step.gang {
+                true => gang_places(&mut slots, open, step, &service, patient),
+                false => single_places(&mut slots, open, step, &service, patient),
+            };
+            let missing = open.tasks.iter().filter(|task| !task.done && task.stage == Stage::Idle);
+            let missing = missing.count() - found.len();
+            self.assign(now, unit, &spec, &slots, &found);
+            if missing > 0 {
+                waiting = true;
+                if matches!(unit.rank, Rank::Guaranteed | Rank::Priority(0)) {
+                    self.reclaim(now, unit, &spec, &mut slots, &service);
+                }
+            }
+        }
+        if waiting {
+            self.replan_at = self.replan_at.min(now + SEARCH_PAUSE);
+        }
+    }
+
+    /// Whether a step still waits for places near its data.
+    fn patient(&self, now: Time, open: &Step, step: &StepSpec) -> bool {
+        let patience = Duration::from_millis(step.estimate_ms * NEAR_PATIENCE_PERCENT / 100);
+        open.since.is_none_or(|since| now < since + patience)
+    }
+
+    /// Gives tasks their runs.
+    fn assign(&mut self, now: Time, unit: &Unit, spec: &Spec, slots: &[Slot], found: &Places) {
+        if found.is_empty() {
+            return;
+        }
+        let step = &spec.steps[unit.step];
+        let Some(job) = self.jobs.get_mut(&unit.job) else { return };
+        let tasks = &job.turns[unit.turn][unit.step].tasks;
+        let highest = tasks.iter().map(|task| task.run).max().unwrap_or(0);
+        for (index, slot) in found {
+            let (turn, step_number) = (unit.turn as u32, unit.step as u32);
+            let key = TaskKey { job: unit.job.clone(), turn, step: step_number, index: *index };
+            let id = slots[*slot].worker.clone();
+            let Some(worker) = self.workers.get_mut(&id) else { continue };
+            worker.used.add(&step.need);
+            let born = worker.born;
+            let Some(task) = task_mut(job, &key) else { continue };
+            task.run = if step.gang { highest + 1 } else { task.run + 1 };
+            task.stage = Stage::Placed(Run {
+                worker: id.clone(),
+                born,
+                stored: false,
+                sent: None,
+                deadline: 0,
+                taken: None,
+                unsure: 0,
+                stopping: None,
+                stop_sent: None,
+                stop_done: None,
+                percent: 0,
+                grew: now,
+            });
+            self.runs.entry(id).or_default().insert(key);
+        }
+        job.begun = true;
+        if job.state == JobState::Pending {
+            job.state = JobState::Running;
+        }
+        self.dirty.insert(unit.job.clone());
+    }
+
+    /// Places tasks whose reserved room has become free; true if the step has reserved room.
+    fn finish_reserved(&mut self, now: Time, unit: &Unit) -> bool {
+        let Some(job) = self.jobs.get(&unit.job) else { return false };
+        let spec = Arc::clone(&job.spec);
+        let step = &spec.steps[unit.step];
+        let open = &job.turns[unit.turn][unit.step];
+        let reserved: Vec<(u32, WorkerId)> = (0u32..)
+            .zip(&open.tasks)
+            .filter_map(|(index, task)| match &task.stage {
+                Stage::Reserved(worker) => Some((index, worker.clone())),
+                _ => None,
+            })
+            .collect();
+        if reserved.is_empty() {
+            return false;
+        }
+        let mut slots: Vec<Slot> = Vec::new();
+        let mut found = Places::new();
+        let mut lost = false;
+        for (index, id) in &reserved {
+            let Some(worker) = self.workers.get(id).filter(|worker| worker.usable(now)) else {
+                lost = true;
+                continue;
+            };
+            let at = slots.iter().position(|slot| slot.worker == *id).unwrap_or_else(|| {
+                slots.push(Slot {
+                    worker: id.clone(),
+                    service: String::new(),
+                    rack: String::new(),
+                    labels: Vec::new(),
+                    room: worker.room(),
+                    taken: 0,
+                });
+                slots.len() - 1
+            });
+            if step.need.fits(&slots[at].room) {
+                slots[at].room.remove(&step.need);
+                found.push((*index, at));
+            }
+        }
+        if lost {
+            // A worker went away meanwhile: the next search starts afresh.
+            let Some(job) = self.jobs.get_mut(&unit.job) else { return false };
+            for task in &mut job.turns[unit.turn][unit.step].tasks {
+                if matches!(task.stage, Stage::Reserved(_)) {
+                    task.stage = Stage::Idle;
+                }
+            }
+            self.replan = true;
+            return true;
+        }
+        if !step.gang || found.len() == reserved.len() {
+            self.assign(now, unit, &spec, &slots, &found);
+        }
+        true
+    }
+
+    /// Makes room for an urgent step by stopping the least lost work of less urgent ones.
+    fn reclaim(&mut self, now: Time, unit: &Unit, spec: &Spec, slots: &mut [Slot], service: &str) {
+        let step = &spec.steps[unit.step];
+        let victims = self.victims(now, unit.rank);
+        let Some(job) = self.jobs.get(&unit.job) else { return };
+        let open = &job.turns[unit.turn][unit.step];
+        let missing: Vec<u32> = (0u32..)
+            .zip(&open.tasks)
+            .filter(|(_, task)| !task.done && task.stage == Stage::Idle)
+            .map(|(index, _)| index)
+            .collect();
+        let racks: BTreeSet<&str> = slots.iter().map(|slot| slot.rack.as_str()).collect();
+        let mut groups: Vec<Vec<usize>> = Vec::new();
+        let suits = |at: &usize| slots[*at].suits(step, service);
+        if step.gang && step.one_rack {
+            for rack in racks {
+                groups.push(
+                    (0..slots.len()).filter(|at| slots[*at].rack == rack).filter(suits).collect(),
+                );
+            }
+        }
+        groups.push((0..slots.len()).filter(suits).collect());
+        let mut best: Option<Clearing> = None;
+        let last = groups.len() - 1;
+        for (number, group) in groups.iter().enumerate() {
+            if number == last && best.is_some() {
+                break;
+            }
+            let plan = clear_group(slots, group, step, &missing, &victims);
+            if let Some(plan) = plan
+                && best.as_ref().is_none_or(|best| plan.cost < best.cost)
+            {
+                best = Some(plan);
+            }
+        }
+        let Some(Clearing { places, stopped, .. }) = best else { return };
+        let Some(job) = self.jobs.get_mut(&unit.job) else { return };
+        for (index, slot) in &places {
+            let task = &mut job.turns[unit.turn][unit.step].tasks[*index as usize];
+            task.stage = Stage::Reserved(slots[*slot].worker.clone());
+            slots[*slot].room.remove(&step.need);
+        }
+        for key in stopped {
+            self.stop_run(now, &key);
+        }
+        self.replan = true;
+    }
+
+    /// Runs that may be stopped for a step of `rank`, by worker, the cheapest first.
+    fn victims(&self, now: Time, rank: Rank) -> BTreeMap<WorkerId, Vec<Victim>> {
+        let guaranteed = self.guaranteed();
+        let mut victims: BTreeMap<WorkerId, Vec<Victim>> = BTreeMap::new();
+        for (worker, keys) in &self.runs {
+            for key in keys {
+                let Some(job) = self.jobs.get(&key.job) else { continue };
+                let priority =
+                    self.policy.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
+                let lower = match rank {
+                    Rank::Guaranteed => !guaranteed.contains_key(&key.job),
+                    _ => priority > 0,
+                };
+                let Some(Stage::Placed(run)) = self.task(key).map(|task| &task.stage) else {
+                    continue;
+                };
+                let step = &job.spec.steps[key.step as usize];
+                if !lower && run.stopping.is_none() {
+                    continue;
+                }
+                let worked = now.since(run.taken.unwrap_or(now)).as_millis() as u64;
+                let lost = if step.checkpoints { worked.min(1_000) } else { worked };
+                let members = if step.gang { u64::from(step.count) } else { 1 };
+                let cost = match run.stopping {
+                    Some(_) => 0,
+                    None => (lost + 500) * step.need.weight() * members / 1_000,
+                };
+                let victim = Victim { key: key.clone(), need: step.need, cost };
+                victims.entry(worker.clone()).or_default().push(victim);
+            }
+        }
+        for list in victims.values_mut() {
+            list.sort_by(|a, b| (a.cost, &a.key).cmp(&(b.cost, &b.key)));
+        }
+        victims
+    }
+}
+
+/// A run that may be stopped.
+#[derive(Clone, Debug)]
+struct Victim {
+    key: TaskKey,
+    need: crate::spec::Need,
+    cost: u64,
+}
+
+/// Places that stopping some runs makes free.
+#[derive(Clone, Debug)]
+struct Clearing {
+    /// Work that is lost, in core-milliseconds.
+    cost: u64,
+    places: Places,
+    stopped: BTreeSet<TaskKey>,
+}
+
+/// Finds places for `missing` tasks on the slots of `group`, with the runs to stop for them.
+fn clear_group(
+    slots: &[Slot],
+    group: &[usize],
+    step: &StepSpec,
+    missing: &[u32],
+    victims: &BTreeMap<WorkerId, Vec<Victim>>,
+) -> Option<Clearing> {
+    let mut rooms: BTreeMap<usize, (crate::spec::Need, u32)> =
+        group.iter().map(|&at| (at, (slots[at].room, slots[at].taken))).collect();
+    let mut places = Vec::new();
+    let mut stopped: BTreeSet<TaskKey> = BTreeSet::new();
+    let mut total = 0;
+    for &index in missing {
+        let mut best: Option<(u64, usize, Vec<&Victim>)> = None;
+        for (&at, (room, taken)) in &rooms {
+            if step.spread.is_some_and(|most| *taken >= most) {
+                continue;
+            }
+            let mut left = *room;
+            let mut cost = 0;
+            let mut chosen = Vec::new();
+            let list = victims.get(&slots[at].worker).map_or(&[][..], Vec::as_slice);
+            for victim in list.iter().filter(|victim| !stopped.contains(&victim.key)) {
+                if step.need.fits(&left) {
+                    break;
+                }
+                left.add(&victim.need);
+                cost += victim.cost;
+                chosen.push(victim);
+            }
+            if step.need.fits(&left) && best.as_ref().is_none_or(|best| cost < best.0) {
+                best = Some((cost, at, chosen));
+            }
+        }
+        let (cost, at, chosen) = best?;
+        total += cost;
+        let room = rooms.get_mut(&at)?;
+        for victim in chosen {
+            room.0.add(&victim.need);
+            stopped.insert(victim.key.clone());
+        }
+        room.0.remove(&step.need);
+        room.1 += 1;
+        places.push((index, at));
+    }
+    Some(Clearing { cost: total, places, stopped })
+}
+
+/// Counts the tasks of a step on each slot.
+fn count_taken(slots: &mut [Slot], open: &Step) {
+    for slot in slots.iter_mut() {
+        slot.taken = 0;
+    }
+    for task in &open.tasks {
+        let worker = match &task.stage {
+            Stage::Placed(run) => &run.worker,
+            Stage::Reserved(worker) => worker,
+            Stage::Idle => continue,
+        };
+        if let Ok(at) = slots.binary_search_by(|slot| slot.worker.cmp(worker)) {
+            slots[at].taken += 1;
+        }
+    }
+}
+
+/// How well a task fits: near its data first, then not where it failed, then the tightest fit.
+fn fit(slot: &Slot, step: &StepSpec, failed_on: Option<&WorkerId>) -> (bool, bool, u64, u64, u64) {
+    let far = step.rack.as_ref().is_some_and(|rack| *rack != slot.rack);
+    let failed = failed_on == Some(&slot.worker);
+    let left = slot.room.less(&step.need);
+    (far, failed, left.gpu, left.memory, left.cpu)
+}
+
+/// Places for as many waiting tasks of a step as there is room for.
+fn single_places(
+    slots: &mut [Slot],
+    open: &Step,
+    step: &StepSpec,
+    service: &str,
+    patient: bool,
+) -> Places {
+    let mut found = Places::new();
+    for (index, task) in (0u32..).zip(&open.tasks) {
+        if task.done || task.stage != Stage::Idle {
+            continue;
+        }
+        let best = (0..slots.len())
+            .filter(|&at| slots[at].suits(step, service) && slots[at].holds(step))
+            .min_by_key(|&at| fit(&slots[at], step, task.failed_on.as_ref()));
+        let Some(at) = best else { break };
+        if patient && step.rack.as_ref().is_some_and(|rack| *rack != slots[at].rack) {
+            break;
+        }
+        slots[at].room.remove(&step.need);
+        slots[at].taken += 1;
+        found.push((index, at));
+    }
+    found
+}
+
+/// Places for all tasks of a gang, or none.
+fn gang_places(
+    slots: &mut [Slot],
+    open: &Step,
+    step: &StepSpec,
+    service: &str,
+    patient: bool,
+) -> Places {
+    let all: Vec<usize> = (0..slots.len()).filter(|&at| slots[at].suits(step, service)).collect();
+    let racks: BTreeSet<String> = all.iter().map(|&at| slots[at].rack.clone()).collect();
+    let mut best: Option<((bool, u64), Places)> = None;
+    for rack in &racks {
+        let far = step.rack.as_ref().is_some_and(|wanted| wanted != rack);
+        if far && patient {
+            continue;
+        }
+        let group: Vec<usize> = all.iter().copied().filter(|&at| slots[at].rack == *rack).collect();
+        let Some(places) = pack(slots, &group, open, step) else { continue };
+        let left: u64 = group.iter().map(|&at| slots[at].room.gpu).sum();
+        if best.as_ref().is_none_or(|best| (far, left) < best.0) {
+            best = Some(((far, left), places));
+        }
+    }
+    if best.is_none() && !(step.one_rack && patient) && (step.rack.is_none() || !patient) {
+        best = pack(slots, &all, open, step).map(|places| ((true, 0), places));
+    }
+    let Some((_, places)) = best else { return Places::new() };
+    for (_, at) in &places {
+        slots[*at].room.remove(&step.need);
+        slots[*at].taken += 1;
+    }
+    places
+}
+
+/// Packs all tasks of a gang into a group of slots, if they fit.
+fn pack(slots: &[Slot], group: &[usize], open: &Step, step: &StepSpec) -> Option<Places> {
+    let mut rooms: Vec<Slot> = group.iter().map(|&at| slots[at].clone()).collect();
+    let mut places = Places::new();
+    for (index, task) in (0u32..).zip(&open.tasks) {
+        let best = (0..rooms.len())
+            .filter(|&at| rooms[at].holds(step))
+            .min_by_key(|&at| fit(&rooms[at], step, task.failed_on.as_ref()))?;
+        rooms[best].room.remove(&step.need);
+        rooms[best].taken += 1;
+        places.push((index, group[best]));
+    }
+    Some(places)
+}
--- /dev/null
+++ b/crates/batch/src/planner.rs
@@ -0,0 +1,562 @@
+//! The state of a planner, and the way through one event.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::Policy;
+use crate::Settings;
+use crate::action::Action;
+use crate::directory::Worker;
+use crate::directory::WorkerInfo;
+use crate::directory::Workers;
+use crate::directory::millis;
+use crate::event::Event;
+use crate::job::Job;
+use crate::job::JobState;
+use crate::job::Run;
+use crate::job::Stage;
+use crate::job::Task;
+use crate::record::Record;
+use crate::spec::JobId;
+use crate::spec::Submission;
+use crate::spec::TaskKey;
+use crate::spec::WorkerId;
+use model::Stamp;
+use model::Time;
+
+/// Longest wait of a renewal for an end, in ms; the platform allows no more.
+const HOLD_WAIT_MS: u64 = 2_000;
+/// Pause between renewals of a worker whose ends are still being stored.
+const HOLD_PAUSE: Duration = Duration::from_millis(1_000);
+/// Pause before a worker that did not answer is asked again.
+const HOLD_RETRY: Duration = Duration::from_millis(250);
+/// Most doublings of that pause.
+const HOLD_DOUBLINGS: u32 = 3;
+/// Calls in a row without an answer after which a worker gets no new runs.
+const SILENT_CALLS: u32 = 2;
+/// Pause before a stop is sent again.
+const STOP_RETRY: Duration = Duration::from_millis(600);
+/// Share of the longest lease that a start carries, so that a start that is carried out late
+/// is refused soon; renewals carry the whole lease.
+const START_LEASE_DIVISOR: u32 = 2;
+/// Time before a leaving worker goes at which its tasks are stopped, beside the time to stop.
+const LEAVE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Decides for the jobs of one owner.
+#[derive(Debug)]
+pub struct Planner {
+    pub(crate) settings: Settings,
+    pub(crate) policy: Arc<Policy>,
+    pub(crate) workers: Workers,
+    pub(crate) jobs: BTreeMap<JobId, Job>,
+    /// Runs by worker.
+    pub(crate) runs: BTreeMap<WorkerId, BTreeSet<TaskKey>>,
+    /// Jobs whose record in the store is behind.
+    pub(crate) dirty: BTreeSet<JobId>,
+    /// Jobs that are not at their end.
+    pub(crate) live: BTreeSet<JobId>,
+    /// Whether places have to be looked for.
+    pub(crate) replan: bool,
+    /// When places are looked for at the latest.
+    pub(crate) replan_at: Time,
+    /// Whether the stored jobs are complete.
+    complete: bool,
+    commit: Option<Commit>,
+    pub(crate) out: Vec<Action>,
+    /// Before this a worker that never answered may hold runs of former owners.
+    clear: Time,
+}
+
+/// A commit on its way.
+#[derive(Debug)]
+struct Commit {
+    /// Runs that may be started once it is stored.
+    starts: Vec<(TaskKey, u32)>,
+    /// Ends that workers may forget once it is stored.
+    ends: Vec<(WorkerId, u64, u64)>,
+}
+
+/// Counts for metrics and logs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Jobs that have not ended.
+    pub live: usize,
+    /// Jobs of each queue that were accepted and have not begun.
+    pub waiting: BTreeMap<String, u64>,
+    /// Runs on workers.
+    pub runs: usize,
+    /// Workers that take new runs.
+    pub usable: usize,
+}
+
+impl Planner {
+    /// A planner that takes over at `now`.
+    ///
+    /// A worker that cannot be reached is held to run what the store says until a lease of a
+    /// former owner, sent up to `quiet` after the takeover, has run out.
+    pub fn new(settings: Settings, now: Time, quiet: Duration) -> Planner {
+        let clear = now + quiet + settings.lease + settings.lease / 40;
+        Planner {
+            settings,
+            policy: Arc::default(),
+            workers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            live: BTreeSet::new(),
+            replan: false,
+            replan_at: Time::NEVER,
+            complete: false,
+            commit: None,
+            out: Vec::new(),
+            clear,
+        }
+    }
+
+    /// Takes in one event and returns what is to be done, in order.
+    pub fn handle(&mut self, now: Time, wall: Stamp, event: Event) -> Vec<Action> {
+        self.take(now, event);
+        if self.complete {
+            self.open_turns(now, wall);
+            self.check_workers(now);
+            if self.replan || self.replan_at <= now {
+                self.replan = false;
+                self.replan_at = Time::NEVER;
+                self.place(now);
+            }
+            self.send_stops(now);
+            self.settle_ends();
+            self.send_holds(now);
+            self.start_commit();
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Counts for metrics and logs.
+    pub fn summary(&self, now: Time) -> Summary {
+        let mut waiting: BTreeMap<String, u64> =
+            self.policy.queues.keys().map(|name| (name.clone(), 0)).collect();
+        for job in self.live.iter().filter_map(|id| self.jobs.get(id)) {
+            if !job.begun && !job.cancelled && job.spec.first.is_none() {
+                *waiting.entry(job.queue.clone()).or_default() += 1;
+            }
+        }
+        Summary {
+            live: self.live.len(),
+            waiting,
+            runs: self.runs.values().map(BTreeSet::len).sum(),
+            usable: self.workers.values().filter(|worker| worker.usable(now)).count(),
+        }
+    }
+
+    /// What callers are shown of a job, if it is known here.
+    pub fn state(&self, id: &JobId) -> Option<JobState> {
+        self.jobs.get(id).map(|job| job.state)
+    }
+
+    fn take(&mut self, now: Time, event: Event) {
+        match event {
+            Event::Configured(policy) => {
+                self.policy = policy;
+                self.replan = true;
+            }
+            Event::Listed(workers) => self.listed(now, workers),
+            Event::Accepted(id, submission) => self.accepted(now, id, &submission),
+            Event::Restored(id, submission, record) => {
+                self.restored(now, id, &submission, record.as_ref());
+            }
+            Event::Complete => {
+                self.complete = true;
+                self.replan = true;
+            }
+            Event::Cancelled(id) => self.cancelled(now, &id),
+            Event::Held(worker, held) => self.held(now, &worker, &held),
+            Event::Unheld(worker) => self.unheld(&worker),
+            Event::Fenced(_) => self.out.push(Action::Resign),
+            Event::Replaced(worker) => self.replaced(now, &worker),
+            Event::Started(task, run, result) => self.started(now, &task, run, result),
+            Event::Stopped(task, run, answered) => self.stop_answered(now, &task, run, answered),
+            Event::Committed => self.committed(now),
+            Event::Tick => {}
+        }
+    }
+
+    fn listed(&mut self, now: Time, infos: Vec<WorkerInfo>) {
+        let mut unseen: BTreeSet<WorkerId> = self.workers.keys().cloned().collect();
+        for info in infos {
+            unseen.remove(&info.id);
+            let worker = self.workers.entry(info.id.clone()).or_insert_with(|| {
+                self.replan = true;
+                Worker::new(info.clone(), self.clear)
+            });
+            let leaves = info.leaves.map(|left| now + left);
+            worker.leaves = match (worker.leaves, leaves) {
+                (Some(known), Some(said)) => Some(known.min(said)),
+                (_, said) => said,
+            };
+            if !worker.listed {
+                worker.listed = true;
+                self.replan = true;
+            }
+            worker.info = info;
+        }
+        for id in unseen {
+            let idle = self.runs.get(&id).is_none_or(BTreeSet::is_empty);
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.listed = false;
+                if idle && !worker.holding {
+                    self.workers.remove(&id);
+                }
+            }
+        }
+    }
+
+    fn accepted(&mut self, now: Time, id: JobId, submission: &Submission) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        self.jobs.insert(id.clone(), Job::new(submission, now));
+        self.live.insert(id.clone());
+        self.replan = true;
+        if submission.cancelled {
+            self.cancelled(now, &id);
+        }
+    }
+
+    fn restored(&mut self, now: Time, id: JobId, submission: &Submission, record: Option<&Record>) {
+        let mut job = Job::new(submission, now);
+        if let Some(record) = record {
+            job.restore(record, now);
+        }
+        for (key, run) in job_runs(&id, &job) {
+            let turn = &job.turns[key.turn as usize];
+            debug_assert!(turn.len() > key.step as usize);
+            let need = job.spec.steps[key.step as usize].need;
+            let clear = self.clear;
+            let worker = self.workers.entry(run.worker.clone()).or_insert_with(|| {
+                // The directory does not list it any more; its lease may still run.
+                let mut worker = Worker::new(unlisted(&run.worker), clear);
+                worker.listed = false;
+                worker
+            });
+            if worker.born == 0 {
+                worker.born = run.born;
+            }
+            worker.used.add(&need);
+            self.runs.entry(run.worker.clone()).or_default().insert(key);
+        }
+        let ended = job.state.ended() && !job.placed();
+        self.jobs.insert(id.clone(), job);
+        if !ended {
+            self.live.insert(id.clone());
+            if submission.cancelled {
+                self.cancelled(now, &id);
+            }
+        }
+        self.replan = true;
+    }
+
+    fn cancelled(&mut self, now: Time, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.state.ended() {
+            return;
+        }
+        job.cancelled = true;
+        self.end_job(now, id, JobState::Cancelled);
+    }
+
+    /// Shows a job as ended and stops what still runs of it.
+    pub(crate) fn end_job(&mut self, now: Time, id: &JobId, state: JobState) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.state = state;
+        for task in job.turns.iter_mut().flatten().flat_map(|step| &mut step.tasks) {
+            match &mut task.stage {
+                Stage::Placed(run) => {
+                    run.stopping.get_or_insert(now);
+                }
+                Stage::Reserved(_) => task.stage = Stage::Idle,
+                Stage::Idle => {}
+            }
+        }
+        self.dirty.insert(id.clone());
+        if !job.placed() {
+            self.live.remove(id);
+        }
+        self.replan = true;
+    }
+
+    fn open_turns(&mut self, now: Time, wall: Stamp) {
+        for id in &self.live {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            if job.state.ended() {
+                continue;
+            }
+            while (job.turns.len() as u32) < job.spec.turns() {
+                let turn = job.turns.len() as u32;
+                if job.spec.due(turn).is_some_and(|due| due > wall) {
+                    break;
+                }
+                job.open_turn();
+                if job.spec.first.is_some() {
+                    job.since = now;
+                }
+                self.replan = true;
+            }
+        }
+    }
+
+    /// Gives up runs whose leases have run out, and empties workers that leave.
+    fn check_workers(&mut self, now: Time) {
+        let mut gone = Vec::new();
+        let mut leaving = Vec::new();
+        let stop = self.settings.stop;
+        for (id, keys) in self.runs.iter().filter(|(_, keys)| !keys.is_empty()) {
+            let Some(worker) = self.workers.get(id) else { continue };
+            if !worker.answers && worker.lapsed() <= now {
+                gone.extend(keys.iter().cloned());
+            } else if worker.leaves.is_some_and(|at| at <= now + stop + LEAVE_MARGIN) {
+                leaving.extend(keys.iter().cloned());
+            }
+        }
+        for key in gone {
+            self.vanish(now, &key);
+        }
+        for key in leaving {
+            self.stop_run(now, &key);
+        }
+    }
+
+    /// Asks for the run of `key` to be stopped, and with it those of its gang.
+    pub(crate) fn stop_run(&mut self, now: Time, key: &TaskKey) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let gang = job.spec.steps[key.step as usize].gang;
+        let step = &mut job.turns[key.turn as usize][key.step as usize];
+        let range = match gang {
+            true => 0..step.tasks.len(),
+            false => key.index as usize..key.index as usize + 1,
+        };
+        for task in &mut step.tasks[range] {
+            match &mut task.stage {
+                Stage::Placed(run) => {
+                    run.stopping.get_or_insert(now);
+                }
+                Stage::Reserved(_) if gang => task.stage = Stage::Idle,
+                _ => {}
+            }
+        }
+    }
+
+    fn send_stops(&mut self, now: Time) {
+        let mut unsent = Vec::new();
+        for keys in self.runs.values() {
+            for key in keys {
+                let Some(Stage::Placed(run)) =
+                    self.jobs.get_mut(&key.job).map(|job| stage(job, key))
+                else {
+                    continue;
+                };
+                if run.stopping.is_none() || run.stop_done.is_some() {
+                    continue;
+                }
+                if run.sent.is_none() {
+                    // Before the commit is answered nothing has been sent.
+                    if run.stored {
+                        unsent.push(key.clone());
+                    }
+                    continue;
+                }
+                if run.stop_sent.is_none_or(|at| at + STOP_RETRY <= now) {
+                    run.stop_sent = Some(now);
+                    let worker = run.worker.clone();
+                    let number = self.run_number(key);
+                    self.out.push(Action::Stop { worker, task: key.clone(), run: number });
+                }
+            }
+        }
+        for key in unsent {
+            self.vanish(now, &key);
+        }
+    }
+
+    fn run_number(&self, key: &TaskKey) -> u32 {
+        self.task(key).map_or(0, |task| task.run)
+    }
+
+    fn send_holds(&mut self, now: Time) {
+        let lease = self.settings.lease;
+        for (id, worker) in &mut self.workers {
+            if worker.holding || worker.info.address.port() == 0 {
+                continue;
+            }
+            let busy = self.runs.get(id).is_some_and(|keys| !keys.is_empty());
+            let first = worker.clock.is_none() && worker.listed;
+            let news = worker.stored > worker.acked;
+            if !(busy || first || news || worker.strays > 0) {
+                continue;
+            }
+            let storing = worker.heard > worker.stored;
+            let pause = match (worker.silent, storing) {
+                (0, false) => Duration::ZERO,
+                (0, true) => HOLD_PAUSE,
+                (silent, _) => HOLD_RETRY * 2u32.pow(silent.min(HOLD_DOUBLINGS)),
+            };
+            if worker.asked + pause > now && worker.asked != Time::ZERO {
+                continue;
+            }
+            let wait = busy && !first && !storing && worker.strays == 0 && worker.silent == 0;
+            let deadline = worker.renewal(now, lease);
+            worker.deadline = worker.deadline.max(deadline.unwrap_or(0));
+            worker.holding = true;
+            worker.asked = now;
+            self.out.push(Action::Hold {
+                worker: id.clone(),
+                deadline,
+                seen: worker.stored,
+                wait: if wait { HOLD_WAIT_MS.min(millis(lease) / 3) } else { 0 },
+            });
+        }
+    }
+
+    /// Ends that change no record may be forgotten as soon as all earlier ones are stored.
+    fn settle_ends(&mut self) {
+        if self.commit.is_none() && self.dirty.is_empty() {
+            for worker in self.workers.values_mut() {
+                worker.stored = worker.heard;
+            }
+        }
+    }
+
+    fn start_commit(&mut self) {
+        if self.commit.is_some() || self.dirty.is_empty() {
+            return;
+        }
+        let dirty = std::mem::take(&mut self.dirty);
+        let mut records = Vec::with_capacity(dirty.len());
+        let mut starts = Vec::new();
+        for id in dirty {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            for (key, run) in job_runs(&id, job) {
+                if !run.stored {
+                    let number = self.run_number(&key);
+                    starts.push((key, number));
+                }
+            }
+            records.push((id.clone(), job.record()));
+        }
+        let ends = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.heard > worker.stored)
+            .map(|(id, worker)| (id.clone(), worker.born, worker.heard))
+            .collect();
+        self.commit = Some(Commit { starts, ends });
+        self.out.push(Action::Commit(records));
+    }
+
+    fn committed(&mut self, now: Time) {
+        let Some(commit) = self.commit.take() else { return };
+        for (id, born, heard) in commit.ends {
+            if let Some(worker) = self.workers.get_mut(&id)
+                && worker.born == born
+            {
+                worker.stored = worker.stored.max(heard);
+            }
+        }
+        for (key, number) in commit.starts {
+            self.start(now, &key, number);
+        }
+        // An ended job's record shrinks once nothing of it runs; jobs that ended are let go.
+        for id in &self.live.clone() {
+            let Some(job) = self.jobs.get(id) else { continue };
+            if job.state.ended() && !job.placed() {
+                self.live.remove(id);
+            }
+        }
+    }
+
+    /// Sends a start for a run that the store holds.
+    pub(crate) fn start(&mut self, now: Time, key: &TaskKey, number: u32) {
+        let lease = self.settings.lease / START_LEASE_DIVISOR;
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let spec = Arc::clone(&job.spec);
+        let Some(task) = task_mut(job, key) else { return };
+        if task.run != number {
+            return;
+        }
+        let saved = task.saved.clone();
+        let Stage::Placed(run) = &mut task.stage else { return };
+        run.stored = true;
+        if run.stopping.is_some() {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(&run.worker) else { return };
+        let Some(deadline) = worker.renewal(now, lease) else { return };
+        worker.deadline = worker.deadline.max(deadline);
+        run.deadline = run.deadline.max(deadline);
+        run.sent = Some(now);
+        self.out.push(Action::Start {
+            worker: run.worker.clone(),
+            task: key.clone(),
+            run: number,
+            spec,
+            deadline,
+            saved,
+        });
+    }
+
+    pub(crate) fn task(&self, key: &TaskKey) -> Option<&Task> {
+        let job = self.jobs.get(&key.job)?;
+        job.turns.get(key.turn as usize)?.get(key.step as usize)?.tasks.get(key.index as usize)
+    }
+
+    fn unheld(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.holding = false;
+        worker.silent += 1;
+        if worker.silent >= SILENT_CALLS {
+            worker.answers = false;
+        }
+    }
+}
+
+/// The task of `key`.
+pub(crate) fn task_mut<'j>(job: &'j mut Job, key: &TaskKey) -> Option<&'j mut Task> {
+    let step = job.turns.get_mut(key.turn as usize)?.get_mut(key.step as usize)?;
+    step.tasks.get_mut(key.index as usize)
+}
+
+fn stage<'j>(job: &'j mut Job, key: &TaskKey) -> &'j mut Stage {
+    &mut job.turns[key.turn as usize][key.step as usize].tasks[key.index as usize].stage
+}
+
+/// The runs of a job.
+pub(crate) fn job_runs<'j>(
+    id: &'j JobId,
+    job: &'j Job,
+) -> impl Iterator<Item = (TaskKey, &'j Run)> {
+    job.turns.iter().enumerate().flat_map(move |(turn, steps)| {
+        steps.iter().enumerate().flat_map(move |(step, tasks)| {
+            tasks.tasks.iter().enumerate().filter_map(move |(index, task)| {
+                let Stage::Placed(run) = &task.stage else { return None };
+                let (turn, step, index) = (turn as u32, step as u32, index as u32);
+                Some((TaskKey { job: id.clone(), turn, step, index }, run))
+            })
+        })
+    })
+}
+
+fn unlisted(id: &WorkerId) -> WorkerInfo {
+    WorkerInfo {
+        id: id.clone(),
+        service: String::new(),
+        address: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
+        zone: String::new(),
+        rack: String::new(),
+        labels: Vec::new(),
+        capacity: crate::spec::Need::default(),
+        born: None,
+        leaves: None,
+    }
+}
--- /dev/null
+++ b/crates/batch/src/room.rs
@@ -0,0 +1,66 @@
+//! Room on workers while places are looked for.
+
+use crate::Planner;
+use crate::job::Stage;
+use crate::spec::Need;
+use crate::spec::StepSpec;
+use crate::spec::WorkerId;
+use model::Time;
+
+/// A worker with room, as one search for places sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct Slot {
+    pub worker: WorkerId,
+    pub service: String,
+    pub rack: String,
+    pub labels: Vec<String>,
+    pub room: Need,
+    /// Tasks of the step at hand that were put here.
+    pub taken: u32,
+}
+
+impl Slot {
+    /// Whether a task of `step` may run here, room aside.
+    pub fn suits(&self, step: &StepSpec, service: &str) -> bool {
+        self.service == service
+            && step.label.as_ref().is_none_or(|label| self.labels.contains(label))
+    }
+
+    /// Whether another task of `step` fits.
+    pub fn holds(&self, step: &StepSpec) -> bool {
+        step.spread.is_none_or(|most| self.taken < most) && step.need.fits(&self.room)
+    }
+}
+
+impl Planner {
+    /// Workers that take new runs, with what they have left beside reserved room.
+    pub(crate) fn slots(&self, now: Time) -> Vec<Slot> {
+        let mut slots: Vec<Slot> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.usable(now))
+            .map(|(id, worker)| Slot {
+                worker: id.clone(),
+                service: worker.info.service.clone(),
+                rack: worker.info.rack.clone(),
+                labels: worker.info.labels.clone(),
+                room: worker.room(),
+                taken: 0,
+            })
+            .collect();
+        for id in &self.live {
+            let Some(job) = self.jobs.get(id) else { continue };
+            for steps in &job.turns {
+                for (spec, step) in job.spec.steps.iter().zip(steps) {
+                    for task in &step.tasks {
+                        let Stage::Reserved(worker) = &task.stage else { continue };
+                        if let Ok(at) = slots.binary_search_by(|slot| slot.worker.cmp(worker)) {
+                            slots[at].room.remove(&spec.need);
+                        }
+                    }
+                }
+            }
+        }
+        slots
+    }
+}
--- /dev/null
+++ b/crates/batch/src/settle.rs
@@ -0,0 +1,346 @@
+//! What workers' answers say about runs.
+
+use std::time::Duration;
+
+use crate::Planner;
+use crate::action::Action;
+use crate::event::End;
+use crate::event::Held;
+use crate::event::Outcome;
+use crate::event::Refusal;
+use crate::event::StartResult;
+use crate::job::JobState;
+use crate::job::Stage;
+use crate::planner::task_mut;
+use crate::spec::TaskKey;
+use crate::spec::WorkerId;
+use model::Time;
+
+/// Starts of one run without an answer, after which it is stopped instead.
+const START_TRIES: u32 = 3;
+/// Failures in a row on one worker, over all jobs, after which it gets no new runs for a while.
+const FAILURES_IN_ROW: u32 = 3;
+/// For how long a worker gets no new runs after such a row of failures, at first.
+const SHUN: Duration = Duration::from_millis(1_500);
+/// Most doublings of that time.
+const SHUN_DOUBLINGS: u32 = 3;
+
+impl Planner {
+    pub(crate) fn held(&mut self, now: Time, id: &WorkerId, held: &Held) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.holding = false;
+        if held.born < worker.born {
+            return;
+        }
+        if held.born > worker.born {
+            let known = worker.born != 0;
+            worker.reborn(held.born);
+            if known {
+                self.forget_runs(now, id, held.born);
+            }
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if !worker.answers || worker.clock.is_none() {
+            self.replan = true;
+        }
+        worker.answers = true;
+        worker.silent = 0;
+        worker.clear = Time::ZERO;
+        worker.clock = Some((now, held.clock));
+        worker.acked = worker.acked.max(worker.stored);
+        let ended: Vec<&End> = held.ended.iter().filter(|end| end.number > worker.heard).collect();
+        worker.heard = ended.iter().map(|end| end.number).fold(worker.heard, u64::max);
+        for end in ended {
+            self.ended(now, id, end);
+        }
+        let mut strays = 0;
+        for report in &held.running {
+            if self.progress(now, id, held, report) {
+                continue;
+            }
+            strays += 1;
+            let (task, run) = (report.task.clone(), report.run);
+            self.out.push(Action::Stop { worker: id.clone(), task, run });
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            if worker.strays > 0 && strays == 0 {
+                self.replan = true;
+            }
+            worker.strays = strays;
+        }
+        self.drop_missing(now, id, held);
+        self.start_unsent(now, id);
+    }
+
+    /// Sends starts that had to wait until the worker's clock was known.
+    fn start_unsent(&mut self, now: Time, id: &WorkerId) {
+        let Some(keys) = self.runs.get(id) else { return };
+        let unsent = |key: &&TaskKey| {
+            let stage = self.task(key).map(|task| &task.stage);
+            matches!(stage, Some(Stage::Placed(run))
+                if run.stored && run.sent.is_none() && run.stopping.is_none())
+        };
+        let unsent: Vec<TaskKey> = keys.iter().filter(unsent).cloned().collect();
+        for key in unsent {
+            let number = self.task(&key).map_or(0, |task| task.run);
+            self.start(now, &key, number);
+        }
+    }
+
+    /// Takes in a listed run; false if it is none of the current ones.
+    fn progress(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        held: &Held,
+        report: &crate::event::RunReport,
+    ) -> bool {
+        let Some(job) = self.jobs.get_mut(&report.task.job) else { return false };
+        let Some(task) = task_mut(job, &report.task) else { return false };
+        if task.run != report.run {
+            return false;
+        }
+        let Stage::Placed(run) = &mut task.stage else { return false };
+        if run.worker != *id || run.born != held.born {
+            return false;
+        }
+        run.taken.get_or_insert(now);
+        if report.percent > run.percent {
+            run.percent = report.percent;
+            run.grew = now;
+        }
+        if !report.saved.is_empty() {
+            task.saved.clone_from(&report.saved);
+        }
+        true
+    }
+
+    /// Gives up runs that the worker certainly does not have.
+    fn drop_missing(&mut self, now: Time, id: &WorkerId, held: &Held) {
+        let Some(keys) = self.runs.get(id) else { return };
+        let mut missing = Vec::new();
+        for key in keys {
+            let Some(task) = self.task(key) else { continue };
+            let Stage::Placed(run) = &task.stage else { continue };
+            if held.running.iter().any(|report| report.task == *key && report.run == task.run) {
+                continue;
+            }
+            let settled = match (run.taken, run.stop_done) {
+                (Some(taken), Some(done)) => Some(taken.min(done)),
+                (taken, done) => taken.or(done),
+            };
+            let settled = settled.is_some_and(|at| at < held.sent);
+            let late = run.sent.is_some_and(|at| at < held.sent) && run.deadline < held.clock;
+            if settled || late {
+                missing.push(key.clone());
+            }
+        }
+        for key in missing {
+            self.vanish(now, &key);
+        }
+    }
+
+    fn ended(&mut self, now: Time, id: &WorkerId, end: &End) {
+        let key = &end.task;
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let attempts = self.policy.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.attempts);
+        let Some(spec) = job.spec.steps.get(key.step as usize) else { return };
+        let (gang, lasting) = (spec.gang, spec.lasting);
+        let Some(task) = task_mut(job, key) else { return };
+        let current =
+            task.run == end.run && matches!(&task.stage, Stage::Placed(run) if run.worker == *id);
+        if task.done && !current {
+            return;
+        }
+        if end.outcome == Outcome::Done && !lasting {
+            self.done(now, key, gang, current);
+        } else if current {
+            if !end.saved.is_empty() {
+                task.saved.clone_from(&end.saved);
+            }
+            if end.outcome == Outcome::Failed {
+                task.failed_on = Some(id.clone());
+                task.failures += 1;
+                let mut failures = task.failures;
+                if gang {
+                    let tasks = &job.turns[key.turn as usize][key.step as usize].tasks;
+                    failures = tasks.iter().map(|task| task.failures).sum();
+                }
+                self.blame(now, id);
+                if failures >= attempts && !lasting {
+                    self.vanish(now, key);
+                    self.end_job(now, &key.job, JobState::Failed);
+                    return;
+                }
+            }
+            self.vanish(now, key);
+        }
+    }
+
+    /// Marks a task as done, with its whole gang.
+    fn done(&mut self, now: Time, key: &TaskKey, gang: bool, current: bool) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(step) =
+            job.turns.get_mut(key.turn as usize).and_then(|turn| turn.get_mut(key.step as usize))
+        else {
+            return;
+        };
+        let mut freed = Vec::new();
+        for (index, task) in step.tasks.iter_mut().enumerate() {
+            if !(gang || index == key.index as usize) || task.done {
+                if index == key.index as usize && current {
+                    freed.push(TaskKey { index: index as u32, ..key.clone() });
+                }
+                continue;
+            }
+            task.done = true;
+            match &mut task.stage {
+                Stage::Placed(_) if current => {
+                    freed.push(TaskKey { index: index as u32, ..key.clone() });
+                }
+                // A former run was done after all; the present one is not needed.
+                Stage::Placed(run) => {
+                    run.stopping.get_or_insert(now);
+                }
+                Stage::Reserved(_) => task.stage = Stage::Idle,
+                Stage::Idle => {}
+            }
+        }
+        self.dirty.insert(key.job.clone());
+        self.replan = true;
+        for key in freed {
+            if let Some(Stage::Placed(run)) = self.task(&key).map(|task| &task.stage)
+                && let Some(worker) = self.workers.get_mut(&run.worker.clone())
+            {
+                worker.failures = 0;
+            }
+            self.free(&key);
+        }
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let all = job.turns.len() as u32 == job.spec.turns() && job.tasks().all(|task| task.done);
+        if all && !job.state.ended() {
+            self.end_job(now, &key.job, JobState::Completed);
+        }
+    }
+
+    /// The task of `key` has no run any more; it waits for the next unless its job has ended.
+    pub(crate) fn vanish(&mut self, now: Time, key: &TaskKey) {
+        self.free(key);
+        self.dirty.insert(key.job.clone());
+        self.replan = true;
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        if job.spec.steps[key.step as usize].gang {
+            self.stop_run(now, key);
+        }
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        if job.state.ended() && !job.placed() {
+            self.live.remove(&key.job);
+        }
+    }
+
+    /// Gives the room of a run back.
+    fn free(&mut self, key: &TaskKey) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let need = job.spec.steps[key.step as usize].need;
+        let Some(task) = task_mut(job, key) else { return };
+        let Stage::Placed(run) = std::mem::replace(&mut task.stage, Stage::Idle) else { return };
+        if let Some(worker) = self.workers.get_mut(&run.worker) {
+            worker.used.remove(&need);
+        }
+        if let Some(keys) = self.runs.get_mut(&run.worker) {
+            keys.remove(key);
+        }
+    }
+
+    /// A run failed on a worker: after several in a row it gets no new ones for a while.
+    fn blame(&mut self, now: Time, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.failures += 1;
+        if worker.failures >= FAILURES_IN_ROW {
+            let doublings = (worker.failures - FAILURES_IN_ROW).min(SHUN_DOUBLINGS);
+            worker.shunned = now + SHUN * 2u32.pow(doublings);
+            self.replan_at = self.replan_at.min(worker.shunned);
+        }
+    }
+
+    /// Another incarnation answers under the worker's id or address.
+    pub(crate) fn replaced(&mut self, now: Time, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.holding = false;
+        worker.listed = false;
+        worker.clock = None;
+        worker.answers = false;
+        self.forget_runs(now, id, u64::MAX);
+    }
+
+    /// Gives up the runs of incarnations of a worker before `born`.
+    fn forget_runs(&mut self, now: Time, id: &WorkerId, born: u64) {
+        let Some(keys) = self.runs.get(id) else { return };
+        let old = |key: &&TaskKey| {
+            let stage = self.task(key).map(|task| &task.stage);
+            matches!(stage, Some(Stage::Placed(run)) if run.born < born)
+        };
+        let gone: Vec<TaskKey> = keys.iter().filter(old).cloned().collect();
+        for key in gone {
+            self.vanish(now, &key);
+        }
+    }
+
+    pub(crate) fn started(&mut self, now: Time, key: &TaskKey, number: u32, result: StartResult) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(task) = task_mut(job, key) else { return };
+        if task.run != number {
+            return;
+        }
+        let Stage::Placed(run) = &mut task.stage else { return };
+        match result {
+            StartResult::Taken => {
+                run.taken.get_or_insert(now);
+            }
+            StartResult::Unknown => {
+                run.unsure += 1;
+                if run.taken.is_some() || run.stopping.is_some() {
+                    return;
+                }
+                if run.unsure < START_TRIES {
+                    self.start(now, key, number);
+                } else {
+                    let worker = run.worker.clone();
+                    self.stop_run(now, key);
+                    self.blame(now, &worker);
+                }
+            }
+            StartResult::Refused(Refusal::Fence) => self.out.push(Action::Resign),
+            StartResult::Refused(reason) => {
+                let (worker, unsure) = (run.worker.clone(), run.unsure);
+                if run.taken.is_some() {
+                    return;
+                }
+                if let Some(worker) = self.workers.get_mut(&worker) {
+                    match reason {
+                        Refusal::Late => worker.clock = None,
+                        Refusal::Reborn => worker.listed = false,
+                        _ => worker.shunned = now + SHUN,
+                    }
+                    self.replan_at = self.replan_at.min(now + SHUN);
+                }
+                if unsure == 0 || reason == Refusal::Old {
+                    self.vanish(now, key);
+                } else {
+                    self.stop_run(now, key);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn stop_answered(&mut self, now: Time, key: &TaskKey, number: u32, answered: bool) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(task) = task_mut(job, key) else { return };
+        if task.run != number || !answered {
+            return;
+        }
+        if let Stage::Placed(run) = &mut task.stage {
+            run.stop_done.get_or_insert(now);
+        }
+    }
+}
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -17,6 +17,17 @@
                 .about("Says what is wrong with the settings, and ends")
                 .arg(settings()),
         )
+        .subcommand(
+            Command::new("host")
+                .about("Runs an entry VM whose lasting state lives in the platform's store")
+                .arg(settings())
+                .arg(
+                    Arg::new("check")
+                        .long("check")
+                        .action(ArgAction::SetTrue)
+                        .help("Say what is wrong with the settings, and end"),
+                ),
+        )
         .arg(
             Arg::new("quiet")
                 .long("quiet")
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -42,6 +42,9 @@
     /// The other entry VMs hold this process for gone.
     #[error("the other entry VMs hold this process for gone; start it again")]
     Fenced,
+    /// An entry VM on the platform's store cannot start.
+    #[error(transparent)]
+    Host(node::Error),
     /// A metric cannot be registered, which is a defect.
     #[error("metric cannot be registered: {0}")]
     Metrics(#[from] prometheus::Error),
--- a/crates/entry/src/logs.rs
+++ b/crates/entry/src/logs.rs
@@ -8,6 +8,21 @@
 use text::LogFormat;
 use text::LogLevel;
 
+/// Sends log records to standard output; a second call changes nothing.
+///
+/// RUST_LOG goes before `level`.
+pub fn start_stdout(level: LogLevel, format: LogFormat) {
+    let filter = RustLogFilterBuilder::from_default_env_or(level.to_string()).build();
+    let stdout = append::Stdout::default();
+    let stdout = match format {
+        LogFormat::Text => stdout.with_layout(TextLayout::default().no_color()),
+        LogFormat::Json => stdout.with_layout(JsonLayout::default()),
+    };
+    let starter = logforth::starter_log::builder();
+    // An error means that this process has set up its logs before.
+    let _ = starter.dispatch(|dispatch| dispatch.filter(filter).append(stdout)).try_apply();
+}
+
 /// Sends log records to standard error; a second call changes nothing.
 ///
 /// RUST_LOG goes before `level`.
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -11,6 +11,10 @@
     Serve,
     /// Check the settings.
     Check,
+    /// Run an entry VM whose lasting state lives in the platform's store.
+    Host,
+    /// Check the settings of such an entry VM.
+    CheckHost,
 }
 
 /// Options of `basilrackd`.
@@ -29,6 +33,8 @@
     pub fn from_matches(matches: &ArgMatches) -> Options {
         let (task, named) = match matches.subcommand() {
             Some(("check", matches)) => (Task::Check, matches),
+            Some(("host", matches)) if matches.get_flag("check") => (Task::CheckHost, matches),
+            Some(("host", matches)) => (Task::Host, matches),
             _ => (Task::Serve, matches),
         };
         let settings = named.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -21,13 +21,17 @@
 ///
 /// The settings are not valid or the entry VM cannot start; see [`Error`].
 pub fn run(options: &Options) -> Result<(), Error> {
+    match options.task {
+        Task::Host | Task::CheckHost => return run_host(options),
+        Task::Serve | Task::Check => {}
+    }
     let settings = read_settings(&options.settings)?;
     match options.task {
         Task::Check => {
             println!("{}: settings are valid", options.settings.display());
             Ok(())
         }
-        Task::Serve => {
+        _ => {
             logs::start(settings.log_level, settings.log_format);
             let runtime = tokio::runtime::Builder::new_multi_thread()
                 .enable_all()
@@ -38,14 +42,30 @@
     }
 }
 
+fn run_host(options: &Options) -> Result<(), Error> {
+    let path = &options.settings;
+    let source = read_file(path)?;
+    let settings =
+        text::parse_host_settings(&path.display().to_string(), &source).map_err(Error::Settings)?;
+    if options.task == Task::CheckHost {
+        println!("{}: settings are valid", path.display());
+        return Ok(());
+    }
+    logs::start_stdout(settings.log_level, settings.log_format);
+    node::run(settings).map_err(Error::Host)
+}
+
+fn read_file(path: &Path) -> Result<String, Error> {
+    fs::read_to_string(path).map_err(|source| Error::ReadSettings { path: path.to_owned(), source })
+}
+
 /// Reads and checks a settings file.
 ///
 /// # Errors
 ///
 /// The file cannot be read or has faults, all of which are named.
 pub fn read_settings(path: &Path) -> Result<Settings, Error> {
-    let source = fs::read_to_string(path)
-        .map_err(|source| Error::ReadSettings { path: path.to_owned(), source })?;
+    let source = read_file(path)?;
     text::parse_settings(&path.display().to_string(), &source).map_err(Error::Settings)
 }
 
--- /dev/null
+++ b/crates/node/src/commit.rs
@@ -0,0 +1,136 @@
+//! Stores the records of an owner, one commit after the other.
+//!
+//! Each transaction depends on the sequence key as the last one left it, and writes it anew. So a
+//! commit that is carried out late cannot pass a newer one, one in doubt can be sent again, and
+//! none passes once another VM has claimed the ownership.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::warn;
+use tokio::time::sleep;
+
+use crate::state::RECORD_PREFIX;
+use crate::state::SEQUENCE_KEY;
+use crate::state::State;
+use batch::JobId;
+use batch::Record;
+use platform::store::Committed;
+use platform::store::MAX_ENTRIES;
+use platform::store::StoreError;
+use platform::store::Txn;
+
+/// Limit on one transaction.
+const COMMIT_LIMIT: Duration = Duration::from_millis(900);
+/// Pause after a refused transaction, at first.
+const REFUSED_PAUSE: Duration = Duration::from_millis(60);
+/// Longest pause after a refused transaction.
+const REFUSED_PAUSE_MAX: Duration = Duration::from_millis(500);
+/// Records in one transaction: beside them it holds the sequence key's condition and its write.
+const RECORDS: usize = MAX_ENTRIES - 2;
+
+/// The ownership was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Deposed;
+
+/// Writes of one owner.
+#[derive(Clone, Debug)]
+pub struct Writer {
+    /// The shared state.
+    pub state: Rc<State>,
+    /// Fencing token of the owner.
+    pub token: u64,
+    /// Store revision of the sequence key.
+    pub sequence: u64,
+    /// Number of the last transaction.
+    pub number: u64,
+}
+
+/// What the sequence key holds.
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
+pub struct Sequence {
+    /// Fencing token of the owner.
+    pub token: u64,
+    /// Number of the transaction.
+    pub number: u64,
+    /// Jobs of each queue that were accepted and have not begun.
+    pub waiting: std::collections::BTreeMap<String, u64>,
+}
+
+impl Writer {
+    /// Stores records and the lengths of the queues.
+    ///
+    /// # Errors
+    ///
+    /// Another VM owns the jobs now.
+    pub async fn store(
+        &mut self,
+        records: &[(JobId, Record)],
+        waiting: &std::collections::BTreeMap<String, u64>,
+    ) -> Result<(), Deposed> {
+        let encoded: Vec<(String, Vec<u8>)> = records
+            .iter()
+            .map(|(id, record)| (format!("{RECORD_PREFIX}{id}"), encode(record)))
+            .collect();
+        let mut chunks = encoded.chunks(RECORDS);
+        // Without records the queues' lengths are still written.
+        let mut chunk = chunks.next().unwrap_or_default();
+        loop {
+            self.number += 1;
+            let sequence =
+                Sequence { token: self.token, number: self.number, waiting: waiting.clone() };
+            self.transact(chunk, &encode(&sequence)).await?;
+            match chunks.next() {
+                Some(next) => chunk = next,
+                None => return Ok(()),
+            }
+        }
+    }
+
+    async fn transact(
+        &mut self,
+        records: &[(String, Vec<u8>)],
+        sequence: &[u8],
+    ) -> Result<(), Deposed> {
+        let mut writes: Vec<(&str, &[u8], Option<u64>)> =
+            records.iter().map(|(key, value)| (key.as_str(), value.as_slice(), None)).collect();
+        writes.push((SEQUENCE_KEY, sequence, None));
+        let txn =
+            Txn { conditions: vec![(SEQUENCE_KEY, self.sequence)], writes, deletes: Vec::new() };
+        let mut pause = REFUSED_PAUSE;
+        loop {
+            match self.state.store.commit(&txn, COMMIT_LIMIT).await {
+                Ok(Committed::Done(revision)) => {
+                    self.sequence = revision;
+                    return Ok(());
+                }
+                Ok(Committed::Conflict(items)) => {
+                    // An earlier try of this very transaction may have taken effect unseen.
+                    let own = items.iter().find(|item| item.key == SEQUENCE_KEY);
+                    return match own {
+                        Some(item) if item.value == sequence => {
+                            self.sequence = item.revision;
+                            Ok(())
+                        }
+                        _ => Err(Deposed),
+                    };
+                }
+                Ok(Committed::NoLease) => return Err(Deposed),
+                Err(StoreError::Refused(error)) => {
+                    warn!(error = error.as_str(), number = self.number; "commit: refused, again");
+                    sleep(pause).await;
+                    pause = (pause * 2).min(REFUSED_PAUSE_MAX);
+                }
+                Err(error) => {
+                    warn!(error = error.to_string().as_str(), number = self.number;
+                        "commit: in doubt, again");
+                }
+            }
+        }
+    }
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    // Records have text keys only, the one thing that JSON could refuse.
+    serde_json::to_vec(value).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/node/src/confirm.rs
@@ -0,0 +1,155 @@
+//! Follows the configuration and the ownership.
+//!
+//! One watch covers both. Each of its answers confirms that the configuration known here is the
+//! newest; a request that depends on that asks for a confirmation that is recent enough.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use tokio::time::sleep;
+
+use crate::state::Confirmed;
+use crate::state::HEAD_PREFIX;
+use crate::state::OWNER_KEY;
+use crate::state::State;
+use platform::configuration;
+use platform::store::Change;
+use platform::store::Item;
+use platform::store::StoreError;
+
+/// Part of the time in which a change has to be in force that a confirmation may not use up,
+/// for calls on their way.
+const CONFIRM_MARGIN: Duration = Duration::from_millis(400);
+/// Part of a confirmation's life for the answer of a watch to arrive.
+const WATCH_MARGIN: Duration = Duration::from_millis(600);
+/// Limit on one read.
+const READ_LIMIT: Duration = Duration::from_millis(700);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// How old a confirmation may be on which a refusal rests.
+pub fn lifetime(state: &State) -> Duration {
+    state.settings.apply.saturating_sub(CONFIRM_MARGIN)
+}
+
+/// Puts a stored configuration in force unless it is older than the one known.
+pub fn adopt(state: &State, item: &Item) {
+    let known = state.policy();
+    if known.as_ref().is_some_and(|known| known.revision >= item.revision) {
+        return;
+    }
+    match configuration::decode(&item.value) {
+        Ok(policy) => {
+            if known.is_some_and(|known| known.policy.version > policy.version) {
+                warn!(version = policy.version, revision = item.revision;
+                    "configuration: an older version was stored; the newer one stays in force");
+                return;
+            }
+            info!(version = policy.version, revision = item.revision; "configuration: in force");
+            let confirmed = Confirmed { policy: Arc::new(policy), revision: item.revision };
+            *state.configuration.borrow_mut() = Some(confirmed);
+            state.changed.send_replace(item.revision);
+        }
+        Err(error) => {
+            warn!(revision = item.revision, error = error.as_str();
+                "configuration: unreadable; the last good one stays in force");
+        }
+    }
+}
+
+/// Asks the store for the newest configuration unless it was confirmed lately.
+pub async fn confirm(state: &State) -> bool {
+    if state.age() < lifetime(state) && state.policy().is_some() {
+        return true;
+    }
+    let sent = state.clock.now();
+    match state.store.get(configuration::KEY, READ_LIMIT).await {
+        Ok(Some(item)) => {
+            adopt(state, &item);
+            state.confirmed.set(state.confirmed.get().max(sent));
+            true
+        }
+        Ok(None) => false,
+        Err(error) => {
+            warn!(error = error.to_string().as_str(), age_ms = millis(state.age());
+                "configuration: cannot be confirmed");
+            false
+        }
+    }
+}
+
+/// Follows the configuration and the ownership for as long as the process runs.
+pub async fn follow(state: Rc<State>) {
+    let mut reachable = true;
+    let mut after = None;
+    loop {
+        let result = match after {
+            None => read_all(&state).await,
+            Some(after) => watch(&state, after).await,
+        };
+        match result {
+            Ok(revision) => {
+                if !reachable {
+                    info!(revision = revision; "store: regained");
+                }
+                reachable = true;
+                after = Some(revision);
+            }
+            Err(StoreError::Compacted) => {
+                info!(revision = after.unwrap_or(0); "store: history is gone, read anew");
+                after = None;
+            }
+            Err(error) => {
+                if reachable {
+                    warn!(error = error.to_string().as_str(); "store: lost");
+                }
+                reachable = false;
+                after = None;
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn read_all(state: &State) -> Result<u64, StoreError> {
+    let sent = state.clock.now();
+    let (items, revision) = state.store.range(HEAD_PREFIX, READ_LIMIT).await?;
+    let mut owned = false;
+    for item in &items {
+        match item.key.as_str() {
+            configuration::KEY => adopt(state, item),
+            OWNER_KEY => owned = true,
+            _ => {}
+        }
+    }
+    state.confirmed.set(sent);
+    state.vacant.send_if_modified(|vacant| std::mem::replace(vacant, !owned) == owned);
+    Ok(revision)
+}
+
+async fn watch(state: &State, after: u64) -> Result<u64, StoreError> {
+    let wait = lifetime(state).saturating_sub(WATCH_MARGIN);
+    let (changes, revision) =
+        state.store.watch(HEAD_PREFIX, after, wait, wait + WATCH_MARGIN / 2).await?;
+    for change in changes {
+        match change {
+            Change::Written(item) if item.key == configuration::KEY => adopt(state, &item),
+            Change::Written(item) if item.key == OWNER_KEY => {
+                state.vacant.send_replace(false);
+            }
+            Change::Removed(key) if key == OWNER_KEY => {
+                state.vacant.send_replace(true);
+            }
+            _ => {}
+        }
+    }
+    state.confirmed.set(state.clock.now());
+    Ok(revision)
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/orders.rs
@@ -0,0 +1,113 @@
+//! Carries out a planner's orders to workers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use log::info;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::spawn_local;
+
+use crate::clock::Clock;
+use batch::Action;
+use batch::Event;
+use batch::Held;
+use batch::WorkerId;
+use platform::worker::Renewal;
+use platform::worker::Start;
+use platform::worker::WorkerError;
+use platform::worker::Workers;
+
+/// Limit on a start or a stop, twice the longest way between regions and the worker's own time.
+const ORDER_LIMIT: Duration = Duration::from_millis(600);
+/// Limit on a renewal, beside the wait that it asks for.
+const HOLD_LIMIT: Duration = Duration::from_millis(700);
+
+/// Carries out orders and reports what became of them.
+#[derive(Clone, Debug)]
+pub struct Orders {
+    /// Calls under the owner's token.
+    pub workers: Workers,
+    /// Time source.
+    pub clock: Clock,
+    /// Where answers go.
+    pub events: UnboundedSender<Event>,
+}
+
+impl Orders {
+    /// Carries out one order, if it is one to a worker whose address is known.
+    pub fn send(&self, addresses: &BTreeMap<WorkerId, SocketAddr>, action: Action) {
+        let orders = self.clone();
+        match action {
+            Action::Start { worker, task, run, spec, deadline, saved } => {
+                let Some(&address) = addresses.get(&worker) else { return };
+                spawn_local(async move {
+                    let (payload, saved) = (spec.payload.as_str(), saved.as_str());
+                    let start = Start { task: &task, run, payload, deadline, saved };
+                    let result = orders.workers.start(&worker, address, &start, ORDER_LIMIT).await;
+                    info!(task = task.to_string().as_str(), run = run, worker = &*worker.0,
+                        result = format!("{result:?}").as_str(); "start");
+                    orders.report(Event::Started(task, run, result));
+                });
+            }
+            Action::Stop { worker, task, run } => {
+                let Some(&address) = addresses.get(&worker) else { return };
+                spawn_local(async move {
+                    let result =
+                        orders.workers.stop(&worker, address, &task, run, ORDER_LIMIT).await;
+                    info!(task = task.to_string().as_str(), run = run, worker = &*worker.0,
+                        result = format!("{result:?}").as_str(); "stop");
+                    if result == Err(WorkerError::Fenced) {
+                        orders.report(Event::Fenced(worker));
+                    } else {
+                        orders.report(Event::Stopped(task, run, result.is_ok()));
+                    }
+                });
+            }
+            Action::Hold { worker, deadline, seen, wait } => {
+                let Some(&address) = addresses.get(&worker) else {
+                    orders.report(Event::Unheld(worker));
+                    return;
+                };
+                spawn_local(async move {
+                    let event = orders.hold(worker, address, Renewal { deadline, seen, wait });
+                    let event = event.await;
+                    orders.report(event);
+                });
+            }
+            Action::Commit(_) | Action::Resign => {}
+        }
+    }
+
+    async fn hold(&self, worker: WorkerId, address: SocketAddr, renewal: Renewal) -> Event {
+        let sent = self.clock.now();
+        let limit = HOLD_LIMIT + Duration::from_millis(renewal.wait);
+        match self.workers.hold(&worker, address, renewal, limit).await {
+            Ok(lists) => {
+                for end in &lists.ended {
+                    info!(task = end.task.to_string().as_str(), run = end.run, worker = &*worker.0,
+                        number = end.number, outcome = end.outcome.to_string().as_str(); "end");
+                }
+                let held = Held {
+                    sent,
+                    clock: lists.clock,
+                    born: lists.born,
+                    running: lists.running,
+                    ended: lists.ended,
+                };
+                Event::Held(worker, held)
+            }
+            Err(WorkerError::Fenced) => Event::Fenced(worker),
+            Err(WorkerError::Replaced) => Event::Replaced(worker),
+            Err(WorkerError::Failed(error)) => {
+                info!(worker = &*worker.0, error = error.as_str(); "renewal failed");
+                Event::Unheld(worker)
+            }
+        }
+    }
+
+    fn report(&self, event: Event) {
+        // Nobody listens any more once the ownership is lost.
+        let _ = self.events.send(event);
+    }
+}
--- /dev/null
+++ b/crates/node/src/web.rs
@@ -0,0 +1,449 @@
+//! The border towards callers and the balancer.
+//!
+//! hyper serves it on the one thread of the process: a second web server with threads of its own
+//! would double the memory and the wake-ups of a VM that has a quarter of a core.
+
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::http::HeaderValue;
+use hyper::http::header::CONNECTION;
+use hyper::http::header::CONTENT_TYPE;
+use hyper::http::header::HOST;
+use hyper::http::header::RETRY_AFTER;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use log::info;
+use log::warn;
+use serde::Deserialize;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::commit::Sequence;
+use crate::confirm::adopt;
+use crate::confirm::confirm;
+use crate::confirm::lifetime;
+use crate::state::Confirmed;
+use crate::state::JOB_PREFIX;
+use crate::state::RECORD_PREFIX;
+use crate::state::SEQUENCE_KEY;
+use crate::state::State;
+use batch::JobState;
+use batch::Submission;
+use model::Time;
+use platform::callers;
+use platform::configuration;
+use platform::store::Committed;
+use platform::store::Item;
+use platform::store::StoreError;
+use platform::store::Txn;
+
+/// Time for the head of a request.
+const HEAD_TIME: Duration = Duration::from_secs(3);
+/// Time that a caller waits where it does not say.
+const CALLER_TIME: Duration = Duration::from_millis(3_000);
+/// Part of a caller's time kept for the way back.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// Limit on one store call.
+const STORE_LIMIT: Duration = Duration::from_millis(900);
+/// Pause before a refused store call is sent again.
+const STORE_PAUSE: Duration = Duration::from_millis(80);
+/// Longest time for which refused store calls are repeated before the caller is sent elsewhere.
+const REFUSED_TIME: Duration = Duration::from_millis(300);
+/// When a refused caller shall come again, in seconds.
+const RETRY_SECONDS: u64 = 1;
+
+/// The part of a stored record that is shown.
+#[derive(Deserialize)]
+struct Shown {
+    state: JobState,
+}
+
+/// An answer before it is encoded.
+#[derive(Debug)]
+struct Answer {
+    status: StatusCode,
+    body: Vec<u8>,
+    /// Why, for the log.
+    reason: &'static str,
+}
+
+impl Answer {
+    fn new(status: StatusCode, reason: &'static str) -> Answer {
+        Answer { status, body: Vec::new(), reason }
+    }
+}
+
+/// Serves connections of `listener` for as long as the process runs.
+pub async fn serve(state: Rc<State>, listener: TcpListener, role: Role) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            warn!(error = error.to_string().as_str(); "web: cannot listen");
+            return;
+        }
+    };
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                // Descriptors may have run out; connections that end give some back.
+                warn!(error = error.to_string().as_str(); "web: cannot accept");
+                sleep(STORE_PAUSE).await;
+                continue;
+            }
+        };
+        let state = Rc::clone(&state);
+        spawn_local(async move {
+            // Small answers go out at once; a socket without this option only waits longer.
+            let _ = stream.set_nodelay(true);
+            let service = service_fn(|request| answer(Rc::clone(&state), request, role));
+            let mut server = http1::Builder::new();
+            server.timer(TokioTimer::new()).header_read_timeout(HEAD_TIME);
+            // A broken connection concerns its caller alone.
+            let _ = server.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+/// What a listener serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Callers' requests.
+    Callers,
+    /// The balancer's health checks.
+    Readiness,
+}
+
+async fn answer(
+    state: Rc<State>,
+    request: Request<Incoming>,
+    role: Role,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    if role == Role::Readiness {
+        let ready = state.policy().is_some() && !state.draining.get();
+        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        return Ok(respond(&state, Answer::new(status, "readiness")));
+    }
+    state.open.set(state.open.get() + 1);
+    let started = state.clock.now();
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    let result = call(&state, request, started).await;
+    let took = state.clock.now().since(started).as_millis() as u64;
+    let version = state.policy().map_or(0, |confirmed| confirmed.policy.version);
+    info!(method = method.as_str(), path = path.as_str(), status = result.status.as_u16(),
+        reason = result.reason, took_ms = took, configuration = version,
+        age_ms = state.age().as_millis() as u64; "answer");
+    state.open.set(state.open.get() - 1);
+    Ok(respond(&state, result))
+}
+
+fn respond(state: &State, answer: Answer) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(answer.body)));
+    *response.status_mut() = answer.status;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if matches!(answer.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
+        headers.insert(RETRY_AFTER, HeaderValue::from(RETRY_SECONDS));
+    }
+    if state.draining.get() {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// A request that the configuration allows.
+struct Admitted {
+    confirmed: Confirmed,
+    queue: String,
+    account: Option<String>,
+    /// What follows the queue's prefix.
+    rest: String,
+}
+
+/// The parts of a request on which its admission rests.
+struct Head {
+    host: String,
+    path: String,
+    key: Option<String>,
+}
+
+fn admit(confirmed: Confirmed, head: &Head) -> Result<Admitted, Answer> {
+    let policy = &confirmed.policy;
+    let Some((name, queue)) = policy.route(&head.host, &head.path) else {
+        return Err(Answer::new(StatusCode::NOT_FOUND, "no such queue"));
+    };
+    let holder = head.key.as_deref().and_then(|key| policy.holder(key));
+    if holder.is_none() && !queue.public {
+        return Err(Answer::new(StatusCode::UNAUTHORIZED, "unknown key"));
+    }
+    let rest = head.path[queue.prefix.len()..].to_owned();
+    let (queue, account) = (name.to_owned(), holder.map(str::to_owned));
+    Ok(Admitted { confirmed, queue, account, rest })
+}
+
+/// Admits a request by a configuration that was confirmed lately.
+async fn admitted(state: &State, head: &Head) -> Result<Admitted, Answer> {
+    let stale = || Answer::new(StatusCode::SERVICE_UNAVAILABLE, "configuration not confirmed");
+    if !confirm(state).await {
+        return Err(stale());
+    }
+    admit(state.policy().ok_or_else(stale)?, head)
+}
+
+async fn call(state: &Rc<State>, request: Request<Incoming>, started: Time) -> Answer {
+    let header = |name: &str| {
+        request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+    };
+    let host = header(HOST.as_str()).unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
+    let head =
+        Head { host, path: request.uri().path().to_owned(), key: header(platform::KEY_HEADER) };
+    let time = header(platform::DEADLINE_HEADER).and_then(|text| text.parse().ok());
+    let time = time.map_or(CALLER_TIME, Duration::from_millis);
+    let deadline = started + time.saturating_sub(ANSWER_MARGIN);
+    let method = request.method().clone();
+    let admitted = match admitted(state, &head).await {
+        Ok(admitted) => admitted,
+        Err(answer) => return answer,
+    };
+    match method {
+        Method::GET if admitted.rest.is_empty() => length(state, &admitted).await,
+        _ if !callers::is_job_id(&admitted.rest) => {
+            Answer::new(StatusCode::NOT_FOUND, "not the id of a job")
+        }
+        Method::GET => show(state, &admitted).await,
+        Method::DELETE => cancel(state, &admitted, deadline).await,
+        Method::POST => {
+            let limit = admitted.confirmed.policy.body_bytes;
+            let body = match Limited::new(request.into_body(), limit).collect().await {
+                Ok(body) => body.to_bytes(),
+                Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                    return Answer::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too long");
+                }
+                Err(_) => return Answer::new(StatusCode::BAD_REQUEST, "body broke off"),
+            };
+            submit(state, admitted, &head, &body, deadline).await
+        }
+        _ => Answer::new(StatusCode::METHOD_NOT_ALLOWED, "no such method"),
+    }
+}
+
+/// What became of a write.
+enum Written {
+    Done,
+    /// The items of the conditions.
+    Conflict(Vec<Item>),
+    /// Nothing was done.
+    Refused,
+    /// Nobody knows.
+    Unknown,
+}
+
+/// Carries out a transaction, again and again while it is refused or in doubt.
+///
+/// Sending it again settles a doubt: its conditions hold at most once.
+async fn write(state: &State, txn: &Txn<'_>, doubt: &mut bool, deadline: Time) -> Written {
+    let started = state.clock.now();
+    loop {
+        let left = deadline.since(state.clock.now());
+        if left.is_zero() {
+            return if *doubt { Written::Unknown } else { Written::Refused };
+        }
+        match state.store.commit(txn, STORE_LIMIT.min(left)).await {
+            Ok(Committed::Done(_)) => return Written::Done,
+            Ok(Committed::Conflict(items)) => return Written::Conflict(items),
+            Ok(Committed::NoLease) => return Written::Refused,
+            Err(StoreError::Refused(_)) => {
+                if !*doubt && state.clock.now().since(started) > REFUSED_TIME {
+                    return Written::Refused;
+                }
+                sleep(STORE_PAUSE).await;
+            }
+            Err(_) => *doubt = true,
+        }
+    }
+}
+
+async fn submit(
+    state: &State,
+    mut admitted: Admitted,
+    head: &Head,
+    body: &[u8],
+    deadline: Time,
+) -> Answer {
+    let spec = match callers::spec(body) {
+        Ok(spec) => spec,
+        Err(error) => {
+            info!(path = head.path.as_str(), error = error.as_str(); "job: malformed");
+            return Answer::new(StatusCode::BAD_REQUEST, "malformed job");
+        }
+    };
+    let key = format!("{JOB_PREFIX}{}", admitted.rest);
+    let mut submission = Submission {
+        queue: admitted.queue.clone(),
+        account: admitted.account.clone(),
+        taken: state.clock.stamp(),
+        cancelled: false,
+        spec: spec.into(),
+    };
+    let mut doubt = false;
+    loop {
+        let value = match serde_json::to_vec(&submission) {
+            Ok(value) => value,
+            Err(_) => return Answer::new(StatusCode::BAD_REQUEST, "job cannot be stored"),
+        };
+        // The configuration that admits the job is the newest at the moment it is stored.
+        let txn = Txn {
+            conditions: vec![(&key, 0), (configuration::KEY, admitted.confirmed.revision)],
+            writes: vec![(&key, &value, None)],
+            deletes: Vec::new(),
+        };
+        match write(state, &txn, &mut doubt, deadline).await {
+            Written::Done => return accepted(),
+            Written::Refused => {
+                return Answer::new(StatusCode::SERVICE_UNAVAILABLE, "store refuses");
+            }
+            Written::Unknown => return Answer::new(StatusCode::GATEWAY_TIMEOUT, "store in doubt"),
+            Written::Conflict(items) => {
+                if let Some(item) = items.iter().find(|item| item.key == key) {
+                    return repeated(item, &submission);
+                }
+                if let Some(item) = items.iter().find(|item| item.key == configuration::KEY) {
+                    adopt(state, item);
+                }
+                let Some(confirmed) = state.policy() else {
+                    return Answer::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration");
+                };
+                if confirmed.revision == admitted.confirmed.revision {
+                    // The entry is gone or cannot be read: nothing can be admitted by it.
+                    return Answer::new(StatusCode::SERVICE_UNAVAILABLE, "configuration moved");
+                }
+                admitted = match admit(confirmed, head) {
+                    Ok(admitted) => admitted,
+                    Err(answer) => return answer,
+                };
+                submission.queue.clone_from(&admitted.queue);
+                submission.account.clone_from(&admitted.account);
+            }
+        }
+    }
+}
+
+fn accepted() -> Answer {
+    Answer { status: StatusCode::OK, body: callers::state(JobState::Pending), reason: "stored" }
+}
+
+/// A job of this id is stored: the same one is accepted, another one is not.
+fn repeated(item: &Item, submission: &Submission) -> Answer {
+    match serde_json::from_slice::<Submission>(&item.value) {
+        Ok(stored) if stored.spec == submission.spec && stored.account == submission.account => {
+            accepted()
+        }
+        Ok(_) => Answer::new(StatusCode::CONFLICT, "another job has this id"),
+        Err(_) => Answer::new(StatusCode::INTERNAL_SERVER_ERROR, "stored job is unreadable"),
+    }
+}
+
+/// Reads an item; `Err` if the store does not say.
+async fn read(state: &State, key: &str) -> Result<Option<Item>, Answer> {
+    let started = state.clock.now();
+    loop {
+        match state.store.get(key, STORE_LIMIT).await {
+            Ok(item) => return Ok(item),
+            Err(_) if state.clock.now().since(started) < REFUSED_TIME => sleep(STORE_PAUSE).await,
+            Err(_) => return Err(Answer::new(StatusCode::SERVICE_UNAVAILABLE, "store is away")),
+        }
+    }
+}
+
+async fn show(state: &State, admitted: &Admitted) -> Answer {
+    match shown(state, admitted).await {
+        Ok(answer) | Err(answer) => answer,
+    }
+}
+
+async fn shown(state: &State, admitted: &Admitted) -> Result<Answer, Answer> {
+    let record = read(state, &format!("{RECORD_PREFIX}{}", admitted.rest)).await?;
+    let unreadable = || Answer::new(StatusCode::INTERNAL_SERVER_ERROR, "record is unreadable");
+    if let Some(item) = record {
+        let shown: Shown = serde_json::from_slice(&item.value).map_err(|_| unreadable())?;
+        let body = callers::state(shown.state);
+        return Ok(Answer { status: StatusCode::OK, body, reason: "record" });
+    }
+    match read(state, &format!("{JOB_PREFIX}{}", admitted.rest)).await? {
+        Some(_) => {
+            let body = callers::state(JobState::Pending);
+            Ok(Answer { status: StatusCode::OK, body, reason: "no record yet" })
+        }
+        None => Ok(Answer::new(StatusCode::GONE, "no such job")),
+    }
+}
+
+async fn length(state: &State, admitted: &Admitted) -> Answer {
+    let item = match read(state, SEQUENCE_KEY).await {
+        Ok(item) => item,
+        Err(answer) => return answer,
+    };
+    let sequence = item.and_then(|item| serde_json::from_slice::<Sequence>(&item.value).ok());
+    let waiting = sequence.and_then(|sequence| sequence.waiting.get(&admitted.queue).copied());
+    let body = callers::waiting(waiting.unwrap_or(0));
+    Answer { status: StatusCode::OK, body, reason: "length" }
+}
+
+async fn cancel(state: &State, admitted: &Admitted, deadline: Time) -> Answer {
+    let key = format!("{JOB_PREFIX}{}", admitted.rest);
+    let mut doubt = false;
+    let mut item = match read(state, &key).await {
+        Ok(Some(item)) => item,
+        Ok(None) => return Answer::new(StatusCode::GONE, "no such job"),
+        Err(answer) => return answer,
+    };
+    loop {
+        let Ok(mut submission) = serde_json::from_slice::<Submission>(&item.value) else {
+            return Answer::new(StatusCode::INTERNAL_SERVER_ERROR, "stored job is unreadable");
+        };
+        if submission.cancelled {
+            return Answer::new(StatusCode::OK, "cancelled");
+        }
+        submission.cancelled = true;
+        let Ok(value) = serde_json::to_vec(&submission) else {
+            return Answer::new(StatusCode::INTERNAL_SERVER_ERROR, "job cannot be stored");
+        };
+        let txn = Txn {
+            conditions: vec![(&key, item.revision)],
+            writes: vec![(&key, &value, None)],
+            deletes: Vec::new(),
+        };
+        match write(state, &txn, &mut doubt, deadline).await {
+            Written::Done => return Answer::new(StatusCode::OK, "cancelled"),
+            Written::Refused => {
+                return Answer::new(StatusCode::SERVICE_UNAVAILABLE, "store refuses");
+            }
+            Written::Unknown => return Answer::new(StatusCode::GATEWAY_TIMEOUT, "store in doubt"),
+            Written::Conflict(items) => match items.into_iter().find(|found| found.key == key) {
+                Some(found) => item = found,
+                None => return Answer::new(StatusCode::GONE, "no such job"),
+            },
+        }
+    }
+}
+
+/// Whether the configuration is fresh enough to act on.
+pub fn fresh(state: &State) -> bool {
+    state.age() < lifetime(state)
+}
--- /dev/null
+++ b/crates/text/src/host.rs
@@ -0,0 +1,148 @@
+//! Settings of an entry VM whose lasting state lives in the platform's store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jsonc_parser::ast::Value;
+
+use crate::Bytes;
+use crate::Fault;
+use crate::LogFormat;
+use crate::LogLevel;
+use crate::reader::Read;
+use crate::reader::Reader;
+use crate::settings::Name;
+use model::RegionId;
+use model::VmId;
+use model::ZoneId;
+
+/// Settings of an entry VM whose lasting state lives in the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostSettings {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its region.
+    pub region: RegionId,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks for readiness.
+    pub readiness: SocketAddr,
+    /// Where metrics are shown, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Life of the ownership's lease in the store.
+    pub ownership: Duration,
+    /// Time within which a new configuration has to be in force.
+    pub apply: Duration,
+    /// Time between the request to stop and the end of the process.
+    pub grace: Duration,
+    /// Longest body of a request, before a configuration is known.
+    pub body: Bytes,
+    /// Bounds of job decisions.
+    pub jobs: JobBounds,
+    /// Lowest level that is logged.
+    pub log_level: LogLevel,
+    /// Form of the log.
+    pub log_format: LogFormat,
+}
+
+/// Bounds of job decisions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobBounds {
+    /// Longest lease that a worker grants.
+    pub lease: Duration,
+    /// Longest time that a worker takes to stop a task.
+    pub stop: Duration,
+    /// Time that a gang's first member waits for the others.
+    pub gather: Duration,
+    /// Slow-down of a task away from its data, or of a gang over several racks.
+    pub far_factor: u32,
+    /// Time within which a guaranteed job's first step has to run.
+    pub reclaim: Duration,
+}
+
+const FIELDS: [&str; 14] = [
+    "vm",
+    "zone",
+    "region",
+    "callers",
+    "readiness",
+    "metrics",
+    "store",
+    "ownership",
+    "apply",
+    "grace",
+    "body",
+    "jobs",
+    "log_level",
+    "log_format",
+];
+
+impl Read for JobBounds {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<JobBounds> {
+        let known = ["lease", "stop", "gather", "far_factor", "reclaim"];
+        let object = reader.object(value, path, &known)?;
+        let lease = reader.required(object, path, "lease", "\"6s\"");
+        let stop = reader.required(object, path, "stop", "\"200ms\"");
+        let gather = reader.required(object, path, "gather", "\"3s\"");
+        let far_factor = reader.required(object, path, "far_factor", "3");
+        let reclaim = reader.required(object, path, "reclaim", "\"3s\"");
+        Some(JobBounds {
+            lease: lease?,
+            stop: stop?,
+            gather: gather?,
+            far_factor: far_factor?,
+            reclaim: reclaim?,
+        })
+    }
+}
+
+impl Read for HostSettings {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<HostSettings> {
+        let object = reader.object(value, path, &FIELDS)?;
+        let vm: Option<Name> = reader.required(object, path, "vm", "\"entry-1\"");
+        let zone: Option<Name> = reader.required(object, path, "zone", "\"north-a\"");
+        let region: Option<Name> = reader.required(object, path, "region", "\"north\"");
+        let callers = reader.required(object, path, "callers", "\"0.0.0.0:8080\"");
+        let readiness = reader.required(object, path, "readiness", "\"0.0.0.0:8081\"");
+        let metrics = reader.or(object, path, "metrics", None);
+        let store = reader.required(object, path, "store", "\"10.0.0.2:2379\"");
+        let ownership = reader.required(object, path, "ownership", "\"1200ms\"");
+        let apply = reader.required(object, path, "apply", "\"3s\"");
+        let grace = reader.required(object, path, "grace", "\"6s\"");
+        let body = reader.or(object, path, "body", Bytes(262_144));
+        let jobs = reader.required(object, path, "jobs", "{}");
+        let log_level = reader.or(object, path, "log_level", LogLevel::Info);
+        let log_format = reader.or(object, path, "log_format", LogFormat::Json);
+        Some(HostSettings {
+            vm: VmId::from(vm?.0.as_str()),
+            zone: ZoneId::from(zone?.0.as_str()),
+            region: RegionId::from(region?.0.as_str()),
+            callers: callers?,
+            readiness: readiness?,
+            metrics: metrics?,
+            store: store?,
+            ownership: ownership?,
+            apply: apply?,
+            grace: grace?,
+            body: body?,
+            jobs: jobs?,
+            log_level: log_level?,
+            log_format: log_format?,
+        })
+    }
+}
+
+/// Reads and checks settings that the operator knows as `file`.
+///
+/// # Errors
+///
+/// All faults found, in the order of their places.
+pub fn parse_host_settings(file: &str, source: &str) -> Result<HostSettings, Vec<Fault>> {
+    let mut reader = Reader::new(file, source);
+    let settings = reader.root::<HostSettings>();
+    reader.finish(settings).map(|(settings, _)| settings)
+}
--- a/crates/text/src/settings.rs
+++ b/crates/text/src/settings.rs
@@ -201,7 +201,7 @@
 }
 
 /// A name as it appears in the platform, such as that of a VM.
-struct Name(String);
+pub(crate) struct Name(pub String);
 
 impl Read for Name {
     fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Name> {
