Promise reserved room once, and log decisions

Change: a slot keeps what it owes. Decisions are logged by the owner as notes (placed, waits, reclaims, shuns, gives up, ends). A worker is shunned for failures of several jobs, not of one.

--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::job::JobState;
 use crate::record::Record;
 use crate::spec::JobId;
 use crate::spec::Spec;
@@ -48,6 +49,80 @@
         /// How long it may wait for an end, in ms.
         wait: u64,
     },
+    /// Log a decision.
+    Note(Note),
     /// Give up ownership: another owner has a higher fencing token.
     Resign,
 }
+
+/// A decision to be logged.
+#[derive(Clone, Debug, PartialEq, strum::AsRefStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Note {
+    /// Tasks of a step got their places.
+    Placed {
+        /// The job.
+        job: JobId,
+        /// The step.
+        step: usize,
+        /// Tasks that were placed.
+        tasks: usize,
+        /// Tasks that wait on.
+        missing: usize,
+        /// How urgent the step is.
+        rank: String,
+        /// Time since the owner has known the job, in ms.
+        age: u64,
+    },
+    /// No place was found for a step; noted when it starts to wait.
+    Waits {
+        /// The job.
+        job: JobId,
+        /// The step.
+        step: usize,
+        /// Tasks without a place.
+        missing: usize,
+        /// How urgent the step is.
+        rank: String,
+        /// Workers that take runs.
+        usable: usize,
+        /// Accelerators free on them.
+        free: u64,
+    },
+    /// Runs are stopped to make room for a more urgent step.
+    Reclaims {
+        /// The job that gets the room.
+        job: JobId,
+        /// Tasks that room is made for.
+        tasks: usize,
+        /// The runs that are stopped.
+        stopped: Vec<TaskKey>,
+    },
+    /// A worker gets no new runs for a while.
+    Shuns {
+        /// The worker.
+        worker: WorkerId,
+        /// Why.
+        why: &'static str,
+        /// For how long, in ms.
+        span: u64,
+    },
+    /// A run is given up; its task gets another unless its job has ended.
+    GivesUp {
+        /// The task.
+        task: TaskKey,
+        /// The worker.
+        worker: WorkerId,
+        /// Why.
+        why: &'static str,
+    },
+    /// A job has come to its end.
+    Ends {
+        /// The job.
+        job: JobId,
+        /// How.
+        state: JobState,
+        /// Time since the owner has known the job, in ms.
+        age: u64,
+    },
+}
--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -1,9 +1,11 @@
 //! Workers as the directory and their own answers show them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::spec::JobId;
 use crate::spec::Need;
 use crate::spec::WorkerId;
 use model::Time;
@@ -67,8 +69,10 @@
     pub strays: u32,
     /// No new runs before this.
     pub shunned: Time,
-    /// Failures in a row, over all jobs.
+    /// Failures since the last run that was done.
     pub failures: u32,
+    /// Jobs that have failed here since then.
+    pub failed: BTreeSet<JobId>,
     /// When it leaves at the earliest, if it is draining.
     pub leaves: Option<Time>,
 }
@@ -99,6 +103,7 @@
             strays: 0,
             shunned: Time::ZERO,
             failures: 0,
+            failed: BTreeSet::new(),
             leaves: None,
         }
     }
@@ -145,6 +150,7 @@
         self.telling = 0;
         self.strays = 0;
         self.failures = 0;
+        self.failed.clear();
         self.shunned = Time::ZERO;
     }
 }
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -102,6 +102,8 @@
     pub tasks: Vec<Task>,
     /// When its turn came.
     pub since: Option<Time>,
+    /// Whether it is noted that the step waits.
+    pub noted: bool,
 }
 
 impl Step {
@@ -156,6 +158,7 @@
         let step = |tasks: &Vec<TaskRecord>| Step {
             tasks: tasks.iter().map(|task| restored(task, now)).collect(),
             since: None,
+            noted: false,
         };
         self.turns = record.turns.iter().map(|turn| turn.iter().map(step).collect()).collect();
     }
@@ -171,8 +174,11 @@
             failed_on: None,
         };
         let steps = self.spec.steps.iter();
-        let step =
-            |step: &StepSpec| Step { tasks: vec![fresh.clone(); step.count as usize], since: None };
+        let step = |step: &StepSpec| Step {
+            tasks: vec![fresh.clone(); step.count as usize],
+            since: None,
+            noted: false,
+        };
         let steps = steps.map(step);
         self.turns.push(steps.collect());
     }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -21,6 +21,7 @@
 mod spec;
 
 pub use action::Action;
+pub use action::Note;
 pub use directory::WorkerInfo;
 pub use event::End;
 pub use event::Event;
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -6,6 +6,9 @@
 use std::time::Duration;
 
 use crate::Planner;
+use crate::action::Action;
+use crate::action::Note;
+use crate::directory::millis;
 use crate::job::JobState;
 use crate::job::Run;
 use crate::job::Stage;
@@ -14,6 +17,7 @@
 use crate::order::Unit;
 use crate::planner::task_mut;
 use crate::room::Slot;
+use crate::spec::Need;
 use crate::spec::Spec;
 use crate::spec::StepSpec;
 use crate::spec::TaskKey;
@@ -59,6 +63,7 @@
             };
             let missing = open.tasks.iter().filter(|task| !task.done && task.stage == Stage::Idle);
             let missing = missing.count() - found.len();
+            self.note_place(now, unit, &slots, found.len(), missing);
             self.assign(now, unit, &spec, &slots, &found);
             if missing > 0 {
                 waiting = true;
@@ -72,6 +77,20 @@
         }
     }
 
+    /// Notes that tasks got their places, or that a step starts to wait for some.
+    fn note_place(&mut self, now: Time, unit: &Unit, slots: &[Slot], tasks: usize, missing: usize) {
+        let Some(job) = self.jobs.get_mut(&unit.job) else { return };
+        let age = millis(now.since(job.since));
+        let open = &mut job.turns[unit.turn][unit.step];
+        let (job, step, rank) = (unit.job.clone(), unit.step, format!("{:?}", unit.rank));
+        if tasks > 0 {
+            self.out.push(Action::Note(Note::Placed { job, step, tasks, missing, rank, age }));
+        } else if !std::mem::replace(&mut open.noted, true) {
+            let (usable, free) = (slots.len(), slots.iter().map(|slot| slot.room.gpu).sum());
+            self.out.push(Action::Note(Note::Waits { job, step, missing, rank, usable, free }));
+        }
+    }
+
     /// Whether a step still waits for places near its data.
     fn patient(&self, now: Time, open: &Step, step: &StepSpec) -> bool {
         let patience = Duration::from_millis(step.estimate_ms * NEAR_PATIENCE_PERCENT / 100);
@@ -150,6 +169,7 @@
                     rack: String::new(),
                     labels: Vec::new(),
                     room: worker.room(),
+                    owed: Need::default(),
                     taken: 0,
                 });
                 slots.len() - 1
@@ -216,11 +236,14 @@
         for (index, slot) in &places {
             let task = &mut job.turns[unit.turn][unit.step].tasks[*index as usize];
             task.stage = Stage::Reserved(slots[*slot].worker.clone());
-            slots[*slot].room.remove(&step.need);
+            slots[*slot].reserve(&step.need);
         }
-        for key in stopped {
-            self.stop_run(now, &key);
+        for key in &stopped {
+            self.stop_run(now, key);
         }
+        let stopped = stopped.into_iter().collect();
+        let note = Note::Reclaims { job: unit.job.clone(), tasks: places.len(), stopped };
+        self.out.push(Action::Note(note));
         self.replan = true;
     }
 
@@ -266,7 +289,7 @@
 #[derive(Clone, Debug)]
 struct Victim {
     key: TaskKey,
-    need: crate::spec::Need,
+    need: Need,
     cost: u64,
 }
 
@@ -287,43 +310,39 @@
     missing: &[u32],
     victims: &BTreeMap<WorkerId, Vec<Victim>>,
 ) -> Option<Clearing> {
-    let mut rooms: BTreeMap<usize, (crate::spec::Need, u32)> =
-        group.iter().map(|&at| (at, (slots[at].room, slots[at].taken))).collect();
+    let mut rooms: Vec<(usize, Slot)> = group.iter().map(|&at| (at, slots[at].clone())).collect();
     let mut places = Vec::new();
     let mut stopped: BTreeSet<TaskKey> = BTreeSet::new();
     let mut total = 0;
     for &index in missing {
         let mut best: Option<(u64, usize, Vec<&Victim>)> = None;
-        for (&at, (room, taken)) in &rooms {
-            if step.spread.is_some_and(|most| *taken >= most) {
-                continue;
-            }
-            let mut left = *room;
+        for (number, (_, slot)) in rooms.iter().enumerate() {
+            let mut left = slot.clone();
             let mut cost = 0;
             let mut chosen = Vec::new();
-            let list = victims.get(&slots[at].worker).map_or(&[][..], Vec::as_slice);
+            let list = victims.get(&slot.worker).map_or(&[][..], Vec::as_slice);
             for victim in list.iter().filter(|victim| !stopped.contains(&victim.key)) {
-                if step.need.fits(&left) {
+                if left.holds(step) {
                     break;
                 }
-                left.add(&victim.need);
+                left.release(&victim.need);
                 cost += victim.cost;
                 chosen.push(victim);
             }
-            if step.need.fits(&left) && best.as_ref().is_none_or(|best| cost < best.0) {
-                best = Some((cost, at, chosen));
+            if left.holds(step) && best.as_ref().is_none_or(|best| cost < best.0) {
+                best = Some((cost, number, chosen));
             }
         }
-        let (cost, at, chosen) = best?;
+        let (cost, number, chosen) = best?;
         total += cost;
-        let room = rooms.get_mut(&at)?;
+        let (at, slot) = &mut rooms[number];
         for victim in chosen {
-            room.0.add(&victim.need);
+            slot.release(&victim.need);
             stopped.insert(victim.key.clone());
         }
-        room.0.remove(&step.need);
-        room.1 += 1;
-        places.push((index, at));
+        slot.reserve(&step.need);
+        slot.taken += 1;
+        places.push((index, *at));
     }
     Some(Clearing { cost: total, places, stopped })
 }
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -8,6 +8,7 @@
 use crate::Policy;
 use crate::Settings;
 use crate::action::Action;
+use crate::action::Note;
 use crate::directory::Worker;
 use crate::directory::WorkerInfo;
 use crate::directory::Workers;
@@ -271,6 +272,8 @@
     pub(crate) fn end_job(&mut self, now: Time, id: &JobId, state: JobState) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.state = state;
+        let age = millis(now.since(job.since));
+        self.out.push(Action::Note(Note::Ends { job: id.clone(), state, age }));
         for task in job.turns.iter_mut().flatten().flat_map(|step| &mut step.tasks) {
             match &mut task.stage {
                 Stage::Placed(run) => {
@@ -321,7 +324,7 @@
             }
         }
         for key in gone {
-            self.vanish(now, &key);
+            self.give_up(now, &key, "all leases that were sent have run out");
         }
         for key in leaving {
             self.stop_run(now, &key);
--- a/crates/batch/src/room.rs
+++ b/crates/batch/src/room.rs
@@ -15,6 +15,8 @@
     pub rack: String,
     pub labels: Vec<String>,
     pub room: Need,
+    /// Reserved room that is still in use.
+    pub owed: Need,
     /// Tasks of the step at hand that were put here.
     pub taken: u32,
 }
@@ -26,6 +28,19 @@
             && step.label.as_ref().is_none_or(|label| self.labels.contains(label))
     }
 
+    /// Sets room aside, some of which may still be in use.
+    pub fn reserve(&mut self, need: &Need) {
+        self.owed.add(&need.less(&self.room));
+        self.room.remove(need);
+    }
+
+    /// Runs that are stopped here give their room back.
+    pub fn release(&mut self, need: &Need) {
+        let owed = self.owed;
+        self.owed.remove(need);
+        self.room.add(&need.less(&owed));
+    }
+
     /// Whether another task of `step` fits.
     pub fn holds(&self, step: &StepSpec) -> bool {
         step.spread.is_none_or(|most| self.taken < most) && step.need.fits(&self.room)
@@ -45,6 +60,7 @@
                 rack: worker.info.rack.clone(),
                 labels: worker.info.labels.clone(),
                 room: worker.room(),
+                owed: Need::default(),
                 taken: 0,
             })
             .collect();
@@ -55,7 +71,7 @@
                     for task in &step.tasks {
                         let Stage::Reserved(worker) = &task.stage else { continue };
                         if let Ok(at) = slots.binary_search_by(|slot| slot.worker.cmp(worker)) {
-                            slots[at].room.remove(&spec.need);
+                            slots[at].reserve(&spec.need);
                         }
                     }
                 }
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -5,6 +5,8 @@
 
 use crate::Planner;
 use crate::action::Action;
+use crate::action::Note;
+use crate::directory::millis;
 use crate::event::End;
 use crate::event::Held;
 use crate::event::Outcome;
@@ -13,6 +15,7 @@
 use crate::job::JobState;
 use crate::job::Stage;
 use crate::planner::task_mut;
+use crate::spec::JobId;
 use crate::spec::TaskKey;
 use crate::spec::WorkerId;
 use model::Time;
@@ -134,7 +137,7 @@
             }
         }
         for key in missing {
-            self.vanish(now, &key);
+            self.give_up(now, &key, "the worker does not have it");
         }
     }
 
@@ -163,7 +166,7 @@
         if failed {
             task.failed_on = Some(id.clone());
             self.dirty.insert(key.job.clone());
-            self.blame(now, id);
+            self.blame(now, id, Some(&key.job));
         }
         if current {
             self.vanish(now, key);
@@ -220,6 +223,7 @@
                 && let Some(worker) = self.workers.get_mut(&run.worker.clone())
             {
                 worker.failures = 0;
+                worker.failed.clear();
             }
             self.free(&key);
         }
@@ -245,6 +249,15 @@
         }
     }
 
+    /// Gives up a run whose end nobody has seen.
+    pub(crate) fn give_up(&mut self, now: Time, key: &TaskKey, why: &'static str) {
+        if let Some(Stage::Placed(run)) = self.task(key).map(|task| &task.stage) {
+            let (task, worker) = (key.clone(), run.worker.clone());
+            self.out.push(Action::Note(Note::GivesUp { task, worker, why }));
+        }
+        self.vanish(now, key);
+    }
+
     /// Gives the room of a run back.
     fn free(&mut self, key: &TaskKey) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
@@ -259,17 +272,31 @@
         }
     }
 
-    /// A run failed on a worker: after several in a row it gets no new ones for a while.
-    fn blame(&mut self, now: Time, id: &WorkerId) {
+    /// A run failed on a worker, or got no answer: after several jobs in a row it gets no new
+    /// runs for a while. One job that fails everywhere says nothing about a worker.
+    fn blame(&mut self, now: Time, id: &WorkerId, job: Option<&JobId>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.failures += 1;
+        match job {
+            Some(job) if !worker.failed.insert(job.clone()) => return,
+            Some(_) => worker.failures = worker.failed.len() as u32,
+            None => worker.failures += FAILURES_IN_ROW,
+        }
         if worker.failures >= FAILURES_IN_ROW {
-            let doublings = (worker.failures - FAILURES_IN_ROW).min(SHUN_DOUBLINGS);
-            worker.shunned = now + SHUN * 2u32.pow(doublings);
-            self.replan_at = self.replan_at.min(worker.shunned);
+            let doublings = (worker.failures / FAILURES_IN_ROW - 1).min(SHUN_DOUBLINGS);
+            let span = SHUN * 2u32.pow(doublings);
+            self.shun(now, id, span, "several jobs in a row failed or got no answer");
         }
     }
 
+    /// A worker gets no new runs for a while.
+    fn shun(&mut self, now: Time, id: &WorkerId, span: Duration, why: &'static str) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.shunned = worker.shunned.max(now + span);
+        self.replan_at = self.replan_at.min(worker.shunned);
+        let span = millis(span);
+        self.out.push(Action::Note(Note::Shuns { worker: id.clone(), why, span }));
+    }
+
     /// Another incarnation answers under the worker's id or address.
     pub(crate) fn replaced(&mut self, now: Time, id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -279,7 +306,7 @@
         worker.answers = false;
         let gone = self.runs.get(id).cloned().unwrap_or_default();
         for key in gone {
-            self.vanish(now, &key);
+            self.give_up(now, &key, "another incarnation answers");
         }
     }
 
@@ -323,7 +350,7 @@
                 } else {
                     let worker = run.worker.clone();
                     self.stop_run(now, key);
-                    self.blame(now, &worker);
+                    self.blame(now, &worker, None);
                 }
             }
             StartResult::Refused(Refusal::Fence) => self.out.push(Action::Resign),
@@ -332,13 +359,10 @@
                 if run.taken.is_some() {
                     return;
                 }
-                if let Some(worker) = self.workers.get_mut(&worker) {
-                    match reason {
-                        Refusal::Late => worker.clock = None,
-                        Refusal::Reborn => worker.listed = false,
-                        _ => worker.shunned = now + SHUN,
-                    }
-                    self.replan_at = self.replan_at.min(now + SHUN);
+                match (reason, self.workers.get_mut(&worker)) {
+                    (Refusal::Late, Some(worker)) => worker.clock = None,
+                    (Refusal::Reborn, Some(worker)) => worker.listed = false,
+                    _ => self.shun(now, &worker, SHUN, "it refused a start"),
                 }
                 if unsure == 0 || reason == Refusal::Old {
                     self.vanish(now, key);
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -46,6 +46,27 @@
     seeds(0, Faults::default());
 }
 
+/// More work than there is room, with guaranteed jobs among it.
+#[test]
+fn crowded_guarantees() {
+    let seeds = std::env::var("SCHEDULE_SEEDS").ok().and_then(|text| text.parse().ok());
+    for seed in 500_000..500_000 + seeds.unwrap_or(4) {
+        println!("seed {seed}");
+        let mut world = World::new(seed, 48, Faults::default(), policy(60));
+        world.calm_from = 1;
+        for second in 0..40 {
+            for number in 0..world.rng.random_range(2..8) {
+                let (queue, steps) = steps(&mut world.rng);
+                let account = ["a", "b", "c", "d"][world.rng.random_range(0..4)];
+                world.submit(&format!("{second:08x}{number:08x}"), queue, account, steps);
+            }
+            world.run(1_000);
+        }
+        world.run(200_000);
+        world.check_ends();
+    }
+}
+
 #[test]
 fn takeovers() {
     seeds(100_000, Faults { takeovers: true, ..Faults::default() });
--- a/crates/batch/tests/schedules/regressions.rs
+++ b/crates/batch/tests/schedules/regressions.rs
@@ -30,3 +30,25 @@
     let mut world = World::new(400_205, 24, Faults::all(), policy(48));
     crate::play_on(&mut world);
 }
+
+/// A crest of wide urgent jobs on workers that are full: room that is being made for one of them
+/// used to be promised to the next as well, and both waited for ever.
+#[test]
+fn promised_twice() {
+    for seed in 0..5 {
+        let mut world = World::new(seed, 24, Faults::default(), policy(40));
+        for number in 0..16 {
+            world.submit(&format!("{number:016x}"), "patient", "a", vec![step(12, 1, 20_000)]);
+        }
+        world.run(2_000);
+        for number in 16..28 {
+            let account = ["a", "b", "c", "d"][number % 4];
+            let mut wide = step(2 + number as u32 % 3, [4, 8][number % 2], 3_000);
+            wide.gang = true;
+            world.submit(&format!("{number:016x}"), "urgent", account, vec![wide]);
+            world.run(20);
+        }
+        world.run(150_000);
+        world.check_ends();
+    }
+}
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -75,7 +75,7 @@
                     orders.report(event);
                 });
             }
-            Action::Commit(_) | Action::Resign => {}
+            Action::Commit(_) | Action::Note(_) | Action::Resign => {}
         }
     }
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -27,6 +27,7 @@
 use batch::Action;
 use batch::Event;
 use batch::JobId;
+use batch::Note;
 use batch::Planner;
 use batch::Record;
 use batch::Settings;
@@ -212,6 +213,7 @@
             match action {
                 Action::Resign => return Err(Deposed),
                 Action::Commit(records) => self.commit(records, true),
+                Action::Note(note) => log_note(&note),
                 order => self.orders.send(&self.addresses, order),
             }
         }
@@ -261,6 +263,33 @@
     }
 }
 
+fn log_note(note: &Note) {
+    let what = note.as_ref();
+    match note {
+        Note::Placed { job, step, tasks, missing, rank, age } => {
+            info!(job = &*job.0, step = step, tasks = tasks, missing = missing,
+                rank = rank.as_str(), age_ms = age; "{what}");
+        }
+        Note::Waits { job, step, missing, rank, usable, free } => {
+            info!(job = &*job.0, step = step, missing = missing, rank = rank.as_str(),
+                workers = usable, accelerators = free; "{what}");
+        }
+        Note::Reclaims { job, tasks, stopped } => {
+            let stopped: Vec<String> = stopped.iter().map(ToString::to_string).collect();
+            info!(job = &*job.0, tasks = tasks, stopped = stopped.join(" ").as_str(); "{what}");
+        }
+        Note::Shuns { worker, why, span } => {
+            info!(worker = &*worker.0, why = why, span_ms = span; "{what}");
+        }
+        Note::GivesUp { task, worker, why } => {
+            info!(task = task.to_string().as_str(), worker = &*worker.0, why = why; "{what}");
+        }
+        Note::Ends { job, state, age } => {
+            info!(job = &*job.0, state = state.as_ref(), age_ms = age; "{what}");
+        }
+    }
+}
+
 fn bounds(jobs: &JobBounds) -> Settings {
     Settings {
         lease: jobs.lease,
