--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::spec::JobId;
@@ -36,7 +37,7 @@
 /// A worker as the planner knows it.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
-    pub info: WorkerInfo,
+    pub info: Arc<WorkerInfo>,
     /// Whether the directory lists it now.
     pub listed: bool,
     /// Incarnation that answered last.
@@ -83,7 +84,7 @@
 const CLOCK_MARGIN_MS: u64 = 100;
 
 impl Worker {
-    pub fn new(info: WorkerInfo, clear: Time) -> Worker {
+    pub fn new(info: Arc<WorkerInfo>, clear: Time) -> Worker {
         Worker {
             born: info.born.unwrap_or(0),
             info,
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -70,6 +70,26 @@
     pub grew: Time,
 }
 
+impl Run {
+    /// A run that nobody has heard of yet.
+    pub fn new(worker: WorkerId, born: u64, now: Time) -> Run {
+        Run {
+            worker,
+            born,
+            stored: false,
+            sent: None,
+            deadline: 0,
+            taken: None,
+            unsure: 0,
+            stopping: None,
+            stop_sent: None,
+            stop_done: None,
+            percent: 0,
+            grew: now,
+        }
+    }
+}
+
 /// What a task is doing.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Stage {
@@ -104,6 +124,8 @@
     pub since: Option<Time>,
     /// Whether it is noted that the step waits.
     pub noted: bool,
+    /// Before this no room is made for it.
+    pub reclaim_after: Time,
 }
 
 impl Step {
@@ -159,6 +181,7 @@
             tasks: tasks.iter().map(|task| restored(task, now)).collect(),
             since: None,
             noted: false,
+            reclaim_after: Time::ZERO,
         };
         self.turns = record.turns.iter().map(|turn| turn.iter().map(step).collect()).collect();
     }
@@ -178,6 +201,7 @@
             tasks: vec![fresh.clone(); step.count as usize],
             since: None,
             noted: false,
+            reclaim_after: Time::ZERO,
         };
         let steps = steps.map(step);
         self.turns.push(steps.collect());
@@ -213,19 +237,11 @@
 fn restored(record: &TaskRecord, now: Time) -> Task {
     let stage = match &record.place {
         None => Stage::Idle,
-        Some((worker, born)) => Stage::Placed(Run {
-            worker: worker.clone(),
-            born: *born,
+        Some(worker) => Stage::Placed(Run {
             stored: true,
             sent: Some(now),
-            deadline: 0,
             taken: Some(now),
-            unsure: 0,
-            stopping: None,
-            stop_sent: None,
-            stop_done: None,
-            percent: 0,
-            grew: now,
+            ..Run::new(worker.clone(), 0, now)
         }),
     };
     Task {
@@ -240,7 +256,7 @@
 
 fn task_record(task: &Task) -> TaskRecord {
     let place = match &task.stage {
-        Stage::Placed(run) => Some((run.worker.clone(), run.born)),
+        Stage::Placed(run) => Some(run.worker.clone()),
         _ => None,
     };
     TaskRecord {
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -14,6 +14,7 @@
 mod place;
 mod planner;
 mod policy;
+mod reclaim;
 mod record;
 mod room;
 mod settings;
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -1,6 +1,5 @@
 //! The search for places.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +15,7 @@
 use crate::order::Rank;
 use crate::order::Unit;
 use crate::planner::task_mut;
+use crate::reclaim::Reclaim;
 use crate::room::Slot;
 use crate::spec::Need;
 use crate::spec::Spec;
@@ -29,8 +29,15 @@
 /// Time between searches while steps wait, for patience that runs out.
 const SEARCH_PAUSE: Duration = Duration::from_millis(250);
 
-/// Where tasks of a step are to go.
-type Places = Vec<(u32, usize)>;
+/// Where tasks of a step are to go: index of the task, index of the slot.
+pub(crate) type Places = Vec<(u32, usize)>;
+
+/// A step that found no place: what needs as much or more finds none either.
+struct Failed {
+    service: String,
+    need: Need,
+    label: Option<String>,
+}
 
 impl Planner {
     /// Looks for places for all steps that wait.
@@ -40,9 +47,12 @@
             return;
         }
         let mut slots = self.slots(now);
+        let mut failed: Vec<Failed> = Vec::new();
+        let mut reclaim = Reclaim::default();
         let mut waiting = false;
         for unit in &units {
             if self.finish_reserved(now, unit) {
+                waiting = true;
                 continue;
             }
             let Some(job) = self.jobs.get(&unit.job) else { continue };
@@ -55,20 +65,33 @@
             }
             let service = self.policy.queues.get(&job.queue).map(|queue| queue.service.clone());
             let Some(service) = service else { continue };
-            count_taken(&mut slots, open);
-            let patient = self.patient(now, open, step);
-            let found = match step.gang {
-                true => gang_places(&mut slots, open, step, &service, patient),
-                false => single_places(&mut slots, open, step, &service, patient),
+            let known = |failed: &Failed| {
+                failed.service == service
+                    && failed.need.fits(&step.need)
+                    && (failed.label.is_none() || failed.label == step.label)
+            };
+            let found = if failed.iter().any(known) {
+                Places::new()
+            } else {
+                count_taken(&mut slots, open, step);
+                let patient = self.patient(now, open, step);
+                match step.gang {
+                    true => gang_places(&mut slots, open, step, &service, patient),
+                    false => single_places(&mut slots, open, step, &service, patient),
+                }
             };
             let missing = open.tasks.iter().filter(|task| !task.done && task.stage == Stage::Idle);
             let missing = missing.count() - found.len();
+            if missing > 0 && !step.gang && step.rack.is_none() && step.spread.is_none() {
+                let (service, label) = (service.clone(), step.label.clone());
+                failed.push(Failed { service, need: step.need, label });
+            }
             self.note_place(now, unit, &slots, found.len(), missing);
             self.assign(now, unit, &spec, &slots, &found);
             if missing > 0 {
                 waiting = true;
                 if matches!(unit.rank, Rank::Guaranteed | Rank::Priority(0)) {
-                    self.reclaim(now, unit, &spec, &mut slots, &service);
+                    self.reclaim(now, unit, &spec, &mut slots, &service, &mut reclaim);
                 }
             }
         }
@@ -115,20 +138,7 @@
             let born = worker.born;
             let Some(task) = task_mut(job, &key) else { continue };
             task.run = if step.gang { highest + 1 } else { task.run + 1 };
-            task.stage = Stage::Placed(Run {
-                worker: id.clone(),
-                born,
-                stored: false,
-                sent: None,
-                deadline: 0,
-                taken: None,
-                unsure: 0,
-                stopping: None,
-                stop_sent: None,
-                stop_done: None,
-                percent: 0,
-                grew: now,
-            });
+            task.stage = Stage::Placed(Run::new(id.clone(), born, now));
             self.runs.entry(id).or_default().insert(key);
         }
         job.begun = true;
@@ -140,6 +150,9 @@
 
     /// Places tasks whose reserved room has become free; true if the step has reserved room.
     fn finish_reserved(&mut self, now: Time, unit: &Unit) -> bool {
+        if !self.reserving.contains(&unit.job) {
+            return false;
+        }
         let Some(job) = self.jobs.get(&unit.job) else { return false };
         let spec = Arc::clone(&job.spec);
         let step = &spec.steps[unit.step];
@@ -163,15 +176,7 @@
                 continue;
             };
             let at = slots.iter().position(|slot| slot.worker == *id).unwrap_or_else(|| {
-                slots.push(Slot {
-                    worker: id.clone(),
-                    service: String::new(),
-                    rack: String::new(),
-                    labels: Vec::new(),
-                    room: worker.room(),
-                    owed: Need::default(),
-                    taken: 0,
-                });
+                slots.push(Slot::new(id, worker));
                 slots.len() - 1
             });
             if step.need.fits(&slots[at].room) {
@@ -191,164 +196,18 @@
             return true;
         }
         if !step.gang || found.len() == reserved.len() {
+            self.note_place(now, unit, &slots, found.len(), 0);
             self.assign(now, unit, &spec, &slots, &found);
         }
         true
     }
-
-    /// Makes room for an urgent step by stopping the least lost work of less urgent ones.
-    fn reclaim(&mut self, now: Time, unit: &Unit, spec: &Spec, slots: &mut [Slot], service: &str) {
-        let step = &spec.steps[unit.step];
-        let victims = self.victims(now, unit.rank);
-        let Some(job) = self.jobs.get(&unit.job) else { return };
-        let open = &job.turns[unit.turn][unit.step];
-        let missing: Vec<u32> = (0u32..)
-            .zip(&open.tasks)
-            .filter(|(_, task)| !task.done && task.stage == Stage::Idle)
-            .map(|(index, _)| index)
-            .collect();
-        let racks: BTreeSet<&str> = slots.iter().map(|slot| slot.rack.as_str()).collect();
-        let mut groups: Vec<Vec<usize>> = Vec::new();
-        let suits = |at: &usize| slots[*at].suits(step, service);
-        if step.gang && step.one_rack {
-            for rack in racks {
-                groups.push(
-                    (0..slots.len()).filter(|at| slots[*at].rack == rack).filter(suits).collect(),
-                );
-            }
-        }
-        groups.push((0..slots.len()).filter(suits).collect());
-        let mut best: Option<Clearing> = None;
-        let last = groups.len() - 1;
-        for (number, group) in groups.iter().enumerate() {
-            if number == last && best.is_some() {
-                break;
-            }
-            let plan = clear_group(slots, group, step, &missing, &victims);
-            if let Some(plan) = plan
-                && best.as_ref().is_none_or(|best| plan.cost < best.cost)
-            {
-                best = Some(plan);
-            }
-        }
-        let Some(Clearing { places, stopped, .. }) = best else { return };
-        let Some(job) = self.jobs.get_mut(&unit.job) else { return };
-        for (index, slot) in &places {
-            let task = &mut job.turns[unit.turn][unit.step].tasks[*index as usize];
-            task.stage = Stage::Reserved(slots[*slot].worker.clone());
-            slots[*slot].reserve(&step.need);
-        }
-        for key in &stopped {
-            self.stop_run(now, key);
-        }
-        let stopped = stopped.into_iter().collect();
-        let note = Note::Reclaims { job: unit.job.clone(), tasks: places.len(), stopped };
-        self.out.push(Action::Note(note));
-        self.replan = true;
-    }
-
-    /// Runs that may be stopped for a step of `rank`, by worker, the cheapest first.
-    fn victims(&self, now: Time, rank: Rank) -> BTreeMap<WorkerId, Vec<Victim>> {
-        let guaranteed = self.guaranteed();
-        let mut victims: BTreeMap<WorkerId, Vec<Victim>> = BTreeMap::new();
-        for (worker, keys) in &self.runs {
-            for key in keys {
-                let Some(job) = self.jobs.get(&key.job) else { continue };
-                let priority =
-                    self.policy.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
-                let lower = match rank {
-                    Rank::Guaranteed => !guaranteed.contains_key(&key.job),
-                    _ => priority > 0,
-                };
-                let Some(Stage::Placed(run)) = self.task(key).map(|task| &task.stage) else {
-                    continue;
-                };
-                let step = &job.spec.steps[key.step as usize];
-                if !lower && run.stopping.is_none() {
-                    continue;
-                }
-                let worked = now.since(run.taken.unwrap_or(now)).as_millis() as u64;
-                let lost = if step.checkpoints { worked.min(1_000) } else { worked };
-                let members = if step.gang { u64::from(step.count) } else { 1 };
-                let cost = match run.stopping {
-                    Some(_) => 0,
-                    None => (lost + 500) * step.need.weight() * members / 1_000,
-                };
-                let victim = Victim { key: key.clone(), need: step.need, cost };
-                victims.entry(worker.clone()).or_default().push(victim);
-            }
-        }
-        for list in victims.values_mut() {
-            list.sort_by(|a, b| (a.cost, &a.key).cmp(&(b.cost, &b.key)));
-        }
-        victims
-    }
-}
-
-/// A run that may be stopped.
-#[derive(Clone, Debug)]
-struct Victim {
-    key: TaskKey,
-    need: Need,
-    cost: u64,
 }
 
-/// Places that stopping some runs makes free.
-#[derive(Clone, Debug)]
-struct Clearing {
-    /// Work that is lost, in core-milliseconds.
-    cost: u64,
-    places: Places,
-    stopped: BTreeSet<TaskKey>,
-}
-
-/// Finds places for `missing` tasks on the slots of `group`, with the runs to stop for them.
-fn clear_group(
-    slots: &[Slot],
-    group: &[usize],
-    step: &StepSpec,
-    missing: &[u32],
-    victims: &BTreeMap<WorkerId, Vec<Victim>>,
-) -> Option<Clearing> {
-    let mut rooms: Vec<(usize, Slot)> = group.iter().map(|&at| (at, slots[at].clone())).collect();
-    let mut places = Vec::new();
-    let mut stopped: BTreeSet<TaskKey> = BTreeSet::new();
-    let mut total = 0;
-    for &index in missing {
-        let mut best: Option<(u64, usize, Vec<&Victim>)> = None;
-        for (number, (_, slot)) in rooms.iter().enumerate() {
-            let mut left = slot.clone();
-            let mut cost = 0;
-            let mut chosen = Vec::new();
-            let list = victims.get(&slot.worker).map_or(&[][..], Vec::as_slice);
-            for victim in list.iter().filter(|victim| !stopped.contains(&victim.key)) {
-                if left.holds(step) {
-                    break;
-                }
-                left.release(&victim.need);
-                cost += victim.cost;
-                chosen.push(victim);
-            }
-            if left.holds(step) && best.as_ref().is_none_or(|best| cost < best.0) {
-                best = Some((cost, number, chosen));
-            }
-        }
-        let (cost, number, chosen) = best?;
-        total += cost;
-        let (at, slot) = &mut rooms[number];
-        for victim in chosen {
-            slot.release(&victim.need);
-            stopped.insert(victim.key.clone());
-        }
-        slot.reserve(&step.need);
-        slot.taken += 1;
-        places.push((index, *at));
+/// Counts the tasks of a step on each slot, where that matters.
+fn count_taken(slots: &mut [Slot], open: &Step, step: &StepSpec) {
+    if step.spread.is_none() {
+        return;
     }
-    Some(Clearing { cost: total, places, stopped })
-}
-
-/// Counts the tasks of a step on each slot.
-fn count_taken(slots: &mut [Slot], open: &Step) {
     for slot in slots.iter_mut() {
         slot.taken = 0;
     }
@@ -366,7 +225,7 @@
 
 /// How well a task fits: near its data first, then not where it failed, then the tightest fit.
 fn fit(slot: &Slot, step: &StepSpec, failed_on: Option<&WorkerId>) -> (bool, bool, u64, u64, u64) {
-    let far = step.rack.as_ref().is_some_and(|rack| *rack != slot.rack);
+    let far = step.rack.as_ref().is_some_and(|rack| *rack != slot.info.rack);
     let failed = failed_on == Some(&slot.worker);
     let left = slot.room.less(&step.need);
     (far, failed, left.gpu, left.memory, left.cpu)
@@ -381,20 +240,26 @@
     patient: bool,
 ) -> Places {
     let mut found = Places::new();
+    let mut last: Option<usize> = None;
     for (index, task) in (0u32..).zip(&open.tasks) {
         if task.done || task.stage != Stage::Idle {
             continue;
         }
-        let best = (0..slots.len())
-            .filter(|&at| slots[at].suits(step, service) && slots[at].holds(step))
-            .min_by_key(|&at| fit(&slots[at], step, task.failed_on.as_ref()));
+        // The slot that fitted the last task best fits the next one at least as well.
+        let again = last.filter(|&at| slots[at].holds(step) && task.failed_on.is_none());
+        let best = again.or_else(|| {
+            (0..slots.len())
+                .filter(|&at| slots[at].holds(step) && slots[at].suits(step, service))
+                .min_by_key(|&at| fit(&slots[at], step, task.failed_on.as_ref()))
+        });
         let Some(at) = best else { break };
-        if patient && step.rack.as_ref().is_some_and(|rack| *rack != slots[at].rack) {
+        if patient && step.rack.as_ref().is_some_and(|rack| *rack != slots[at].info.rack) {
             break;
         }
         slots[at].room.remove(&step.need);
         slots[at].taken += 1;
         found.push((index, at));
+        last = Some(at);
     }
     found
 }
@@ -407,15 +272,19 @@
     service: &str,
     patient: bool,
 ) -> Places {
-    let all: Vec<usize> = (0..slots.len()).filter(|&at| slots[at].suits(step, service)).collect();
-    let racks: BTreeSet<String> = all.iter().map(|&at| slots[at].rack.clone()).collect();
+    // What holds no task at all need not be looked at again for each of them.
+    let all: Vec<usize> = (0..slots.len())
+        .filter(|&at| slots[at].holds(step) && slots[at].suits(step, service))
+        .collect();
+    let racks: BTreeSet<String> = all.iter().map(|&at| slots[at].info.rack.clone()).collect();
     let mut best: Option<((bool, u64), Places)> = None;
     for rack in &racks {
         let far = step.rack.as_ref().is_some_and(|wanted| wanted != rack);
         if far && patient {
             continue;
         }
-        let group: Vec<usize> = all.iter().copied().filter(|&at| slots[at].rack == *rack).collect();
+        let group = all.iter().copied().filter(|&at| slots[at].info.rack == *rack);
+        let group: Vec<usize> = group.collect();
         let Some(places) = pack(slots, &group, open, step) else { continue };
         let left: u64 = group.iter().map(|&at| slots[at].room.gpu).sum();
         if best.as_ref().is_none_or(|best| (far, left) < best.0) {
@@ -437,13 +306,18 @@
 fn pack(slots: &[Slot], group: &[usize], open: &Step, step: &StepSpec) -> Option<Places> {
     let mut rooms: Vec<Slot> = group.iter().map(|&at| slots[at].clone()).collect();
     let mut places = Places::new();
+    let mut last: Option<usize> = None;
     for (index, task) in (0u32..).zip(&open.tasks) {
-        let best = (0..rooms.len())
-            .filter(|&at| rooms[at].holds(step))
-            .min_by_key(|&at| fit(&rooms[at], step, task.failed_on.as_ref()))?;
+        let again = last.filter(|&at| rooms[at].holds(step) && task.failed_on.is_none());
+        let best = again.or_else(|| {
+            (0..rooms.len())
+                .filter(|&at| rooms[at].holds(step))
+                .min_by_key(|&at| fit(&rooms[at], step, task.failed_on.as_ref()))
+        })?;
         rooms[best].room.remove(&step.need);
         rooms[best].taken += 1;
         places.push((index, group[best]));
+        last = Some(best);
     }
     Some(places)
 }
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -39,6 +39,8 @@
 const SILENT_CALLS: u32 = 2;
 /// Pause before a stop is sent again.
 const STOP_RETRY: Duration = Duration::from_millis(600);
+/// Pause after a commit before the next: the changes that come meanwhile share one.
+const COMMIT_PAUSE: Duration = Duration::from_millis(15);
 /// Share of the longest lease that a start carries, so that a start that is carried out late
 /// is refused soon; renewals carry the whole lease.
 const START_LEASE_DIVISOR: u32 = 2;
@@ -54,6 +56,10 @@
     pub(crate) jobs: BTreeMap<JobId, Job>,
     /// Runs by worker.
     pub(crate) runs: BTreeMap<WorkerId, BTreeSet<TaskKey>>,
+    /// Runs that are to be stopped.
+    pub(crate) stopping: BTreeSet<TaskKey>,
+    /// Jobs for which room may be reserved.
+    pub(crate) reserving: BTreeSet<JobId>,
     /// Jobs whose record in the store is behind.
     pub(crate) dirty: BTreeSet<JobId>,
     /// Jobs that are not at their end.
@@ -65,6 +71,8 @@
     /// Whether the stored jobs are complete.
     complete: bool,
     commit: Option<Commit>,
+    /// No commit before this.
+    commit_after: Time,
     pub(crate) out: Vec<Action>,
     /// Before this a worker that never answered may hold runs of former owners.
     clear: Time,
@@ -77,6 +85,8 @@
     starts: Vec<(TaskKey, u32)>,
     /// Ends that workers may forget once it is stored.
     ends: Vec<(WorkerId, u64, u64)>,
+    /// Jobs whose records it stores.
+    jobs: Vec<JobId>,
 }
 
 /// Counts for metrics and logs.
@@ -105,12 +115,15 @@
             workers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             runs: BTreeMap::new(),
+            stopping: BTreeSet::new(),
+            reserving: BTreeSet::new(),
             dirty: BTreeSet::new(),
             live: BTreeSet::new(),
             replan: false,
             replan_at: Time::NEVER,
             complete: false,
             commit: None,
+            commit_after: Time::ZERO,
             out: Vec::new(),
             clear,
         }
@@ -118,7 +131,14 @@
 
     /// Takes in one event and returns what is to be done, in order.
     pub fn handle(&mut self, now: Time, wall: Stamp, event: Event) -> Vec<Action> {
-        self.take(now, event);
+        self.tell(now, event);
+        self.decide(now, wall)
+    }
+
+    /// Returns what is to be done, in order, after the events that were told.
+    ///
+    /// Several events that came together cost one decision.
+    pub fn decide(&mut self, now: Time, wall: Stamp) -> Vec<Action> {
         if self.complete {
             self.open_turns(now, wall);
             self.check_workers(now);
@@ -130,11 +150,17 @@
             self.send_stops(now);
             self.settle_ends();
             self.send_holds(now);
-            self.start_commit();
+            self.start_commit(now);
         }
         std::mem::take(&mut self.out)
     }
 
+    /// When a decision is due at the latest, if nothing else happens.
+    pub fn wake(&self) -> Time {
+        let commit = self.commit.is_none() && !self.dirty.is_empty();
+        self.replan_at.min(if commit { self.commit_after } else { Time::NEVER })
+    }
+
     /// Counts for metrics and logs.
     pub fn summary(&self, now: Time) -> Summary {
         let mut waiting: BTreeMap<String, u64> =
@@ -157,7 +183,8 @@
         self.jobs.get(id).map(|job| job.state)
     }
 
-    fn take(&mut self, now: Time, event: Event) {
+    /// Takes in one event; [`Planner::decide`] acts on it.
+    pub fn tell(&mut self, now: Time, event: Event) {
         match event {
             Event::Configured(policy) => {
                 self.policy = policy;
@@ -190,7 +217,7 @@
             unseen.remove(&info.id);
             let worker = self.workers.entry(info.id.clone()).or_insert_with(|| {
                 self.replan = true;
-                Worker::new(info.clone(), self.clear)
+                Worker::new(Arc::new(info.clone()), self.clear)
             });
             let leaves = info.leaves.map(|left| now + left);
             worker.leaves = match (worker.leaves, leaves) {
@@ -201,7 +228,9 @@
                 worker.listed = true;
                 self.replan = true;
             }
-            worker.info = info;
+            if *worker.info != info {
+                worker.info = Arc::new(info);
+            }
         }
         for id in unseen {
             let idle = self.runs.get(&id).is_none_or(BTreeSet::is_empty);
@@ -238,13 +267,10 @@
             let clear = self.clear;
             let worker = self.workers.entry(run.worker.clone()).or_insert_with(|| {
                 // The directory does not list it any more; its lease may still run.
-                let mut worker = Worker::new(unlisted(&run.worker), clear);
+                let mut worker = Worker::new(Arc::new(unlisted(&run.worker)), clear);
                 worker.listed = false;
                 worker
             });
-            if worker.born == 0 {
-                worker.born = run.born;
-            }
             worker.used.add(&need);
             self.runs.entry(run.worker.clone()).or_default().insert(key);
         }
@@ -283,6 +309,7 @@
                 Stage::Idle => {}
             }
         }
+        self.stopping.extend(job_runs(id, job).map(|(key, _)| key));
         self.dirty.insert(id.clone());
         if !job.placed() {
             self.live.remove(id);
@@ -336,14 +363,14 @@
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let gang = job.spec.steps[key.step as usize].gang;
         let step = &mut job.turns[key.turn as usize][key.step as usize];
-        let range = match gang {
-            true => 0..step.tasks.len(),
-            false => key.index as usize..key.index as usize + 1,
-        };
-        for task in &mut step.tasks[range] {
+        for (index, task) in (0u32..).zip(&mut step.tasks) {
+            if !gang && index != key.index {
+                continue;
+            }
             match &mut task.stage {
                 Stage::Placed(run) => {
                     run.stopping.get_or_insert(now);
+                    self.stopping.insert(TaskKey { index, ..key.clone() });
                 }
                 Stage::Reserved(_) if gang => task.stage = Stage::Idle,
                 _ => {}
@@ -353,29 +380,26 @@
 
     fn send_stops(&mut self, now: Time) {
         let mut unsent = Vec::new();
-        for keys in self.runs.values() {
-            for key in keys {
-                let Some(Stage::Placed(run)) =
-                    self.jobs.get_mut(&key.job).map(|job| stage(job, key))
-                else {
-                    continue;
-                };
-                if run.stopping.is_none() || run.stop_done.is_some() {
-                    continue;
-                }
-                if run.sent.is_none() {
-                    // Before the commit is answered nothing has been sent.
-                    if run.stored {
-                        unsent.push(key.clone());
-                    }
-                    continue;
-                }
-                if run.stop_sent.is_none_or(|at| at + STOP_RETRY <= now) {
-                    run.stop_sent = Some(now);
-                    let worker = run.worker.clone();
-                    let number = self.run_number(key);
-                    self.out.push(Action::Stop { worker, task: key.clone(), run: number });
+        for key in &self.stopping {
+            let Some(Stage::Placed(run)) = self.jobs.get_mut(&key.job).map(|job| stage(job, key))
+            else {
+                continue;
+            };
+            if run.stop_done.is_some() {
+                continue;
+            }
+            if run.sent.is_none() {
+                // Before the commit is answered nothing has been sent.
+                if run.stored {
+                    unsent.push(key.clone());
                 }
+                continue;
+            }
+            if run.stop_sent.is_none_or(|at| at + STOP_RETRY <= now) {
+                run.stop_sent = Some(now);
+                let worker = run.worker.clone();
+                let run = self.run_number(key);
+                self.out.push(Action::Stop { worker, task: key.clone(), run });
             }
         }
         for key in unsent {
@@ -437,8 +461,8 @@
         }
     }
 
-    fn start_commit(&mut self) {
-        if self.commit.is_some() || self.dirty.is_empty() {
+    fn start_commit(&mut self, now: Time) {
+        if self.commit.is_some() || self.dirty.is_empty() || now < self.commit_after {
             return;
         }
         let dirty = std::mem::take(&mut self.dirty);
@@ -460,12 +484,14 @@
             .filter(|(_, worker)| worker.heard > worker.stored)
             .map(|(id, worker)| (id.clone(), worker.born, worker.heard))
             .collect();
-        self.commit = Some(Commit { starts, ends });
+        let jobs = records.iter().map(|(id, _)| id.clone()).collect();
+        self.commit = Some(Commit { starts, ends, jobs });
         self.out.push(Action::Commit(records));
     }
 
     fn committed(&mut self, now: Time) {
         let Some(commit) = self.commit.take() else { return };
+        self.commit_after = now + COMMIT_PAUSE;
         for (id, born, heard) in commit.ends {
             if let Some(worker) = self.workers.get_mut(&id)
                 && worker.born == born
@@ -477,7 +503,7 @@
             self.start(now, &key, number);
         }
         // An ended job's record shrinks once nothing of it runs; jobs that ended are let go.
-        for id in &self.live.clone() {
+        for id in &commit.jobs {
             let Some(job) = self.jobs.get(id) else { continue };
             if job.state.ended() && !job.placed() {
                 self.live.remove(id);
--- /dev/null
+++ b/crates/batch/src/reclaim.rs
@@ -0,0 +1,217 @@
+//! Making room for urgent steps by stopping less urgent runs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::Planner;
+use crate::action::Action;
+use crate::action::Note;
+use crate::directory::millis;
+use crate::job::Stage;
+use crate::order::Rank;
+use crate::order::Unit;
+use crate::place::Places;
+use crate::room::Slot;
+use crate::spec::JobId;
+use crate::spec::Need;
+use crate::spec::Spec;
+use crate::spec::StepSpec;
+use crate::spec::TaskKey;
+use crate::spec::WorkerId;
+use model::Time;
+
+/// Pause before room is looked for again for a step that got none.
+const RECLAIM_PAUSE: Duration = Duration::from_millis(200);
+/// Work that a checkpointing run loses when it is stopped, in ms: the time since its last
+/// checkpoint, at most the users' interval of a second or two.
+const CHECKPOINT_LOSS_MS: u64 = 1_000;
+/// What each stop costs beside the lost work: its next start and the restore, in ms.
+const RESTART_LOSS_MS: u64 = 500;
+
+/// What one search for places has found out about runs that may be stopped.
+#[derive(Debug, Default)]
+pub(crate) struct Reclaim {
+    guaranteed: Option<BTreeMap<JobId, u64>>,
+    victims: BTreeMap<Rank, Victims>,
+}
+
+/// Runs that may be stopped, by worker, the cheapest first.
+type Victims = BTreeMap<WorkerId, Vec<Victim>>;
+
+/// A run that may be stopped.
+#[derive(Clone, Debug)]
+struct Victim {
+    key: TaskKey,
+    need: Need,
+    /// Work that is lost, in core-milliseconds.
+    cost: u64,
+}
+
+/// Places that stopping some runs makes free.
+#[derive(Clone, Debug)]
+struct Clearing {
+    cost: u64,
+    places: Places,
+    /// Runs to stop, with the slot and the room that each gives back.
+    stopped: BTreeMap<TaskKey, (usize, Need)>,
+}
+
+impl Planner {
+    /// Makes room for an urgent step by stopping the least lost work of less urgent ones.
+    pub(crate) fn reclaim(
+        &mut self,
+        now: Time,
+        unit: &Unit,
+        spec: &Spec,
+        slots: &mut [Slot],
+        service: &str,
+        found: &mut Reclaim,
+    ) {
+        let step = &spec.steps[unit.step];
+        if !found.victims.contains_key(&unit.rank) {
+            let guaranteed = found.guaranteed.get_or_insert_with(|| self.guaranteed());
+            let victims = self.victims(now, unit.rank, guaranteed);
+            found.victims.insert(unit.rank, victims);
+        }
+        let Some(job) = self.jobs.get_mut(&unit.job) else { return };
+        let open = &mut job.turns[unit.turn][unit.step];
+        if open.reclaim_after > now {
+            return;
+        }
+        open.reclaim_after = now + RECLAIM_PAUSE;
+        let missing: Vec<u32> = (0u32..)
+            .zip(&open.tasks)
+            .filter(|(_, task)| !task.done && task.stage == Stage::Idle)
+            .map(|(index, _)| index)
+            .collect();
+        let Some(victims) = found.victims.get(&unit.rank) else { return };
+        let Some(clearing) = clear(slots, step, service, &missing, victims) else { return };
+        for (index, at) in &clearing.places {
+            let task = &mut open.tasks[*index as usize];
+            task.stage = Stage::Reserved(slots[*at].worker.clone());
+            slots[*at].reserve(&step.need);
+        }
+        self.reserving.insert(unit.job.clone());
+        // What is stopped now has paid for this step and pays for no other.
+        for (at, need) in clearing.stopped.values() {
+            slots[*at].settle(need);
+        }
+        for list in found.victims.values_mut().flat_map(BTreeMap::values_mut) {
+            list.retain(|victim| !clearing.stopped.contains_key(&victim.key));
+        }
+        for key in clearing.stopped.keys() {
+            self.stop_run(now, key);
+        }
+        let (job, tasks) = (unit.job.clone(), clearing.places.len());
+        let stopped = clearing.stopped.into_keys().collect();
+        self.out.push(Action::Note(Note::Reclaims { job, tasks, stopped }));
+        self.replan = true;
+    }
+
+    /// Runs that may be stopped for a step of `rank`.
+    fn victims(&self, now: Time, rank: Rank, guaranteed: &BTreeMap<JobId, u64>) -> Victims {
+        let mut victims = Victims::new();
+        for (worker, keys) in &self.runs {
+            for key in keys {
+                let Some(job) = self.jobs.get(&key.job) else { continue };
+                let priority =
+                    self.policy.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
+                let lower = match rank {
+                    Rank::Guaranteed => !guaranteed.contains_key(&key.job),
+                    _ => priority > 0,
+                };
+                let Some(Stage::Placed(run)) = self.task(key).map(|task| &task.stage) else {
+                    continue;
+                };
+                if !lower && run.stopping.is_none() {
+                    continue;
+                }
+                let step = &job.spec.steps[key.step as usize];
+                let worked = millis(now.since(run.taken.unwrap_or(now)));
+                let lost = if step.checkpoints { worked.min(CHECKPOINT_LOSS_MS) } else { worked };
+                let members = if step.gang { u64::from(step.count) } else { 1 };
+                let cost = match run.stopping {
+                    Some(_) => 0,
+                    None => (lost + RESTART_LOSS_MS) * step.need.weight() * members / 1_000,
+                };
+                let victim = Victim { key: key.clone(), need: step.need, cost };
+                victims.entry(worker.clone()).or_default().push(victim);
+            }
+        }
+        for list in victims.values_mut() {
+            list.sort_by(|a, b| (a.cost, &a.key).cmp(&(b.cost, &b.key)));
+        }
+        victims
+    }
+}
+
+/// The cheapest way to make room for the missing tasks of a step.
+fn clear(
+    slots: &[Slot],
+    step: &StepSpec,
+    service: &str,
+    missing: &[u32],
+    victims: &Victims,
+) -> Option<Clearing> {
+    let all: Vec<usize> = (0..slots.len()).filter(|&at| slots[at].suits(step, service)).collect();
+    let mut best: Option<Clearing> = None;
+    if step.gang && step.one_rack {
+        let mut racks: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
+        for &at in &all {
+            racks.entry(slots[at].info.rack.as_str()).or_default().push(at);
+        }
+        for group in racks.values() {
+            if let Some(found) = clear_group(slots, group, step, missing, victims)
+                && best.as_ref().is_none_or(|best| found.cost < best.cost)
+            {
+                best = Some(found);
+            }
+        }
+    }
+    best.or_else(|| clear_group(slots, &all, step, missing, victims))
+}
+
+/// Finds places for the missing tasks on the slots of `group`, with the runs to stop for them.
+fn clear_group(
+    slots: &[Slot],
+    group: &[usize],
+    step: &StepSpec,
+    missing: &[u32],
+    victims: &Victims,
+) -> Option<Clearing> {
+    let mut rooms: Vec<(usize, Slot)> = group.iter().map(|&at| (at, slots[at].clone())).collect();
+    let mut places = Places::new();
+    let mut stopped: BTreeMap<TaskKey, (usize, Need)> = BTreeMap::new();
+    let mut total = 0;
+    for &index in missing {
+        let mut best: Option<(u64, usize, Vec<&Victim>)> = None;
+        for (number, (_, slot)) in rooms.iter().enumerate() {
+            let mut left = slot.clone();
+            let mut cost = 0;
+            let mut chosen = Vec::new();
+            let list = victims.get(&slot.worker).map_or(&[][..], Vec::as_slice);
+            for victim in list.iter().filter(|victim| !stopped.contains_key(&victim.key)) {
+                if left.holds(step) {
+                    break;
+                }
+                left.release(&victim.need);
+                cost += victim.cost;
+                chosen.push(victim);
+            }
+            if left.holds(step) && best.as_ref().is_none_or(|best| cost < best.0) {
+                best = Some((cost, number, chosen));
+            }
+        }
+        let (cost, number, chosen) = best?;
+        total += cost;
+        let (at, slot) = &mut rooms[number];
+        for victim in chosen {
+            slot.release(&victim.need);
+            stopped.insert(victim.key.clone(), (*at, victim.need));
+        }
+        slot.reserve(&step.need);
+        slot.taken += 1;
+        places.push((index, *at));
+    }
+    Some(Clearing { cost: total, places, stopped })
+}
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -1,5 +1,10 @@
 //! The stored state of a job.
+//!
+//! A wide job stores hundreds of tasks with each change, over links of a few Mbit/s, so the stored
+//! form is short: workers stand once in a table, and a task is a text such as `3d`, `2@4`, or
+//! `2@4!1=checkpoint`: highest run, done, index of the worker, failed runs, checkpoint.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use serde::Deserialize;
@@ -9,35 +14,23 @@
 use crate::spec::WorkerId;
 
 /// Stored state of one task.
-///
-/// Short names, since a wide job stores hundreds of these.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TaskRecord {
     /// Highest run number given out.
-    #[serde(rename = "r", skip_serializing_if = "is_zero")]
     pub run: u32,
     /// Numbers of the runs that ended failed.
-    #[serde(rename = "f", skip_serializing_if = "BTreeSet::is_empty")]
     pub failures: BTreeSet<u32>,
     /// Whether its work is done.
-    #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
     pub done: bool,
-    /// Worker that may hold the run, with the start of its incarnation in ms of Unix time.
-    #[serde(rename = "w", skip_serializing_if = "Option::is_none")]
-    pub place: Option<(WorkerId, u64)>,
+    /// Worker that may hold the run.
+    pub place: Option<WorkerId>,
     /// Checkpoint to resume from; empty for none.
-    #[serde(rename = "c", skip_serializing_if = "String::is_empty")]
     pub saved: String,
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde calls")]
-fn is_zero(number: &u32) -> bool {
-    *number == 0
-}
-
 /// Stored state of one job.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "Compact", try_from = "Compact")]
 pub struct Record {
     /// What callers are shown.
     pub state: JobState,
@@ -46,3 +39,98 @@
     /// Tasks by occurrence and step; empty once the job has ended.
     pub turns: Vec<Vec<Vec<TaskRecord>>>,
 }
+
+/// The stored form.
+#[derive(Serialize, Deserialize)]
+struct Compact {
+    state: JobState,
+    #[serde(default)]
+    begun: bool,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    workers: Vec<WorkerId>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    turns: Vec<Vec<Vec<String>>>,
+}
+
+impl From<Record> for Compact {
+    fn from(record: Record) -> Compact {
+        let mut workers: Vec<WorkerId> = Vec::new();
+        let mut known: BTreeMap<WorkerId, usize> = BTreeMap::new();
+        let mut text = |task: TaskRecord| {
+            let place = task.place.clone().map(|worker| {
+                *known.entry(worker.clone()).or_insert_with(|| {
+                    workers.push(worker);
+                    workers.len() - 1
+                })
+            });
+            write_task(&task, place)
+        };
+        let mut turns = Vec::with_capacity(record.turns.len());
+        for steps in record.turns {
+            let steps = steps.into_iter().map(|tasks| tasks.into_iter().map(&mut text).collect());
+            turns.push(steps.collect());
+        }
+        Compact { state: record.state, begun: record.begun, workers, turns }
+    }
+}
+
+impl TryFrom<Compact> for Record {
+    type Error = String;
+
+    fn try_from(compact: Compact) -> Result<Record, String> {
+        let mut turns = Vec::with_capacity(compact.turns.len());
+        for steps in &compact.turns {
+            let mut turn = Vec::with_capacity(steps.len());
+            for tasks in steps {
+                let task = |text: &String| {
+                    read_task(text, &compact.workers)
+                        .ok_or_else(|| format!("task {text:?} cannot be read"))
+                };
+                turn.push(tasks.iter().map(task).collect::<Result<Vec<TaskRecord>, String>>()?);
+            }
+            turns.push(turn);
+        }
+        Ok(Record { state: compact.state, begun: compact.begun, turns })
+    }
+}
+
+fn write_task(task: &TaskRecord, place: Option<usize>) -> String {
+    let mut text = String::new();
+    if task.run > 0 {
+        text = task.run.to_string();
+    }
+    if task.done {
+        text.push('d');
+    }
+    if let Some(place) = place {
+        text.push('@');
+        text.push_str(&place.to_string());
+    }
+    if !task.failures.is_empty() {
+        let runs: Vec<String> = task.failures.iter().map(u32::to_string).collect();
+        text.push('!');
+        text.push_str(&runs.join(","));
+    }
+    if !task.saved.is_empty() {
+        text.push('=');
+        text.push_str(&task.saved);
+    }
+    text
+}
+
+fn read_task(text: &str, workers: &[WorkerId]) -> Option<TaskRecord> {
+    let (rest, saved) = text.split_once('=').unwrap_or((text, ""));
+    let (rest, failures) = rest.split_once('!').unwrap_or((rest, ""));
+    let (rest, place) = match rest.split_once('@') {
+        Some((rest, index)) => (rest, Some(workers.get(index.parse::<usize>().ok()?)?.clone())),
+        None => (rest, None),
+    };
+    let (rest, done) = match rest.strip_suffix('d') {
+        Some(rest) => (rest, true),
+        None => (rest, false),
+    };
+    let run = if rest.is_empty() { 0 } else { rest.parse().ok()? };
+    let failures = failures.split(',').filter(|run| !run.is_empty());
+    let failures = failures.map(|run| run.parse().ok()).collect::<Option<BTreeSet<u32>>>()?;
+    Some(TaskRecord { run, failures, done, place, saved: saved.to_owned() })
+}
--- a/crates/batch/src/room.rs
+++ b/crates/batch/src/room.rs
@@ -1,6 +1,10 @@
 //! Room on workers while places are looked for.
 
+use std::sync::Arc;
+
 use crate::Planner;
+use crate::directory::Worker;
+use crate::directory::WorkerInfo;
 use crate::job::Stage;
 use crate::spec::Need;
 use crate::spec::StepSpec;
@@ -11,9 +15,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Slot {
     pub worker: WorkerId,
-    pub service: String,
-    pub rack: String,
-    pub labels: Vec<String>,
+    pub info: Arc<WorkerInfo>,
     pub room: Need,
     /// Reserved room that is still in use.
     pub owed: Need,
@@ -22,10 +24,21 @@
 }
 
 impl Slot {
+    /// A worker with its present room.
+    pub fn new(id: &WorkerId, worker: &Worker) -> Slot {
+        Slot {
+            worker: id.clone(),
+            info: Arc::clone(&worker.info),
+            room: worker.room(),
+            owed: Need::default(),
+            taken: 0,
+        }
+    }
+
     /// Whether a task of `step` may run here, room aside.
     pub fn suits(&self, step: &StepSpec, service: &str) -> bool {
-        self.service == service
-            && step.label.as_ref().is_none_or(|label| self.labels.contains(label))
+        self.info.service == service
+            && step.label.as_ref().is_none_or(|label| self.info.labels.contains(label))
     }
 
     /// Sets room aside, some of which may still be in use.
@@ -34,7 +47,12 @@
         self.room.remove(need);
     }
 
-    /// Runs that are stopped here give their room back.
+    /// Runs that are being stopped here pay what is owed.
+    pub fn settle(&mut self, need: &Need) {
+        self.owed.remove(need);
+    }
+
+    /// Counts the room of runs that could be stopped here.
     pub fn release(&mut self, need: &Need) {
         let owed = self.owed;
         self.owed.remove(need);
@@ -49,34 +67,29 @@
 
 impl Planner {
     /// Workers that take new runs, with what they have left beside reserved room.
-    pub(crate) fn slots(&self, now: Time) -> Vec<Slot> {
+    pub(crate) fn slots(&mut self, now: Time) -> Vec<Slot> {
         let mut slots: Vec<Slot> = self
             .workers
             .iter()
             .filter(|(_, worker)| worker.usable(now))
-            .map(|(id, worker)| Slot {
-                worker: id.clone(),
-                service: worker.info.service.clone(),
-                rack: worker.info.rack.clone(),
-                labels: worker.info.labels.clone(),
-                room: worker.room(),
-                owed: Need::default(),
-                taken: 0,
-            })
+            .map(|(id, worker)| Slot::new(id, worker))
             .collect();
-        for id in &self.live {
-            let Some(job) = self.jobs.get(id) else { continue };
+        self.reserving.retain(|id| {
+            let Some(job) = self.jobs.get(id) else { return false };
+            let mut any = false;
             for steps in &job.turns {
                 for (spec, step) in job.spec.steps.iter().zip(steps) {
                     for task in &step.tasks {
                         let Stage::Reserved(worker) = &task.stage else { continue };
+                        any = true;
                         if let Ok(at) = slots.binary_search_by(|slot| slot.worker.cmp(worker)) {
                             slots[at].reserve(&spec.need);
                         }
                     }
                 }
             }
-        }
+            any
+        });
         slots
     }
 }
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -211,6 +211,7 @@
                 // A former run was done after all; the present one is not needed.
                 Stage::Placed(run) => {
                     run.stopping.get_or_insert(now);
+                    self.stopping.insert(TaskKey { index: index as u32, ..key.clone() });
                 }
                 Stage::Reserved(_) => task.stage = Stage::Idle,
                 Stage::Idle => {}
@@ -270,6 +271,7 @@
         if let Some(keys) = self.runs.get_mut(&run.worker) {
             keys.remove(key);
         }
+        self.stopping.remove(key);
     }
 
     /// A run failed on a worker, or got no answer: after several jobs in a row it gets no new
@@ -324,6 +326,7 @@
                     run.taken = None;
                     run.stop_done = None;
                     run.stopping.get_or_insert(now);
+                    self.stopping.insert(key.clone());
                 }
             }
         }
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -19,6 +19,14 @@
 const CLAIM_LIMIT: Duration = Duration::from_millis(700);
 /// Longest pause before a claim, so that not all entry VMs claim at once.
 const CLAIM_SPREAD_MS: u64 = 40;
+/// Processor share from which a VM counts as fit to own the jobs, in cores: a quarter carries the
+/// users' 48 workers and their grown 350.
+const FIT_CPU: f64 = 0.25;
+/// Link from which a VM counts as fit, in Mbit/s: commits, orders and lists of 350 workers take up
+/// to ten at a crest.
+const FIT_LINK_MBPS: f64 = 50.0;
+/// Pause of a VM with nothing of either; a VM that is half fit waits half of it.
+const UNFIT_PAUSE: Duration = Duration::from_millis(600);
 /// Pause of an entry VM that is far from the store, in multiples of its call time.
 const FAR_FACTOR: u32 = 6;
 
@@ -66,7 +74,7 @@
         }
     };
     // Those near the store go first: the owner's commits are the faster.
-    sleep(state.clock.now().since(asked) * FAR_FACTOR).await;
+    sleep(state.clock.now().since(asked) * FAR_FACTOR + unfit_pause(state)).await;
     if !*state.vacant.borrow() {
         release(state, lease).await;
         return None;
@@ -101,6 +109,13 @@
     }
 }
 
+/// How long a VM lets fitter ones go first.
+fn unfit_pause(state: &State) -> Duration {
+    let cpu = (state.settings.cpu / FIT_CPU).min(1.0);
+    let link = (state.settings.link_mbps / FIT_LINK_MBPS).min(1.0);
+    UNFIT_PAUSE.mul_f64(1.0 - cpu.min(link))
+}
+
 fn outcome(committed: &Committed) -> &'static str {
     match committed {
         Committed::Done(_) => "done",
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -26,8 +26,13 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(60);
 /// Longest pause after a refused transaction.
 const REFUSED_PAUSE_MAX: Duration = Duration::from_millis(500);
-/// Records in one transaction: beside them it holds the sequence key's condition and its write.
-const RECORDS: usize = MAX_ENTRIES - 2;
+/// Longest limit, for a transaction that did not get through a slow link in time.
+const COMMIT_LIMIT_MAX: Duration = Duration::from_millis(4_000);
+/// Writes in one transaction: beside them it holds the sequence key's condition and its write.
+const WRITES: usize = MAX_ENTRIES - 2;
+/// Bytes in one transaction, unless a single record is longer: a link of 10 Mbit/s carries them in
+/// about 50 ms.
+const WRITE_BYTES: usize = 48 << 10;
 
 /// The ownership was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,21 +73,21 @@
         records: &[(JobId, Record)],
         waiting: &std::collections::BTreeMap<String, u64>,
     ) -> Result<(), Deposed> {
-        let encoded: Vec<(String, Vec<u8>)> = records
-            .iter()
-            .map(|(id, record)| (format!("{RECORD_PREFIX}{id}"), encode(record)))
-            .collect();
-        let mut chunks = encoded.chunks(RECORDS);
+        let mut writes: Vec<(String, Vec<u8>)> = Vec::new();
+        for (id, record) in records {
+            writes.push((format!("{RECORD_PREFIX}{id}"), encode(record)));
+        }
+        let mut rest = writes.as_slice();
         // Without records the queues' lengths are still written.
-        let mut chunk = chunks.next().unwrap_or_default();
         loop {
+            let (chunk, after) = rest.split_at(chunk_len(rest));
+            rest = after;
             self.number += 1;
             let sequence =
                 Sequence { token: self.token, number: self.number, waiting: waiting.clone() };
             self.transact(chunk, &encode(&sequence)).await?;
-            match chunks.next() {
-                Some(next) => chunk = next,
-                None => return Ok(()),
+            if rest.is_empty() {
+                return Ok(());
             }
         }
     }
@@ -98,8 +103,9 @@
         let txn =
             Txn { conditions: vec![(SEQUENCE_KEY, self.sequence)], writes, deletes: Vec::new() };
         let mut pause = REFUSED_PAUSE;
+        let mut limit = COMMIT_LIMIT;
         loop {
-            match self.state.store.commit(&txn, COMMIT_LIMIT).await {
+            match self.state.store.commit(&txn, limit).await {
                 Ok(Committed::Done(revision)) => {
                     self.sequence = revision;
                     return Ok(());
@@ -124,12 +130,24 @@
                 Err(error) => {
                     warn!(error = error.to_string().as_str(), number = self.number;
                         "commit: in doubt, again");
+                    limit = (limit * 2).min(COMMIT_LIMIT_MAX);
                 }
             }
         }
     }
 }
 
+/// How many of the first writes go into one transaction.
+fn chunk_len(writes: &[(String, Vec<u8>)]) -> usize {
+    let mut bytes = 0;
+    let fits = |(key, value): &&(String, Vec<u8>)| {
+        bytes += key.len() + value.len();
+        bytes <= WRITE_BYTES
+    };
+    let fitting = writes.iter().take(WRITES).take_while(fits).count();
+    fitting.max(1).min(writes.len())
+}
+
 fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
     // Records have text keys only, the one thing that JSON could refuse.
     serde_json::to_vec(value).unwrap_or_default()
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use log::Level;
 use log::info;
+use log::log;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::spawn_local;
 
@@ -12,6 +14,8 @@
 use batch::Action;
 use batch::Event;
 use batch::Held;
+use batch::Outcome;
+use batch::StartResult;
 use batch::WorkerId;
 use platform::worker::Renewal;
 use platform::worker::Start;
@@ -45,7 +49,12 @@
                     let (payload, saved) = (spec.payload.as_str(), saved.as_str());
                     let start = Start { task: &task, run, payload, deadline, saved };
                     let result = orders.workers.start(&worker, address, &start, ORDER_LIMIT).await;
-                    info!(task = task.to_string().as_str(), run = run, worker = &*worker.0,
+                    // Starts that are taken are the usual case; where they went is in the store.
+                    let level = match result {
+                        StartResult::Taken => Level::Debug,
+                        _ => Level::Info,
+                    };
+                    log!(level, task = task.to_string().as_str(), run = run, worker = &*worker.0,
                         result = format!("{result:?}").as_str(); "start");
                     orders.report(Event::Started(task, run, result));
                 });
@@ -55,7 +64,8 @@
                 spawn_local(async move {
                     let result =
                         orders.workers.stop(&worker, address, &task, run, ORDER_LIMIT).await;
-                    info!(task = task.to_string().as_str(), run = run, worker = &*worker.0,
+                    let level = if result.is_ok() { Level::Debug } else { Level::Info };
+                    log!(level, task = task.to_string().as_str(), run = run, worker = &*worker.0,
                         result = format!("{result:?}").as_str(); "stop");
                     if result == Err(WorkerError::Fenced) {
                         orders.report(Event::Fenced(worker));
@@ -85,7 +95,9 @@
         match self.workers.hold(&worker, address, renewal, limit).await {
             Ok(lists) => {
                 for end in &lists.ended {
-                    info!(task = end.task.to_string().as_str(), run = end.run, worker = &*worker.0,
+                    let usual = matches!(end.outcome, Outcome::Done | Outcome::Stopped);
+                    let level = if usual { Level::Debug } else { Level::Info };
+                    log!(level, task = end.task.to_string().as_str(), run = end.run, worker = &*worker.0,
                         number = end.number, outcome = end.outcome.to_string().as_str(); "end");
                 }
                 let held = Held {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -44,10 +44,16 @@
 
 /// Limit on one read of the store.
 const READ_LIMIT: Duration = Duration::from_millis(900);
+/// Limit on a read over a slow link, which carries a page of a megabyte in about a second.
+const LONG_LIMIT: Duration = Duration::from_millis(4_000);
 /// Pause after a failed read of the store.
 const READ_PAUSE: Duration = Duration::from_millis(150);
 /// Pause between reads of the directory of workers.
 const DIRECTORY_PAUSE: Duration = Duration::from_millis(1_000);
+/// Entries a second that the directory is read with at most, for slow links.
+const DIRECTORY_RATE: u32 = 200;
+/// Most events that one decision takes in.
+const EVENTS_AT_ONCE: usize = 256;
 /// Longest wait of a watch for new jobs.
 const JOBS_WAIT: Duration = Duration::from_millis(5_000);
 /// Time for the answer of such a watch to arrive.
@@ -186,12 +192,13 @@
                 biased;
                 Some(result) = self.commits.recv() => self.finish_commit(result),
                 Some(workers) = lists.recv() => self.list(workers),
-                Some(event) = self.events.recv() => self.feed(event),
+                Some(event) = self.events.recv() => self.feed_all(event),
                 Ok(()) = changed.changed() => match state.policy() {
                     Some(confirmed) => self.feed(Event::Configured(confirmed.policy)),
                     None => Ok(()),
                 },
                 _ = tick.tick() => self.feed(Event::Tick),
+                () = sleep(self.planner.wake().since(state.clock.now())) => self.feed(Event::Tick),
             };
             if fed.is_err() || (state.draining.get() && self.writer.is_some()) {
                 return;
@@ -207,9 +214,25 @@
         self.feed(Event::Listed(workers))
     }
 
+    /// Takes in an event and those that came with it, and decides once.
+    fn feed_all(&mut self, event: Event) -> Result<(), Deposed> {
+        let now = self.state.clock.now();
+        self.planner.tell(now, event);
+        for _ in 0..EVENTS_AT_ONCE {
+            let Ok(event) = self.events.try_recv() else { break };
+            self.planner.tell(now, event);
+        }
+        self.decide(now)
+    }
+
     fn feed(&mut self, event: Event) -> Result<(), Deposed> {
         let now = self.state.clock.now();
-        for action in self.planner.handle(now, self.state.clock.stamp(), event) {
+        self.planner.tell(now, event);
+        self.decide(now)
+    }
+
+    fn decide(&mut self, now: model::Time) -> Result<(), Deposed> {
+        for action in self.planner.decide(now, self.state.clock.stamp()) {
             match action {
                 Action::Resign => return Err(Deposed),
                 Action::Commit(records) => self.commit(records, true),
@@ -302,11 +325,13 @@
 
 /// Reads all items under a prefix, for as long as it takes.
 async fn read(state: &State, prefix: &str) -> (Vec<Item>, u64) {
+    let mut limit = READ_LIMIT;
     loop {
-        match state.store.range(prefix, READ_LIMIT).await {
+        match state.store.range(prefix, limit).await {
             Ok(read) => return read,
             Err(error) => {
                 warn!(prefix = prefix, error = error.to_string().as_str(); "read: failed, again");
+                limit = (limit * 2).min(LONG_LIMIT);
                 sleep(READ_PAUSE).await;
             }
         }
@@ -374,8 +399,11 @@
 /// Reads the directory of workers again and again.
 async fn follow_directory(state: Rc<State>, listed: UnboundedSender<Vec<WorkerInfo>>) {
     loop {
-        match state.store.range(directory::PREFIX, READ_LIMIT).await {
+        let mut pause = DIRECTORY_PAUSE;
+        match state.store.range(directory::PREFIX, LONG_LIMIT).await {
             Ok((entries, _)) => {
+                let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
+                pause = pause.max(Duration::from_secs(1) * count / DIRECTORY_RATE);
                 if listed.send(workers(&entries)).is_err() {
                     return;
                 }
@@ -384,7 +412,7 @@
                 warn!(error = error.to_string().as_str(); "directory: read failed");
             }
         }
-        sleep(DIRECTORY_PAUSE).await;
+        sleep(pause).await;
     }
 }
 
--- a/crates/text/src/host.rs
+++ b/crates/text/src/host.rs
@@ -17,7 +17,7 @@
 use model::ZoneId;
 
 /// Settings of an entry VM whose lasting state lives in the platform's store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct HostSettings {
     /// Name of the VM.
     pub vm: VmId,
@@ -33,6 +33,10 @@
     pub metrics: Option<SocketAddr>,
     /// Address of the store.
     pub store: SocketAddr,
+    /// Share of a core that the VM has, over all its cores.
+    pub cpu: f64,
+    /// Bandwidth of its own link, in Mbit/s.
+    pub link_mbps: f64,
     /// Life of the ownership's lease in the store.
     pub ownership: Duration,
     /// Time within which a new configuration has to be in force.
@@ -64,7 +68,7 @@
     pub reclaim: Duration,
 }
 
-const FIELDS: [&str; 14] = [
+const FIELDS: [&str; 16] = [
     "vm",
     "zone",
     "region",
@@ -72,6 +76,8 @@
     "readiness",
     "metrics",
     "store",
+    "cpu",
+    "link_mbps",
     "ownership",
     "apply",
     "grace",
@@ -110,6 +116,8 @@
         let readiness = reader.required(object, path, "readiness", "\"0.0.0.0:8081\"");
         let metrics = reader.or(object, path, "metrics", None);
         let store = reader.required(object, path, "store", "\"10.0.0.2:2379\"");
+        let cpu = reader.required(object, path, "cpu", "0.25");
+        let link_mbps = reader.required(object, path, "link_mbps", "1000");
         let ownership = reader.required(object, path, "ownership", "\"1200ms\"");
         let apply = reader.required(object, path, "apply", "\"3s\"");
         let grace = reader.required(object, path, "grace", "\"6s\"");
@@ -125,6 +133,8 @@
             readiness: readiness?,
             metrics: metrics?,
             store: store?,
+            cpu: cpu?,
+            link_mbps: link_mbps?,
             ownership: ownership?,
             apply: apply?,
             grace: grace?,
--- a/crates/text/src/reader.rs
+++ b/crates/text/src/reader.rs
@@ -281,6 +281,17 @@
     }
 }
 
+impl Read for f64 {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<f64> {
+        let number: Option<f64> = value.as_number_lit().and_then(|n| n.value.parse().ok());
+        let number = number.filter(|number| number.is_finite() && *number > 0.0);
+        if number.is_none() {
+            reader.mistyped(value, path, "a number above 0");
+        }
+        number
+    }
+}
+
 impl Read for u32 {
     fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<u32> {
         let number = value.as_number_lit().and_then(|n| n.value.parse().ok());
