Adopt the runs that a takeover finds

Cause: the short records no longer hold the start of a worker's incarnation, so a new owner took every run on a worker whose directory entry names it for a stray, and stopped it.

Change: a run is known by its worker and number; what a new incarnation has, its lists say. The test adopted_runs fails before (40 starts for 20 tasks) and passes after.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -47,7 +47,6 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Run {
     pub worker: WorkerId,
-    pub born: u64,
     /// Whether the store holds it.
     pub stored: bool,
     /// When a start was sent last; none before the first.
@@ -72,10 +71,9 @@
 
 impl Run {
     /// A run that nobody has heard of yet.
-    pub fn new(worker: WorkerId, born: u64, now: Time) -> Run {
+    pub fn new(worker: WorkerId, now: Time) -> Run {
         Run {
             worker,
-            born,
             stored: false,
             sent: None,
             deadline: 0,
@@ -241,7 +239,7 @@
             stored: true,
             sent: Some(now),
             taken: Some(now),
-            ..Run::new(worker.clone(), 0, now)
+            ..Run::new(worker.clone(), now)
         }),
     };
     Task {
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -135,10 +135,9 @@
             let id = slots[*slot].worker.clone();
             let Some(worker) = self.workers.get_mut(&id) else { continue };
             worker.used.add(&step.need);
-            let born = worker.born;
             let Some(task) = task_mut(job, &key) else { continue };
             task.run = if step.gang { highest + 1 } else { task.run + 1 };
-            task.stage = Stage::Placed(Run::new(id.clone(), born, now));
+            task.stage = Stage::Placed(Run::new(id.clone(), now));
             self.runs.entry(id).or_default().insert(key);
         }
         job.begun = true;
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -38,7 +38,7 @@
         }
         if held.born > worker.born {
             worker.reborn(held.born);
-            self.renew_runs(now, id, held.born);
+            self.rule_out(now, id);
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         if !worker.answers || worker.clock.is_none() {
@@ -56,7 +56,7 @@
         }
         let mut strays = 0;
         for report in &held.running {
-            if self.progress(now, id, held, report) {
+            if self.progress(now, id, report) {
                 continue;
             }
             strays += 1;
@@ -89,20 +89,14 @@
     }
 
     /// Takes in a listed run; false if it is none of the current ones.
-    fn progress(
-        &mut self,
-        now: Time,
-        id: &WorkerId,
-        held: &Held,
-        report: &crate::event::RunReport,
-    ) -> bool {
+    fn progress(&mut self, now: Time, id: &WorkerId, report: &crate::event::RunReport) -> bool {
         let Some(job) = self.jobs.get_mut(&report.task.job) else { return false };
         let Some(task) = task_mut(job, &report.task) else { return false };
         if task.run != report.run {
             return false;
         }
         let Stage::Placed(run) = &mut task.stage else { return false };
-        if run.worker != *id || run.born != held.born {
+        if run.worker != *id {
             return false;
         }
         run.taken.get_or_insert(now);
@@ -312,22 +306,21 @@
         }
     }
 
-    /// Counts a worker's runs as those of its incarnation `born`.
+    /// Rules out starts without an answer, since another incarnation of the worker answers.
     ///
     /// A start that was on its way when the worker came back may have met the new incarnation, so
-    /// its lists decide about each run as usual.
-    fn renew_runs(&mut self, now: Time, id: &WorkerId, born: u64) {
+    /// its lists decide about each run as usual. One that may still come carries a lease end on the
+    /// former clock, which the new one does not reach soon: only a stop rules it out.
+    fn rule_out(&mut self, now: Time, id: &WorkerId) {
         let Some(keys) = self.runs.get(id) else { return };
         for key in keys {
             let task = self.jobs.get_mut(&key.job).and_then(|job| task_mut(job, key));
-            if let Some(Stage::Placed(run)) = task.map(|task| &mut task.stage) {
-                run.born = born;
-                if run.unsure > 0 {
-                    run.taken = None;
-                    run.stop_done = None;
-                    run.stopping.get_or_insert(now);
-                    self.stopping.insert(key.clone());
-                }
+            let Some(Stage::Placed(run)) = task.map(|task| &mut task.stage) else { continue };
+            if run.unsure > 0 {
+                run.taken = None;
+                run.stop_done = None;
+                run.stopping.get_or_insert(now);
+                self.stopping.insert(key.clone());
             }
         }
     }
--- a/crates/batch/tests/schedules/regressions.rs
+++ b/crates/batch/tests/schedules/regressions.rs
@@ -52,3 +52,16 @@
         world.check_ends();
     }
 }
+
+/// A new owner goes on with the runs that it finds: it used to hold them for strays, since the
+/// directory told the start of the incarnation and the stored record did not.
+#[test]
+fn adopted_runs() {
+    let mut world = World::new(3, 4, Faults::default(), policy(0));
+    let id = world.submit("00000000000000bb", "patient", "a", vec![step(20, 1, 5_000)]);
+    world.run(1_500);
+    world.take_over(true);
+    world.run(20_000);
+    assert_eq!(world.shown(&id), JobState::Completed);
+    assert_eq!(world.starts, 20, "each task ran once");
+}
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -279,7 +279,7 @@
                 rack: format!("r{}", number / 8),
                 labels: vec!["a".to_owned(), format!("r{}", number / 8)],
                 capacity: worker.capacity,
-                born: None,
+                born: Some(worker.born),
                 leaves: worker.leaves.map(|at| Duration::from_millis(at.saturating_sub(now))),
             })
             .collect();
