--- a/crates/node/src/confirm.rs
+++ b/crates/node/src/confirm.rs
@@ -83,19 +83,19 @@
 
 /// Follows the configuration and the ownership for as long as the process runs.
 pub async fn follow(state: Rc<State>) {
-    let mut reachable = true;
     let mut after = None;
     loop {
         let result = match after {
             None => read_all(&state).await,
-            Some(after) => watch(&state, after).await,
+            Some(after) => tokio::select! {
+                watched = watch(&state, after) => watched,
+                // Some other call failed: a watch that waits would tell only later.
+                () = state.probe.notified() => read_all(&state).await,
+            },
         };
         match result {
             Ok(revision) => {
-                if !reachable {
-                    info!(revision = revision; "store: regained");
-                }
-                reachable = true;
+                state.note_store(true);
                 after = Some(revision);
             }
             Err(StoreError::Compacted) => {
@@ -103,10 +103,8 @@
                 after = None;
             }
             Err(error) => {
-                if reachable {
-                    warn!(error = error.to_string().as_str(); "store: lost");
-                }
-                reachable = false;
+                warn!(error = error.to_string().as_str(); "store: watch failed");
+                state.note_store(false);
                 after = None;
                 sleep(RETRY_PAUSE).await;
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod claim;
 mod commit;
 mod orders;
+mod peers;
 
 pub use error::Error;
 pub use run::run;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -17,6 +17,7 @@
 use crate::confirm;
 use crate::error::Error;
 use crate::owner;
+use crate::peers;
 use crate::state::State;
 use crate::web;
 use crate::web::Role;
@@ -46,7 +47,8 @@
     let runtime = Builder::new_current_thread().enable_all().build().map_err(Error::Runtime)?;
     let callers = listen(settings.callers)?;
     let readiness = listen(settings.readiness)?;
-    LocalSet::new().block_on(&runtime, serve(settings, callers, readiness))
+    let peers = listen(settings.peers)?;
+    LocalSet::new().block_on(&runtime, serve(settings, callers, readiness, peers))
 }
 
 fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
@@ -59,6 +61,7 @@
     settings: HostSettings,
     callers: TcpListener,
     readiness: TcpListener,
+    peers: TcpListener,
 ) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Runtime)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::Runtime)?;
@@ -69,10 +72,12 @@
     let vm = settings.vm.to_string();
     info!(vm = vm.as_str(), callers = settings.callers.to_string().as_str(),
         store = settings.store.to_string().as_str(), version = env!("CARGO_PKG_VERSION"); "start");
-    let state = State::new(settings, Clock::start(), store);
+    let state = State::new(settings, Clock::start(), store, caller.clone());
     spawn_local(confirm::follow(Rc::clone(&state)));
     spawn_local(web::serve(Rc::clone(&state), callers, Role::Callers));
     spawn_local(web::serve(Rc::clone(&state), readiness, Role::Readiness));
+    spawn_local(web::serve(Rc::clone(&state), peers, Role::Peers));
+    spawn_local(peers::follow(Rc::clone(&state)));
     owner::start(&state, &caller);
     loop {
         tokio::select! {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -2,15 +2,20 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::info;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::clock::Clock;
 use batch::Policy;
 use model::Time;
+use net::Caller;
 use platform::store::Store;
 use text::HostSettings;
 
@@ -20,6 +25,8 @@
 pub(crate) const HEAD_PREFIX: &str = "o";
 /// Key that every commit of an owner writes, so that a late commit cannot pass a newer one.
 pub(crate) const SEQUENCE_KEY: &str = "sequence";
+/// Prefix of the entry VMs' addresses, each under a lease of its own.
+pub(crate) const PEER_PREFIX: &str = "p/";
 /// Prefix of submitted jobs.
 pub(crate) const JOB_PREFIX: &str = "j/";
 /// Prefix of jobs' states.
@@ -55,11 +62,21 @@
     pub changed: watch::Sender<u64>,
     /// Requests in progress.
     pub open: Cell<usize>,
+    /// Since when the store has not answered this VM, if so.
+    pub lost: Cell<Option<Time>>,
+    /// Asks for a look at the store at once.
+    pub probe: Notify,
+    /// Other entry VMs.
+    pub peers: RefCell<Vec<SocketAddr>>,
+    /// Peers that could not help, with the time until which they are not asked.
+    pub unhelpful: RefCell<BTreeMap<SocketAddr, Time>>,
+    /// Calls to peers.
+    pub caller: Caller,
 }
 
 impl State {
     /// The state of a process that starts.
-    pub fn new(settings: HostSettings, clock: Clock, store: Store) -> Rc<State> {
+    pub fn new(settings: HostSettings, clock: Clock, store: Store, caller: Caller) -> Rc<State> {
         Rc::new(State {
             settings,
             clock,
@@ -70,6 +87,11 @@
             vacant: watch::Sender::new(false),
             changed: watch::Sender::new(0),
             open: Cell::new(0),
+            lost: Cell::new(None),
+            probe: Notify::new(),
+            peers: RefCell::new(Vec::new()),
+            unhelpful: RefCell::new(BTreeMap::new()),
+            caller,
         })
     }
 
@@ -78,6 +100,23 @@
         self.configuration.borrow().clone()
     }
 
+    /// Notes whether the store answers this VM.
+    pub fn note_store(&self, answers: bool) {
+        match (answers, self.lost.get()) {
+            (true, Some(since)) => {
+                let span = self.clock.now().since(since).as_millis() as u64;
+                info!(span_ms = span; "store: regained");
+                self.lost.set(None);
+            }
+            (false, None) => {
+                info!("store: lost");
+                self.lost.set(Some(self.clock.now()));
+                self.probe.notify_one();
+            }
+            _ => {}
+        }
+    }
+
     /// Time since the store last confirmed the configuration.
     pub fn age(&self) -> Duration {
         self.clock.now().since(self.confirmed.get())
--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -35,7 +35,9 @@
 use crate::commit::Sequence;
 use crate::confirm::adopt;
 use crate::confirm::confirm;
-use crate::confirm::lifetime;
+use crate::peers;
+use crate::peers::HOST_HEADER;
+use crate::peers::Passed;
 use crate::state::Confirmed;
 use crate::state::JOB_PREFIX;
 use crate::state::RECORD_PREFIX;
@@ -63,8 +65,12 @@
 const STORE_PAUSE: Duration = Duration::from_millis(80);
 /// Longest time for which refused store calls are repeated before the caller is sent elsewhere.
 const REFUSED_TIME: Duration = Duration::from_millis(300);
-/// When a refused caller shall come again, in seconds.
+/// When a refused caller shall come again, in seconds, if no entry VM can help now.
 const RETRY_SECONDS: u64 = 1;
+/// The same if only this entry VM cannot help.
+const RETRY_ELSEWHERE_SECONDS: u64 = 0;
+/// Time without the store after which a VM takes no new connections.
+const LOST_TIME: Duration = Duration::from_millis(800);
 
 /// The part of a stored record that is shown.
 #[derive(Deserialize)]
@@ -79,11 +85,24 @@
     body: Vec<u8>,
     /// Why, for the log.
     reason: &'static str,
+    /// Whether this VM lacks what another may have.
+    cut: bool,
+    /// When a refused caller shall come again, in seconds.
+    retry: u64,
 }
 
 impl Answer {
     fn new(status: StatusCode, reason: &'static str) -> Answer {
-        Answer { status, body: Vec::new(), reason }
+        Answer { status, body: Vec::new(), reason, cut: false, retry: RETRY_SECONDS }
+    }
+
+    fn with(body: Vec<u8>, reason: &'static str) -> Answer {
+        Answer { body, ..Answer::new(StatusCode::OK, reason) }
+    }
+
+    /// This VM cannot tell, or cannot do it, without the store.
+    fn cut(status: StatusCode, reason: &'static str) -> Answer {
+        Answer { cut: true, ..Answer::new(status, reason) }
     }
 }
 
@@ -126,6 +145,8 @@
     Callers,
     /// The balancer's health checks.
     Readiness,
+    /// Requests that peers pass on.
+    Peers,
 }
 
 async fn answer(
@@ -134,7 +155,9 @@
     role: Role,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     if role == Role::Readiness {
-        let ready = state.policy().is_some() && !state.draining.get();
+        let lost = state.lost.get().map(|since| state.clock.now().since(since));
+        let cut = lost.is_some_and(|span| span > LOST_TIME);
+        let ready = state.policy().is_some() && !state.draining.get() && !cut;
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         return Ok(respond(&state, Answer::new(status, "readiness")));
     }
@@ -142,7 +165,7 @@
     let started = state.clock.now();
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
-    let result = call(&state, request, started).await;
+    let result = call(&state, request, role, started).await;
     let took = state.clock.now().since(started).as_millis() as u64;
     let version = state.policy().map_or(0, |confirmed| confirmed.policy.version);
     info!(method = method.as_str(), path = path.as_str(), status = result.status.as_u16(),
@@ -158,7 +181,7 @@
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if matches!(answer.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
-        headers.insert(RETRY_AFTER, HeaderValue::from(RETRY_SECONDS));
+        headers.insert(RETRY_AFTER, HeaderValue::from(answer.retry));
     }
     if state.draining.get() {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -198,47 +221,83 @@
 
 /// Admits a request by a configuration that was confirmed lately.
 async fn admitted(state: &State, head: &Head) -> Result<Admitted, Answer> {
-    let stale = || Answer::new(StatusCode::SERVICE_UNAVAILABLE, "configuration not confirmed");
+    let stale = || Answer::cut(StatusCode::SERVICE_UNAVAILABLE, "configuration not confirmed");
     if !confirm(state).await {
         return Err(stale());
     }
     admit(state.policy().ok_or_else(stale)?, head)
 }
 
-async fn call(state: &Rc<State>, request: Request<Incoming>, started: Time) -> Answer {
+async fn call(state: &State, request: Request<Incoming>, role: Role, started: Time) -> Answer {
     let header = |name: &str| {
         request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
     };
-    let host = header(HOST.as_str()).unwrap_or_default();
+    let host = match role {
+        Role::Peers => header(HOST_HEADER.as_str()),
+        _ => header(HOST.as_str()),
+    };
+    let host = host.unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
-    let head =
-        Head { host, path: request.uri().path().to_owned(), key: header(platform::KEY_HEADER) };
     let time = header(platform::DEADLINE_HEADER).and_then(|text| text.parse().ok());
     let time = time.map_or(CALLER_TIME, Duration::from_millis);
+    let (method, path) = (request.method().clone(), request.uri().path().to_owned());
+    let key = header(platform::KEY_HEADER);
+    let limit = state.policy().map(|confirmed| confirmed.policy.body_bytes);
+    let limit = limit.unwrap_or(state.settings.body.0 as usize);
+    let body = match Limited::new(request.into_body(), limit).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            return Answer::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too long");
+        }
+        Err(_) => return Answer::new(StatusCode::BAD_REQUEST, "body broke off"),
+    };
     let deadline = started + time.saturating_sub(ANSWER_MARGIN);
-    let method = request.method().clone();
+    let request = peers::Request { method, host, path, key, body, deadline };
+    if role == Role::Peers {
+        if state.lost.get().is_some() {
+            return Answer::cut(StatusCode::SERVICE_UNAVAILABLE, "store is away");
+        }
+        return serve_here(state, &request).await;
+    }
+    // A VM that the store turns away does not try in vain first.
+    let here = match state.lost.get() {
+        Some(_) => Answer::cut(StatusCode::SERVICE_UNAVAILABLE, "store is away"),
+        None => serve_here(state, &request).await,
+    };
+    if !here.cut {
+        return here;
+    }
+    match peers::pass(state, &request).await {
+        Passed::Answered(reply) => match StatusCode::from_u16(reply.status) {
+            Ok(status) => {
+                Answer { status, ..Answer::with(reply.body.to_vec(), "answered by a peer") }
+            }
+            Err(_) => here,
+        },
+        // Other VMs may serve the caller now, though they cannot be reached from here.
+        Passed::Alone => Answer { retry: RETRY_ELSEWHERE_SECONDS, ..here },
+        Passed::Refused => here,
+        Passed::Unknown if request.method == Method::GET => here,
+        Passed::Unknown => Answer::new(StatusCode::GATEWAY_TIMEOUT, "peer in doubt"),
+    }
+}
+
+/// Serves a request with this VM's own calls to the store.
+async fn serve_here(state: &State, request: &peers::Request) -> Answer {
+    let head =
+        Head { host: request.host.clone(), path: request.path.clone(), key: request.key.clone() };
     let admitted = match admitted(state, &head).await {
         Ok(admitted) => admitted,
         Err(answer) => return answer,
     };
-    match method {
+    match request.method {
         Method::GET if admitted.rest.is_empty() => length(state, &admitted).await,
         _ if !callers::is_job_id(&admitted.rest) => {
             Answer::new(StatusCode::NOT_FOUND, "not the id of a job")
         }
         Method::GET => show(state, &admitted).await,
-        Method::DELETE => cancel(state, &admitted, deadline).await,
-        Method::POST => {
-            let limit = admitted.confirmed.policy.body_bytes;
-            let body = match Limited::new(request.into_body(), limit).collect().await {
-                Ok(body) => body.to_bytes(),
-                Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-                    return Answer::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too long");
-                }
-                Err(_) => return Answer::new(StatusCode::BAD_REQUEST, "body broke off"),
-            };
-            submit(state, admitted, &head, &body, deadline).await
-        }
+        Method::DELETE => cancel(state, &admitted, request.deadline).await,
+        Method::POST => submit(state, admitted, &head, &request.body, request.deadline).await,
         _ => Answer::new(StatusCode::METHOD_NOT_ALLOWED, "no such method"),
     }
 }
@@ -269,12 +328,18 @@
             Ok(Committed::Conflict(items)) => return Written::Conflict(items),
             Ok(Committed::NoLease) => return Written::Refused,
             Err(StoreError::Refused(_)) => {
+                state.note_store(false);
                 if !*doubt && state.clock.now().since(started) > REFUSED_TIME {
                     return Written::Refused;
                 }
                 sleep(STORE_PAUSE).await;
             }
-            Err(_) => *doubt = true,
+            Err(_) => {
+                *doubt = true;
+                state.note_store(false);
+                // A peer may reach the store, and settles the doubt with the same write.
+                return Written::Unknown;
+            }
         }
     }
 }
@@ -316,9 +381,9 @@
         match write(state, &txn, &mut doubt, deadline).await {
             Written::Done => return accepted(),
             Written::Refused => {
-                return Answer::new(StatusCode::SERVICE_UNAVAILABLE, "store refuses");
+                return Answer::cut(StatusCode::SERVICE_UNAVAILABLE, "store refuses");
             }
-            Written::Unknown => return Answer::new(StatusCode::GATEWAY_TIMEOUT, "store in doubt"),
+            Written::Unknown => return Answer::cut(StatusCode::GATEWAY_TIMEOUT, "store in doubt"),
             Written::Conflict(items) => {
                 if let Some(item) = items.iter().find(|item| item.key == key) {
                     return repeated(item, &submission);
@@ -345,7 +410,7 @@
 }
 
 fn accepted() -> Answer {
-    Answer { status: StatusCode::OK, body: callers::state(JobState::Pending), reason: "stored" }
+    Answer::with(callers::state(JobState::Pending), "stored")
 }
 
 /// A job of this id is stored: the same one is accepted, another one is not.
@@ -366,7 +431,10 @@
         match state.store.get(key, STORE_LIMIT).await {
             Ok(item) => return Ok(item),
             Err(_) if state.clock.now().since(started) < REFUSED_TIME => sleep(STORE_PAUSE).await,
-            Err(_) => return Err(Answer::new(StatusCode::SERVICE_UNAVAILABLE, "store is away")),
+            Err(_) => {
+                state.note_store(false);
+                return Err(Answer::cut(StatusCode::SERVICE_UNAVAILABLE, "store is away"));
+            }
         }
     }
 }
@@ -383,12 +451,12 @@
     if let Some(item) = record {
         let shown: Shown = serde_json::from_slice(&item.value).map_err(|_| unreadable())?;
         let body = callers::state(shown.state);
-        return Ok(Answer { status: StatusCode::OK, body, reason: "record" });
+        return Ok(Answer::with(body, "record"));
     }
     match read(state, &format!("{JOB_PREFIX}{}", admitted.rest)).await? {
         Some(_) => {
             let body = callers::state(JobState::Pending);
-            Ok(Answer { status: StatusCode::OK, body, reason: "no record yet" })
+            Ok(Answer::with(body, "no record yet"))
         }
         None => Ok(Answer::new(StatusCode::GONE, "no such job")),
     }
@@ -402,7 +470,7 @@
     let sequence = item.and_then(|item| serde_json::from_slice::<Sequence>(&item.value).ok());
     let waiting = sequence.and_then(|sequence| sequence.waiting.get(&admitted.queue).copied());
     let body = callers::waiting(waiting.unwrap_or(0));
-    Answer { status: StatusCode::OK, body, reason: "length" }
+    Answer::with(body, "length")
 }
 
 async fn cancel(state: &State, admitted: &Admitted, deadline: Time) -> Answer {
@@ -432,9 +500,9 @@
         match write(state, &txn, &mut doubt, deadline).await {
             Written::Done => return Answer::new(StatusCode::OK, "cancelled"),
             Written::Refused => {
-                return Answer::new(StatusCode::SERVICE_UNAVAILABLE, "store refuses");
+                return Answer::cut(StatusCode::SERVICE_UNAVAILABLE, "store refuses");
             }
-            Written::Unknown => return Answer::new(StatusCode::GATEWAY_TIMEOUT, "store in doubt"),
+            Written::Unknown => return Answer::cut(StatusCode::GATEWAY_TIMEOUT, "store in doubt"),
             Written::Conflict(items) => match items.into_iter().find(|found| found.key == key) {
                 Some(found) => item = found,
                 None => return Answer::new(StatusCode::GONE, "no such job"),
@@ -442,8 +510,3 @@
         }
     }
 }
-
-/// Whether the configuration is fresh enough to act on.
-pub fn fresh(state: &State) -> bool {
-    state.age() < lifetime(state)
-}
--- a/crates/text/src/host.rs
+++ b/crates/text/src/host.rs
@@ -29,6 +29,8 @@
     pub callers: SocketAddr,
     /// Where the balancer asks for readiness.
     pub readiness: SocketAddr,
+    /// Where peers connect.
+    pub peers: SocketAddr,
     /// Where metrics are shown, if anywhere.
     pub metrics: Option<SocketAddr>,
     /// Address of the store.
@@ -68,12 +70,13 @@
     pub reclaim: Duration,
 }
 
-const FIELDS: [&str; 16] = [
+const FIELDS: [&str; 17] = [
     "vm",
     "zone",
     "region",
     "callers",
     "readiness",
+    "peers",
     "metrics",
     "store",
     "cpu",
@@ -114,6 +117,7 @@
         let region: Option<Name> = reader.required(object, path, "region", "\"north\"");
         let callers = reader.required(object, path, "callers", "\"0.0.0.0:8080\"");
         let readiness = reader.required(object, path, "readiness", "\"0.0.0.0:8081\"");
+        let peers = reader.required(object, path, "peers", "\"10.0.0.5:8090\"");
         let metrics = reader.or(object, path, "metrics", None);
         let store = reader.required(object, path, "store", "\"10.0.0.2:2379\"");
         let cpu = reader.required(object, path, "cpu", "0.25");
@@ -131,6 +135,7 @@
             region: RegionId::from(region?.0.as_str()),
             callers: callers?,
             readiness: readiness?,
+            peers: peers?,
             metrics: metrics?,
             store: store?,
             cpu: cpu?,
