--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -38,7 +38,7 @@
 /// Calls in a row without an answer after which a worker gets no new runs.
 const SILENT_CALLS: u32 = 2;
 /// Pause before a stop is sent again.
-const STOP_RETRY: Duration = Duration::from_millis(600);
+const STOP_RETRY: Duration = Duration::from_millis(350);
 /// Pause after a commit before the next: the changes that come meanwhile share one.
 const COMMIT_PAUSE: Duration = Duration::from_millis(15);
 /// Share of the longest lease that a start carries, so that a start that is carried out late
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -21,7 +21,7 @@
 use model::Time;
 
 /// Starts of one run without an answer, after which it is stopped instead.
-const START_TRIES: u32 = 3;
+const START_TRIES: u32 = 4;
 /// Failures in a row on one worker, over all jobs, after which it gets no new runs for a while.
 const FAILURES_IN_ROW: u32 = 3;
 /// For how long a worker gets no new runs after such a row of failures, at first.
--- a/crates/batch/tests/schedules/regressions.rs
+++ b/crates/batch/tests/schedules/regressions.rs
@@ -1,12 +1,11 @@
 //! Failures that were found elsewhere, each as its shortest schedule.
 
-use batch::JobState;
-
 use crate::load::step;
 use crate::world::Faults;
 use crate::world::World;
 use crate::world::policy;
 use crate::world::worker_id;
+use batch::JobState;
 
 /// A worker leaves for good while its renewals go unanswered: each renewal that was sent in vain
 /// used to push out the time at which its runs count as ended, so they never did.
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -12,6 +12,10 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::worker::FakeWorker;
+use crate::worker::GATHER_MS;
+use crate::worker::LEASE_MS;
+use crate::worker::Work;
 use batch::Account;
 use batch::Action;
 use batch::Event;
@@ -35,11 +39,6 @@
 use model::Stamp;
 use model::Time;
 
-use crate::worker::FakeWorker;
-use crate::worker::GATHER_MS;
-use crate::worker::LEASE_MS;
-use crate::worker::Work;
-
 /// Time that a stop may take until nothing of a cancelled job runs, in ms.
 const CANCEL_MS: u64 = 3_000;
 /// Time within which a guaranteed job has to run, in ms.
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -29,6 +29,8 @@
 const UNFIT_PAUSE: Duration = Duration::from_millis(600);
 /// Pause of an entry VM that is far from the store, in multiples of its call time.
 const FAR_FACTOR: u32 = 6;
+/// Longest such pause: a store that is slow for everyone says nothing about distance.
+const FAR_PAUSE_MAX: Duration = Duration::from_millis(250);
 
 /// A won ownership.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -74,7 +76,8 @@
         }
     };
     // Those near the store go first: the owner's commits are the faster.
-    sleep(state.clock.now().since(asked) * FAR_FACTOR + unfit_pause(state)).await;
+    let far_pause = (state.clock.now().since(asked) * FAR_FACTOR).min(FAR_PAUSE_MAX);
+    sleep(far_pause + unfit_pause(state)).await;
     if !*state.vacant.borrow() {
         release(state, lease).await;
         return None;
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -22,8 +22,9 @@
 use platform::worker::WorkerError;
 use platform::worker::Workers;
 
-/// Limit on a start or a stop, twice the longest way between regions and the worker's own time.
-const ORDER_LIMIT: Duration = Duration::from_millis(600);
+/// Limit on a start or a stop: four times the way to another region and back. Both may be sent
+/// again, so an order that gets no answer costs little more than that.
+const ORDER_LIMIT: Duration = Duration::from_millis(300);
 /// Limit on a renewal, beside the wait that it asks for.
 const HOLD_LIMIT: Duration = Duration::from_millis(700);
 
