--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -38,6 +38,7 @@
         .subcommand(explain())
         .subcommand(jobs())
         .subcommand(burn())
+        .subcommand(trace())
         .subcommand(dev())
         .subcommand(completions())
         .subcommand(man())
@@ -284,6 +285,20 @@
         .arg(file("svg", "Also draw the report into this file").long("svg"))
 }
 
+fn trace() -> Command {
+    Command::new("trace")
+        .about("Prints the log lines of one id, from the logs of several entry VMs, in order")
+        .arg(Arg::new("id").value_name("ID").required(true).help("Id of a job, a task or a worker"))
+        .arg(
+            Arg::new("log")
+                .value_name("FILE")
+                .required(true)
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs of entry VMs, as JSON lines"),
+        )
+}
+
 fn completions() -> Command {
     Command::new("completions").about("Prints shell completions").arg(
         Arg::new("shell")
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -12,3 +12,4 @@
 pub mod status;
 pub mod submit;
 pub mod text;
+pub mod trace;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -48,6 +48,8 @@
     CancelJob(IdOptions),
     /// Show error budgets and burn rates.
     Burn(BurnOptions),
+    /// Print the log lines of an id.
+    Trace(TraceOptions),
     /// Run a whole system in this process.
     Dev(DevOptions),
     /// Print shell completions.
@@ -167,6 +169,15 @@
     pub format: Format,
 }
 
+/// Options of `trace`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TraceOptions {
+    /// Id of a job, a task or a worker.
+    pub id: String,
+    /// Logs of entry VMs, as JSON lines.
+    pub logs: Vec<PathBuf>,
+}
+
 /// Options of `man`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ManOptions {
@@ -229,6 +240,10 @@
                 svg: matches.get_one("svg").cloned(),
                 format: format(matches),
             }),
+            Some(("trace", matches)) => Command::Trace(TraceOptions {
+                id: matches.get_one::<String>("id").cloned().unwrap_or_default(),
+                logs: matches.get_many("log").into_iter().flatten().cloned().collect(),
+            }),
             Some(("dev", matches)) => Command::Dev(DevOptions::from_matches(matches)),
             Some(("completions", matches)) => {
                 Command::Completions(matches.get_one("shell").copied().unwrap_or(Shell::Bash))
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -35,6 +35,7 @@
         Command::ShowJob(options) => block(command::jobs::show(&options, &client()?, page)),
         Command::CancelJob(options) => block(command::jobs::cancel(&options, &client()?, page)),
         Command::Burn(options) => block(command::burn::run(&options, &client()?, page)),
+        Command::Trace(options) => command::trace::run(&options, page),
         Command::Dev(options) => dev::run(&options),
         Command::Completions(shell) => command::completions::run(shell, page),
         Command::Man(options) => command::man::run(&options, page),
--- a/crates/cli/tests/commands/main.rs
+++ b/crates/cli/tests/commands/main.rs
@@ -13,4 +13,5 @@
 mod shell_pages;
 mod stage;
 mod status_views;
+mod trace_lines;
 mod urls_tokens;
