Forget jobs once their states have been kept for long enough

Cause: the store and the owner's memory kept every job for ever; a takeover read them all.

Change: the owner removes a job and its state two minutes (the deployment's setting) after its end; a slow read that still names it does not bring it back. The test kept_states covers both.

A schedule failed once on the way (all_faults: a task started after four failures). The stand-in applied the acknowledgement of a call that waited in a crashed worker to the worker's next incarnation, call after call; in a real worker such a call ends with its process. The stand-in now does the same; no check was changed.

--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -12,8 +12,9 @@
 /// What a planner wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Store these records, all or none. The next commit comes after the answer to this one.
-    Commit(Vec<(JobId, Record)>),
+    /// Store these records, or remove the job where there is none. The next commit comes after the
+    /// answer to this one.
+    Commit(Vec<(JobId, Option<Record>)>),
     /// Tell a worker to start a run.
     Start {
         /// The worker.
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -151,6 +151,8 @@
     pub cancelled: bool,
     pub begun: bool,
     pub state: JobState,
+    /// Whether its end is stored and counts towards the time for which that is kept.
+    pub kept: bool,
     /// When this owner counts its age from.
     pub since: Time,
     /// Occurrences that have come due.
@@ -166,6 +168,7 @@
             cancelled: submission.cancelled,
             begun: false,
             state: JobState::Pending,
+            kept: false,
             since,
             turns: Vec::new(),
         }
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,6 +30,8 @@
 
 /// Longest wait of a renewal for an end, in ms; the platform allows no more.
 const HOLD_WAIT_MS: u64 = 2_000;
+/// Time within which a read of the store that began before a removal has ended.
+const FORGOTTEN_TIME: Duration = Duration::from_secs(30);
 /// Pause between renewals of a worker whose ends are still being stored.
 const HOLD_PAUSE: Duration = Duration::from_millis(1_000);
 /// Pause before a worker that did not answer is asked again.
@@ -64,6 +67,10 @@
     pub(crate) dirty: BTreeSet<JobId>,
     /// Jobs that are not at their end.
     pub(crate) live: BTreeSet<JobId>,
+    /// Jobs that have ended, in the order in which that was stored.
+    ended: VecDeque<(Time, JobId)>,
+    /// Jobs that were removed lately: a slow read of the store may still name them.
+    forgotten: VecDeque<(Time, JobId)>,
     /// Whether places have to be looked for.
     pub(crate) replan: bool,
     /// When places are looked for at the latest.
@@ -119,6 +126,8 @@
             reserving: BTreeSet::new(),
             dirty: BTreeSet::new(),
             live: BTreeSet::new(),
+            ended: VecDeque::new(),
+            forgotten: VecDeque::new(),
             replan: false,
             replan_at: Time::NEVER,
             complete: false,
@@ -148,6 +157,7 @@
                 self.place(now);
             }
             self.send_stops(now);
+            self.forget_jobs(now);
             self.settle_ends();
             self.send_holds(now);
             self.start_commit(now);
@@ -244,7 +254,7 @@
     }
 
     fn accepted(&mut self, now: Time, id: JobId, submission: &Submission) {
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.forgotten.iter().any(|(_, known)| *known == id) {
             return;
         }
         self.jobs.insert(id.clone(), Job::new(submission, now));
@@ -275,8 +285,11 @@
             self.runs.entry(run.worker.clone()).or_default().insert(key);
         }
         let ended = job.state.ended() && !job.placed();
+        job.kept = ended;
         self.jobs.insert(id.clone(), job);
-        if !ended {
+        if ended {
+            self.ended.push_back((now, id));
+        } else {
             self.live.insert(id.clone());
             if submission.cancelled {
                 self.cancelled(now, &id);
@@ -452,6 +465,24 @@
         }
     }
 
+    /// Removes jobs whose states have been kept for long enough.
+    fn forget_jobs(&mut self, now: Time) {
+        while self.forgotten.front().is_some_and(|(at, _)| now.since(*at) > FORGOTTEN_TIME) {
+            self.forgotten.pop_front();
+        }
+        while let Some((at, id)) = self.ended.front() {
+            if now.since(*at) < self.settings.retention {
+                return;
+            }
+            // The next commit removes what is no longer known here.
+            self.jobs.remove(id);
+            self.dirty.insert(id.clone());
+            let id = id.clone();
+            self.ended.pop_front();
+            self.forgotten.push_back((now, id));
+        }
+    }
+
     /// Ends that change no record may be forgotten as soon as all earlier ones are stored.
     fn settle_ends(&mut self) {
         if self.commit.is_none() && self.dirty.is_empty() {
@@ -469,14 +500,17 @@
         let mut records = Vec::with_capacity(dirty.len());
         let mut starts = Vec::new();
         for id in dirty {
-            let Some(job) = self.jobs.get(&id) else { continue };
+            let Some(job) = self.jobs.get(&id) else {
+                records.push((id, None));
+                continue;
+            };
             for (key, run) in job_runs(&id, job) {
                 if !run.stored {
                     let number = self.run_number(&key);
                     starts.push((key, number));
                 }
             }
-            records.push((id.clone(), job.record()));
+            records.push((id.clone(), Some(job.record())));
         }
         let ends = self
             .workers
@@ -504,9 +538,12 @@
         }
         // An ended job's record shrinks once nothing of it runs; jobs that ended are let go.
         for id in &commit.jobs {
-            let Some(job) = self.jobs.get(id) else { continue };
+            let Some(job) = self.jobs.get_mut(id) else { continue };
             if job.state.ended() && !job.placed() {
                 self.live.remove(id);
+                if !std::mem::replace(&mut job.kept, true) {
+                    self.ended.push_back((now, id.clone()));
+                }
             }
         }
     }
--- a/crates/batch/src/settings.rs
+++ b/crates/batch/src/settings.rs
@@ -13,6 +13,8 @@
     pub gather: Duration,
     /// Slow-down of a task away from its data, or of a gang over several racks.
     pub far_factor: u32,
+    /// Time for which the state of a job that has ended is kept.
+    pub retention: Duration,
     /// Time within which a guaranteed job's first step has to run.
     pub reclaim: Duration,
 }
--- a/crates/batch/tests/schedules/regressions.rs
+++ b/crates/batch/tests/schedules/regressions.rs
@@ -64,3 +64,21 @@
     assert_eq!(world.shown(&id), JobState::Completed);
     assert_eq!(world.starts, 20, "each task ran once");
 }
+
+/// The state of a job that has ended is kept for as long as promised, and not much longer.
+#[test]
+fn kept_states() {
+    let mut world = World::new(4, 2, Faults::default(), policy(0));
+    let id = world.submit("00000000000000cc", "patient", "a", vec![step(2, 1, 500)]);
+    world.run(5_000);
+    assert_eq!(world.shown(&id), JobState::Completed);
+    world.run(110_000);
+    assert!(!world.forgotten.contains(&id));
+    world.run(20_000);
+    assert!(world.forgotten.contains(&id));
+    // A read that began before the removal names the job once more.
+    let starts = world.starts;
+    world.name_again(&id);
+    world.run(10_000);
+    assert_eq!(world.starts, starts, "it does not run again");
+}
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -84,9 +84,16 @@
     /// An event arrives at an owner.
     Tell { owner: u64, event: Event },
     /// A commit arrives at the store.
-    Commit { owner: u64, records: Vec<(JobId, Record)> },
+    Commit { owner: u64, records: Vec<(JobId, Option<Record>)> },
     /// A renewal that waited for an end is answered.
-    Wake { owner: u64, worker: WorkerId, sent: u64, until: u64, deadline: Option<u64>, seen: u64 },
+    Wake { owner: u64, worker: WorkerId, sent: u64, until: u64, born: u64, renewal: Renewal },
+}
+
+/// What a renewal carries.
+#[derive(Clone, Copy, Debug)]
+struct Renewal {
+    deadline: Option<u64>,
+    seen: u64,
 }
 
 struct Envelope {
@@ -146,6 +153,8 @@
     pub starts: u64,
     pub trace: Vec<String>,
     dead: BTreeSet<u64>,
+    /// Jobs that were removed from the store.
+    pub forgotten: BTreeSet<JobId>,
 }
 
 pub fn settings() -> Settings {
@@ -154,6 +163,7 @@
         stop: Duration::from_millis(200),
         gather: Duration::from_millis(GATHER_MS),
         far_factor: 3,
+        retention: Duration::from_secs(120),
         reclaim: Duration::from_millis(2_700),
     }
 }
@@ -216,6 +226,7 @@
             starts: 0,
             trace: Vec::new(),
             dead: BTreeSet::new(),
+            forgotten: BTreeSet::new(),
         };
         world.take_over(false);
         world
@@ -248,7 +259,7 @@
         let owner = self.owner;
         self.feed(owner, Event::Configured(Arc::clone(&self.policy)));
         self.list();
-        for (id, job) in &self.jobs {
+        for (id, job) in self.jobs.iter().filter(|(id, _)| !self.forgotten.contains(id)) {
             let record = self.records.get(id).cloned();
             let record = record.map(|record| round_trip(&record));
             let event = Event::Restored(id.clone(), job.submission.clone(), record);
@@ -315,6 +326,13 @@
         id
     }
 
+    /// Tells the owner of a job that it may know.
+    pub fn name_again(&mut self, id: &JobId) {
+        let submission = self.jobs[id].submission.clone();
+        let owner = self.owner;
+        self.post(1, Message::Tell { owner, event: Event::Accepted(id.clone(), submission) });
+    }
+
     pub fn cancel(&mut self, id: &JobId) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(id) else { return };
@@ -406,26 +424,29 @@
             }
             Action::Hold { worker, deadline, seen, wait } => {
                 let until = now + wait;
-                self.post(0, Message::Wake { owner, worker, sent, until, deadline, seen });
+                let born = self.workers[&worker].born;
+                let renewal = Renewal { deadline, seen };
+                self.post(0, Message::Wake { owner, worker, sent, until, born, renewal });
             }
             _ => {}
         }
     }
 
     fn wake(&mut self, wake: Message) {
-        let Message::Wake { owner, worker, sent, until, deadline, seen } = wake else { return };
+        let Message::Wake { owner, worker, sent, until, born, renewal } = wake else { return };
         let now = self.now;
         let fake = self.workers.get_mut(&worker).expect("a known worker");
-        if !fake.up || fake.cut > now {
+        // A call that waits ends with the process that it waits in.
+        if !fake.up || fake.cut > now || fake.born != born {
             self.post(600, Message::Tell { owner, event: Event::Unheld(worker) });
             return;
         }
-        let Some(mut held) = fake.hold(now, owner, deadline, seen) else {
+        let Some(mut held) = fake.hold(now, owner, renewal.deadline, renewal.seen) else {
             self.post(1, Message::Tell { owner, event: Event::Fenced(worker) });
             return;
         };
         if held.ended.is_empty() && now < until {
-            self.post(5, Message::Wake { owner, worker, sent, until, deadline, seen });
+            self.post(5, Message::Wake { owner, worker, sent, until, born, renewal });
             return;
         }
         held.sent = Time::from_millis(sent);
@@ -509,13 +530,19 @@
         panic!("at {} ms: {what}", self.now);
     }
 
-    fn store(&mut self, owner: u64, records: Vec<(JobId, Record)>) {
+    fn store(&mut self, owner: u64, records: Vec<(JobId, Option<Record>)>) {
         if owner != self.owner {
             self.owners.remove(&owner);
             self.dead.insert(owner);
             return;
         }
         for (id, record) in records {
+            let Some(record) = record else {
+                let kept = self.records.get(&id).is_some_and(|record| record.state.ended());
+                assert!(kept, "{id} is forgotten before its end");
+                self.forgotten.insert(id);
+                continue;
+            };
             for (turn, steps) in (0u32..).zip(&record.turns) {
                 for (step, tasks) in (0u32..).zip(steps) {
                     for (index, task) in (0u32..).zip(tasks) {
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -10,6 +10,7 @@
 use log::warn;
 use tokio::time::sleep;
 
+use crate::state::JOB_PREFIX;
 use crate::state::RECORD_PREFIX;
 use crate::state::SEQUENCE_KEY;
 use crate::state::State;
@@ -34,6 +35,9 @@
 /// about 50 ms.
 const WRITE_BYTES: usize = 48 << 10;
 
+/// A key with its new value, or none for its removal.
+type Write = (String, Option<Vec<u8>>);
+
 /// The ownership was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Deposed;
@@ -70,12 +74,16 @@
     /// Another VM owns the jobs now.
     pub async fn store(
         &mut self,
-        records: &[(JobId, Record)],
+        records: &[(JobId, Option<Record>)],
         waiting: &std::collections::BTreeMap<String, u64>,
     ) -> Result<(), Deposed> {
-        let mut writes: Vec<(String, Vec<u8>)> = Vec::new();
+        let mut writes: Vec<Write> = Vec::new();
         for (id, record) in records {
-            writes.push((format!("{RECORD_PREFIX}{id}"), encode(record)));
+            let key = format!("{RECORD_PREFIX}{id}");
+            match record {
+                Some(record) => writes.push((key, Some(encode(record)))),
+                None => writes.extend([(key, None), (format!("{JOB_PREFIX}{id}"), None)]),
+            }
         }
         let mut rest = writes.as_slice();
         // Without records the queues' lengths are still written.
@@ -92,16 +100,17 @@
         }
     }
 
-    async fn transact(
-        &mut self,
-        records: &[(String, Vec<u8>)],
-        sequence: &[u8],
-    ) -> Result<(), Deposed> {
-        let mut writes: Vec<(&str, &[u8], Option<u64>)> =
-            records.iter().map(|(key, value)| (key.as_str(), value.as_slice(), None)).collect();
+    async fn transact(&mut self, changes: &[Write], sequence: &[u8]) -> Result<(), Deposed> {
+        let mut writes: Vec<(&str, &[u8], Option<u64>)> = Vec::new();
+        let mut deletes = Vec::new();
+        for (key, value) in changes {
+            match value {
+                Some(value) => writes.push((key, value, None)),
+                None => deletes.push(key.as_str()),
+            }
+        }
         writes.push((SEQUENCE_KEY, sequence, None));
-        let txn =
-            Txn { conditions: vec![(SEQUENCE_KEY, self.sequence)], writes, deletes: Vec::new() };
+        let txn = Txn { conditions: vec![(SEQUENCE_KEY, self.sequence)], writes, deletes };
         let mut pause = REFUSED_PAUSE;
         let mut limit = COMMIT_LIMIT;
         loop {
@@ -138,10 +147,10 @@
 }
 
 /// How many of the first writes go into one transaction.
-fn chunk_len(writes: &[(String, Vec<u8>)]) -> usize {
+fn chunk_len(writes: &[Write]) -> usize {
     let mut bytes = 0;
-    let fits = |(key, value): &&(String, Vec<u8>)| {
-        bytes += key.len() + value.len();
+    let fits = |(key, value): &&Write| {
+        bytes += key.len() + value.as_ref().map_or(0, Vec::len);
         bytes <= WRITE_BYTES
     };
     let fitting = writes.iter().take(WRITES).take_while(fits).count();
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -108,7 +108,7 @@
     /// Whether the commit on its way is one of the planner's.
     planned: bool,
     /// A commit of the planner that waits for the one on its way.
-    pending: Option<Vec<(JobId, Record)>>,
+    pending: Option<Vec<(JobId, Option<Record>)>>,
     tasks: JoinSet<()>,
 }
 
@@ -252,7 +252,7 @@
         Ok(())
     }
 
-    fn commit(&mut self, records: Vec<(JobId, Record)>, planned: bool) {
+    fn commit(&mut self, records: Vec<(JobId, Option<Record>)>, planned: bool) {
         let Some(mut writer) = self.writer.take() else {
             // The planner sends one commit at a time, so only queues' lengths are on their way.
             self.pending = Some(records);
@@ -334,6 +334,7 @@
         stop: jobs.stop,
         gather: jobs.gather,
         far_factor: jobs.far_factor,
+        retention: jobs.retention,
         reclaim: jobs.reclaim,
     }
 }
