Ask workers again that did not answer for a while

Stand-ins can be deaf while they are listed; the test returned_worker fails before and passes after.

--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -431,7 +431,8 @@
                 continue;
             }
             let busy = self.runs.get(id).is_some_and(|keys| !keys.is_empty());
-            let first = worker.clock.is_none() && worker.listed;
+            // Until it answers it gets no runs.
+            let first = (worker.clock.is_none() || !worker.answers) && worker.listed;
             let news = worker.stored > worker.acked;
             if !(busy || first || news || worker.strays > 0) {
                 continue;
--- a/crates/batch/tests/schedules/regressions.rs
+++ b/crates/batch/tests/schedules/regressions.rs
@@ -82,3 +82,20 @@
     world.run(10_000);
     assert_eq!(world.starts, starts, "it does not run again");
 }
+
+/// A worker that answers no call until its runs are given up, and is listed all the while, used to be asked never again, and so got
+/// no run for ever.
+#[test]
+fn returned_worker() {
+    let mut world = World::new(5, 2, Faults::default(), policy(0));
+    let first = world.submit("00000000000000dd", "patient", "a", vec![step(12, 1, 20_000)]);
+    world.run(1_000);
+    world.workers.get_mut(&worker_id(0)).expect("there").deaf = world.now + 15_000;
+    world.run(60_000);
+    assert_eq!(world.shown(&first), JobState::Completed);
+    let mut wide = step(2, 8, 1_000);
+    wide.gang = true;
+    let second = world.submit("00000000000000de", "patient", "a", vec![wide]);
+    world.run(20_000);
+    assert_eq!(world.shown(&second), JobState::Completed);
+}
--- a/crates/batch/tests/schedules/worker.rs
+++ b/crates/batch/tests/schedules/worker.rs
@@ -53,6 +53,8 @@
     pub up: bool,
     /// Nothing reaches it before this, in ms.
     pub cut: u64,
+    /// It answers no call before this, in ms, and is listed all the same.
+    pub deaf: u64,
     /// It refuses starts before this, in ms.
     pub unwell: u64,
     /// All that it starts fails before this, in ms.
@@ -76,6 +78,7 @@
             highest: BTreeMap::new(),
             up: true,
             cut: 0,
+            deaf: 0,
             unwell: 0,
             failing: 0,
             leaves: None,
@@ -196,8 +199,17 @@
         }
     }
 
+    /// Whether a call gets there now.
+    pub fn reachable(&self, now: u64) -> bool {
+        self.up && self.cut <= now && self.deaf <= now
+    }
+
     /// Starts a new incarnation.
     pub fn restart(&mut self, now: u64) {
-        *self = FakeWorker { cut: self.cut, ..FakeWorker::new(self.capacity, self.slow, now) };
+        *self = FakeWorker {
+            cut: self.cut,
+            deaf: self.deaf,
+            ..FakeWorker::new(self.capacity, self.slow, now)
+        };
     }
 }
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -387,7 +387,7 @@
         if born.is_some_and(|born| self.workers[&id].born != born) {
             return;
         }
-        let reachable = self.workers.get(&id).is_some_and(|worker| worker.up && worker.cut <= now);
+        let reachable = self.workers.get(&id).is_some_and(|worker| worker.reachable(now));
         if !reachable {
             if answered {
                 self.post(600, Message::Tell { owner, event: unanswered(&action) });
@@ -437,7 +437,7 @@
         let now = self.now;
         let fake = self.workers.get_mut(&worker).expect("a known worker");
         // A call that waits ends with the process that it waits in.
-        if !fake.up || fake.cut > now || fake.born != born {
+        if !fake.reachable(now) || fake.born != born {
             self.post(600, Message::Tell { owner, event: Event::Unheld(worker) });
             return;
         }
@@ -749,6 +749,10 @@
                     fake.restart(now);
                 }
             }
+            7 if faults.cuts => {
+                self.note(format!("{id} is deaf for {span}"));
+                self.workers.get_mut(&id).expect("known").deaf = now + span;
+            }
             3 if faults.refusals => {
                 self.workers.get_mut(&id).expect("known").unwell = now + span;
             }
