Remove settings that nothing uses, and split the planner's calls

Settings of a gang's patience, the slow-down over racks and the time to reclaim were read and used nowhere. Renewals and stops stand in a file of their own; one function chooses a slot. No behaviour changes.

--- a/crates/batch/src/event.rs
+++ b/crates/batch/src/event.rs
@@ -124,8 +124,8 @@
     Held(WorkerId, Held),
     /// A renewal was not answered.
     Unheld(WorkerId),
-    /// A worker refused a renewal for a higher fencing token.
-    Fenced(WorkerId),
+    /// A worker has seen a higher fencing token, or the ownership's lease has ended.
+    Deposed,
     /// A renewal met another incarnation.
     Replaced(WorkerId),
     /// What became of a start.
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -7,6 +7,7 @@
 //! was ever sent.
 
 mod action;
+mod calls;
 mod directory;
 mod event;
 mod job;
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -230,6 +230,22 @@
     (far, failed, left.gpu, left.memory, left.cpu)
 }
 
+/// The slot that fits a task best; the one that fitted the task before it, if it still holds one.
+fn best_slot(
+    slots: &[Slot],
+    step: &StepSpec,
+    failed_on: Option<&WorkerId>,
+    last: Option<usize>,
+    suits: impl Fn(&Slot) -> bool,
+) -> Option<usize> {
+    let again = last.filter(|&at| slots[at].holds(step) && failed_on.is_none());
+    again.or_else(|| {
+        (0..slots.len())
+            .filter(|&at| slots[at].holds(step) && suits(&slots[at]))
+            .min_by_key(|&at| fit(&slots[at], step, failed_on))
+    })
+}
+
 /// Places for as many waiting tasks of a step as there is room for.
 fn single_places(
     slots: &mut [Slot],
@@ -244,13 +260,8 @@
         if task.done || task.stage != Stage::Idle {
             continue;
         }
-        // The slot that fitted the last task best fits the next one at least as well.
-        let again = last.filter(|&at| slots[at].holds(step) && task.failed_on.is_none());
-        let best = again.or_else(|| {
-            (0..slots.len())
-                .filter(|&at| slots[at].holds(step) && slots[at].suits(step, service))
-                .min_by_key(|&at| fit(&slots[at], step, task.failed_on.as_ref()))
-        });
+        let suits = |slot: &Slot| slot.suits(step, service);
+        let best = best_slot(slots, step, task.failed_on.as_ref(), last, suits);
         let Some(at) = best else { break };
         if patient && step.rack.as_ref().is_some_and(|rack| *rack != slots[at].info.rack) {
             break;
@@ -307,12 +318,7 @@
     let mut places = Places::new();
     let mut last: Option<usize> = None;
     for (index, task) in (0u32..).zip(&open.tasks) {
-        let again = last.filter(|&at| rooms[at].holds(step) && task.failed_on.is_none());
-        let best = again.or_else(|| {
-            (0..rooms.len())
-                .filter(|&at| rooms[at].holds(step))
-                .min_by_key(|&at| fit(&rooms[at], step, task.failed_on.as_ref()))
-        })?;
+        let best = best_slot(&rooms, step, task.failed_on.as_ref(), last, |_| true)?;
         rooms[best].room.remove(&step.need);
         rooms[best].taken += 1;
         places.push((index, group[best]));
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -28,20 +28,10 @@
 use model::Stamp;
 use model::Time;
 
-/// Longest wait of a renewal for an end, in ms; the platform allows no more.
-const HOLD_WAIT_MS: u64 = 2_000;
 /// Time within which a read of the store that began before a removal has ended.
 const FORGOTTEN_TIME: Duration = Duration::from_secs(30);
-/// Pause between renewals of a worker whose ends are still being stored.
-const HOLD_PAUSE: Duration = Duration::from_millis(1_000);
-/// Pause before a worker that did not answer is asked again.
-const HOLD_RETRY: Duration = Duration::from_millis(250);
-/// Most doublings of that pause.
-const HOLD_DOUBLINGS: u32 = 3;
 /// Calls in a row without an answer after which a worker gets no new runs.
-const SILENT_CALLS: u32 = 2;
-/// Pause before a stop is sent again.
-const STOP_RETRY: Duration = Duration::from_millis(350);
+pub(crate) const SILENT_CALLS: u32 = 2;
 /// Pause after a commit before the next: the changes that come meanwhile share one.
 const COMMIT_PAUSE: Duration = Duration::from_millis(15);
 /// Share of the longest lease that a start carries, so that a start that is carried out late
@@ -188,11 +178,6 @@
         }
     }
 
-    /// What callers are shown of a job, if it is known here.
-    pub fn state(&self, id: &JobId) -> Option<JobState> {
-        self.jobs.get(id).map(|job| job.state)
-    }
-
     /// Takes in one event; [`Planner::decide`] acts on it.
     pub fn tell(&mut self, now: Time, event: Event) {
         match event {
@@ -212,7 +197,7 @@
             Event::Cancelled(id) => self.cancelled(now, &id),
             Event::Held(worker, held) => self.held(now, &worker, &held),
             Event::Unheld(worker) => self.unheld(&worker),
-            Event::Fenced(_) => self.out.push(Action::Resign),
+            Event::Deposed => self.out.push(Action::Resign),
             Event::Replaced(worker) => self.replaced(now, &worker),
             Event::Started(task, run, result) => self.started(now, &task, run, result),
             Event::Stopped(task, run, answered) => self.stop_answered(now, &task, run, answered),
@@ -391,81 +376,6 @@
         }
     }
 
-    fn send_stops(&mut self, now: Time) {
-        let mut unsent = Vec::new();
-        for key in &self.stopping {
-            let Some(Stage::Placed(run)) = self.jobs.get_mut(&key.job).map(|job| stage(job, key))
-            else {
-                continue;
-            };
-            if run.stop_done.is_some() {
-                continue;
-            }
-            if run.sent.is_none() {
-                // Before the commit is answered nothing has been sent.
-                if run.stored {
-                    unsent.push(key.clone());
-                }
-                continue;
-            }
-            if run.stop_sent.is_none_or(|at| at + STOP_RETRY <= now) {
-                run.stop_sent = Some(now);
-                let worker = run.worker.clone();
-                let run = self.run_number(key);
-                self.out.push(Action::Stop { worker, task: key.clone(), run });
-            }
-        }
-        for key in unsent {
-            self.vanish(now, &key);
-        }
-    }
-
-    fn run_number(&self, key: &TaskKey) -> u32 {
-        self.task(key).map_or(0, |task| task.run)
-    }
-
-    fn send_holds(&mut self, now: Time) {
-        let lease = self.settings.lease;
-        for (id, worker) in &mut self.workers {
-            if worker.holding || worker.info.address.port() == 0 {
-                continue;
-            }
-            let busy = self.runs.get(id).is_some_and(|keys| !keys.is_empty());
-            // Until it answers it gets no runs.
-            let first = (worker.clock.is_none() || !worker.answers) && worker.listed;
-            let news = worker.stored > worker.acked;
-            if !(busy || first || news || worker.strays > 0) {
-                continue;
-            }
-            let storing = worker.heard > worker.stored;
-            let pause = match (worker.silent, storing) {
-                (0, false) => Duration::ZERO,
-                (0, true) => HOLD_PAUSE,
-                (silent, _) => HOLD_RETRY * 2u32.pow(silent.min(HOLD_DOUBLINGS)),
-            };
-            if worker.asked + pause > now && worker.asked != Time::ZERO {
-                continue;
-            }
-            let wait = busy && !first && !storing && worker.strays == 0 && worker.silent == 0;
-            // What a silent worker is sent may still reach it, so it is only asked: its leases
-            // have to run out for its runs to be given up.
-            let silent = worker.silent >= SILENT_CALLS;
-            let deadline = worker.renewal(now, lease).filter(|_| !silent);
-            worker.deadline = worker.deadline.max(deadline.unwrap_or(0));
-            // Told once only: the next incarnation under this id numbers its ends anew, and would
-            // forget those that nobody has heard of.
-            worker.telling = if news { worker.stored } else { 0 };
-            worker.holding = true;
-            worker.asked = now;
-            self.out.push(Action::Hold {
-                worker: id.clone(),
-                deadline,
-                seen: worker.telling,
-                wait: if wait { HOLD_WAIT_MS.min(millis(lease) / 3) } else { 0 },
-            });
-        }
-    }
-
     /// Removes jobs whose states have been kept for long enough.
     fn forget_jobs(&mut self, now: Time) {
         while self.forgotten.front().is_some_and(|(at, _)| now.since(*at) > FORGOTTEN_TIME) {
@@ -600,7 +510,7 @@
     step.tasks.get_mut(key.index as usize)
 }
 
-fn stage<'j>(job: &'j mut Job, key: &TaskKey) -> &'j mut Stage {
+pub(crate) fn stage<'j>(job: &'j mut Job, key: &TaskKey) -> &'j mut Stage {
     &mut job.turns[key.turn as usize][key.step as usize].tasks[key.index as usize].stage
 }
 
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -161,10 +161,7 @@
     Settings {
         lease: Duration::from_millis(LEASE_MS),
         stop: Duration::from_millis(200),
-        gather: Duration::from_millis(GATHER_MS),
-        far_factor: 3,
         retention: Duration::from_secs(120),
-        reclaim: Duration::from_millis(2_700),
     }
 }
 
@@ -416,7 +413,7 @@
                 let done = fake.stop(owner, &task, run);
                 let event = match done {
                     true => Event::Stopped(task, run, true),
-                    false => Event::Fenced(worker),
+                    false => Event::Deposed,
                 };
                 if answered {
                     self.post(back, Message::Tell { owner, event });
@@ -442,7 +439,7 @@
             return;
         }
         let Some(mut held) = fake.hold(now, owner, renewal.deadline, renewal.seen) else {
-            self.post(1, Message::Tell { owner, event: Event::Fenced(worker) });
+            self.post(1, Message::Tell { owner, event: Event::Deposed });
             return;
         };
         if held.ended.is_empty() && now < until {
--- a/crates/entry/tests/hosted/cluster.rs
+++ b/crates/entry/tests/hosted/cluster.rs
@@ -261,8 +261,7 @@
         "peers": peers.to_string(), "metrics": metrics.to_string(), "store": store.address().to_string(),
         "cpu": 0.25, "link_mbps": 1000, "ownership": "1200ms", "apply": "3s", "grace": "4s",
         "jobs": {
-            "lease": "6s", "stop": "200ms", "gather": "3s", "far_factor": 3, "retention": "2m",
-            "reclaim": "3s",
+            "lease": "6s", "stop": "200ms", "retention": "2m",
         },
     });
     fs::write(&settings, text.to_string()).expect("settings");
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -83,7 +83,7 @@
                     log!(level, task = task.to_string().as_str(), run = run, worker = &*worker.0,
                         result = format!("{result:?}").as_str(); "stop");
                     if result == Err(WorkerError::Fenced) {
-                        orders.report(Event::Fenced(worker));
+                        orders.report(Event::Deposed);
                     } else {
                         orders.report(Event::Stopped(task, run, result.is_ok()));
                     }
@@ -127,7 +127,7 @@
                 };
                 Event::Held(worker, held)
             }
-            Err(WorkerError::Fenced) => Event::Fenced(worker),
+            Err(WorkerError::Fenced) => Event::Deposed,
             Err(WorkerError::Replaced) => Event::Replaced(worker),
             Err(WorkerError::Failed(error)) => {
                 info!(worker = &*worker.0, error = error.as_str(); "renewal failed");
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -329,14 +329,7 @@
 }
 
 fn bounds(jobs: &JobBounds) -> Settings {
-    Settings {
-        lease: jobs.lease,
-        stop: jobs.stop,
-        gather: jobs.gather,
-        far_factor: jobs.far_factor,
-        retention: jobs.retention,
-        reclaim: jobs.reclaim,
-    }
+    Settings { lease: jobs.lease, stop: jobs.stop, retention: jobs.retention }
 }
 
 /// Reads all items under a prefix, for as long as it takes.
@@ -441,7 +434,8 @@
             Ok(Some(_)) => {}
             Ok(None) => {
                 warn!(lease = lease; "ownership: lease has ended");
-                let _ = events.send(Event::Fenced(WorkerId("".into())));
+                // Nobody listens any more if the ownership was given up meanwhile.
+                let _ = events.send(Event::Deposed);
                 return;
             }
             Err(error) => {
--- a/crates/text/src/host.rs
+++ b/crates/text/src/host.rs
@@ -62,14 +62,8 @@
     pub lease: Duration,
     /// Longest time that a worker takes to stop a task.
     pub stop: Duration,
-    /// Time that a gang's first member waits for the others.
-    pub gather: Duration,
-    /// Slow-down of a task away from its data, or of a gang over several racks.
-    pub far_factor: u32,
     /// Time for which the state of a job that has ended is kept.
     pub retention: Duration,
-    /// Time within which a guaranteed job's first step has to run.
-    pub reclaim: Duration,
 }
 
 const FIELDS: [&str; 17] = [
@@ -94,22 +88,12 @@
 
 impl Read for JobBounds {
     fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<JobBounds> {
-        let known = ["lease", "stop", "gather", "far_factor", "retention", "reclaim"];
+        let known = ["lease", "stop", "retention"];
         let object = reader.object(value, path, &known)?;
         let lease = reader.required(object, path, "lease", "\"6s\"");
         let stop = reader.required(object, path, "stop", "\"200ms\"");
-        let gather = reader.required(object, path, "gather", "\"3s\"");
-        let far_factor = reader.required(object, path, "far_factor", "3");
         let retention = reader.required(object, path, "retention", "\"2m\"");
-        let reclaim = reader.required(object, path, "reclaim", "\"3s\"");
-        Some(JobBounds {
-            lease: lease?,
-            stop: stop?,
-            gather: gather?,
-            far_factor: far_factor?,
-            retention: retention?,
-            reclaim: reclaim?,
-        })
+        Some(JobBounds { lease: lease?, stop: stop?, retention: retention? })
     }
 }
 
