Grant each lease of the stand-in store once

The entry VM that lost the claim then ended the winner's lease.

Change: leases have a counter of their own.

--- a/crates/fake/src/hosted/store.rs
+++ b/crates/fake/src/hosted/store.rs
@@ -63,6 +63,8 @@
     /// Watches from before this are told that the history is gone.
     forgotten: u64,
     leases: BTreeMap<u64, (Duration, Instant)>,
+    /// Leases granted so far.
+    granted: u64,
     trouble: StoreTrouble,
     calls: u64,
 }
@@ -340,7 +342,8 @@
     fn grant(&self, ttl_ms: u64) -> Response<Body> {
         let mut state = lock(&self.state);
         let ttl = Duration::from_millis(ttl_ms);
-        let lease = 1_000 + state.calls;
+        state.granted += 1;
+        let lease = state.granted;
         state.leases.insert(lease, (ttl, Instant::now() + ttl));
         answer(StatusCode::OK, &json!({ "lease": lease, "ttlMs": ttl_ms }))
     }
