--- /dev/null
+++ b/crates/entry/src/bounded.rs
@@ -0,0 +1,113 @@
+//! Log lines that never hold up the process.
+//!
+//! Lines wait in a bounded buffer for a thread that writes them. Once it is three quarters full
+//! only warnings and errors still get in, so that a line about a failure is not lost for the sake
+//! of one about a success; what was left out is counted and said.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::sync_channel;
+use std::thread;
+use std::time::Duration;
+
+use logforth::Append;
+use logforth::Diagnostic;
+use logforth::Error;
+use logforth::Layout;
+use logforth::record::Level;
+use logforth::record::Record;
+
+/// Lines that wait at most: about a second of the busiest owner's, some 300 KB.
+const CAPACITY: usize = 1_024;
+/// Lines from which only warnings and errors get in.
+const RESERVED_FROM: usize = CAPACITY * 3 / 4;
+/// Pause between looks at the buffer at the end of the process.
+const FLUSH_PAUSE: Duration = Duration::from_millis(5);
+/// Looks at the buffer at the end of the process.
+const FLUSH_LOOKS: u32 = 40;
+
+/// Lines that wait, and lines that were left out and not yet said to be.
+#[derive(Debug, Default)]
+struct Counts {
+    waiting: AtomicUsize,
+    dropped: AtomicU64,
+}
+
+static COUNTS: OnceLock<Arc<Counts>> = OnceLock::new();
+
+/// Writes lines to standard output from a thread of its own.
+#[derive(Debug)]
+pub struct Bounded<L> {
+    layout: L,
+    lines: SyncSender<Vec<u8>>,
+    counts: Arc<Counts>,
+}
+
+impl<L: Layout> Bounded<L> {
+    /// Starts the thread; none if the system has no thread to give.
+    pub fn start(layout: L) -> Option<Bounded<L>> {
+        let (lines, waiting) = sync_channel(CAPACITY);
+        let counts = Arc::clone(COUNTS.get_or_init(Arc::default));
+        let shared = Arc::clone(&counts);
+        thread::Builder::new()
+            .name("logs".to_owned())
+            .spawn(move || write(&waiting, &shared))
+            .ok()?;
+        Some(Bounded { layout, lines, counts })
+    }
+}
+
+impl<L: Layout> Append for Bounded<L> {
+    fn append(&self, record: &Record, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        let limit = if record.level() >= Level::Warn { CAPACITY } else { RESERVED_FROM };
+        if self.counts.waiting.load(Ordering::Relaxed) >= limit {
+            self.counts.dropped.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        let mut line = self.layout.format(record, diags)?;
+        line.push(b'\n');
+        self.counts.waiting.fetch_add(1, Ordering::Relaxed);
+        if self.lines.try_send(line).is_err() {
+            self.counts.waiting.fetch_sub(1, Ordering::Relaxed);
+            self.counts.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
+fn write(lines: &Receiver<Vec<u8>>, counts: &Counts) {
+    while let Ok(line) = lines.recv() {
+        let mut out = std::io::stdout().lock();
+        // Nobody reads the log any more: there is nobody to tell.
+        let _ = out.write_all(&line);
+        counts.waiting.fetch_sub(1, Ordering::Relaxed);
+        let dropped = counts.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let _ = writeln!(
+                out,
+                r#"{{"level":"WARN","message":"log lines left out","kvs":{{"count":{dropped}}}}}"#
+            );
+        }
+    }
+}
+
+/// Waits a little for the lines that are not written yet.
+pub fn finish() {
+    let Some(counts) = COUNTS.get() else { return };
+    for _ in 0..FLUSH_LOOKS {
+        if counts.waiting.load(Ordering::Relaxed) == 0 {
+            return;
+        }
+        thread::sleep(FLUSH_PAUSE);
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod app;
 pub mod attempt;
+pub mod bounded;
 pub mod clock;
 pub mod configuration;
 pub mod directory;
--- a/crates/entry/src/logs.rs
+++ b/crates/entry/src/logs.rs
@@ -1,26 +1,32 @@
 //! Sets up the logs.
 
+use logforth::Layout;
 use logforth::append;
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::JsonLayout;
 use logforth::layout::TextLayout;
 
+use crate::bounded::Bounded;
 use text::LogFormat;
 use text::LogLevel;
 
-/// Sends log records to standard output; a second call changes nothing.
+/// Sends log records to standard output without ever waiting for it; a second call changes
+/// nothing.
 ///
 /// RUST_LOG goes before `level`.
 pub fn start_stdout(level: LogLevel, format: LogFormat) {
+    match format {
+        LogFormat::Text => start_bounded(level, TextLayout::default().no_color()),
+        LogFormat::Json => start_bounded(level, JsonLayout::default()),
+    }
+}
+
+fn start_bounded<L: Layout>(level: LogLevel, layout: L) {
     let filter = RustLogFilterBuilder::from_default_env_or(level.to_string()).build();
-    let stdout = append::Stdout::default();
-    let stdout = match format {
-        LogFormat::Text => stdout.with_layout(TextLayout::default().no_color()),
-        LogFormat::Json => stdout.with_layout(JsonLayout::default()),
-    };
+    let Some(bounded) = Bounded::start(layout) else { return };
     let starter = logforth::starter_log::builder();
     // An error means that this process has set up its logs before.
-    let _ = starter.dispatch(|dispatch| dispatch.filter(filter).append(stdout)).try_apply();
+    let _ = starter.dispatch(|dispatch| dispatch.filter(filter).append(bounded)).try_apply();
 }
 
 /// Sends log records to standard error; a second call changes nothing.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -7,6 +7,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use crate::bounded;
 use crate::error::Error;
 use crate::logs;
 use crate::node::Listeners;
@@ -52,7 +53,9 @@
         return Ok(());
     }
     logs::start_stdout(settings.log_level, settings.log_format);
-    node::run(settings).map_err(Error::Host)
+    let result = node::run(settings).map_err(Error::Host);
+    bounded::finish();
+    result
 }
 
 fn read_file(path: &Path) -> Result<String, Error> {
--- /dev/null
+++ b/crates/entry/tests/hosted/cluster.rs
@@ -0,0 +1,269 @@
+//! Entry VMs as processes of their own, with stand-ins for the platform.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use hyper::http::HeaderName;
+use hyper::http::HeaderValue;
+use hyper::http::header::HOST;
+use serde_json::Value;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::soak::send_signal;
+use fake::HostedStore;
+use fake::HostedWorker;
+use net::CallError;
+use net::Caller;
+use net::Reply;
+use net::call::Call;
+use net::call::Limits;
+
+pub const KEY: &str = "key-of-a";
+/// Time within which a cluster has to do what is awaited.
+const PATIENCE: Duration = Duration::from_secs(20);
+const PAUSE: Duration = Duration::from_millis(20);
+/// First of the ports that entry VMs listen on.
+const FIRST_PORT: u16 = 10_000;
+/// Ports that are in use.
+static PORTS: AtomicU16 = AtomicU16::new(0);
+
+/// One entry VM.
+pub struct Vm {
+    pub name: String,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub metrics: SocketAddr,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+impl Vm {
+    fn start(&mut self) {
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.settings.with_extension("log"))
+            .expect("a log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_basilrackd"))
+            .arg("host")
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdout(Stdio::from(log))
+            .spawn()
+            .expect("the program starts");
+        self.child = Some(child);
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().expect("a process of ours");
+            child.wait().expect("it ends");
+        }
+    }
+
+    /// Asks the process to stop; returns its exit code.
+    pub async fn terminate(&mut self) -> Option<i32> {
+        let mut child = self.child.take()?;
+        send_signal(child.id(), "-TERM");
+        for _ in 0..500 {
+            if let Some(status) = child.try_wait().expect("its state") {
+                return status.code();
+            }
+            sleep(PAUSE).await;
+        }
+        child.kill().expect("a process of ours");
+        child.wait().expect("it ends");
+        panic!("{} did not stop in time", self.name);
+    }
+
+    /// Sends a signal, if the process is there.
+    pub fn signal(&self, signal: &str) {
+        if let Some(child) = &self.child {
+            send_signal(child.id(), signal);
+        }
+    }
+
+    /// What the process has logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default()
+    }
+
+    pub fn runs(&self) -> bool {
+        self.child.is_some()
+    }
+
+    pub fn restart(&mut self) {
+        self.kill();
+        self.start();
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Entry VMs, a store and workers.
+pub struct Cluster {
+    pub store: HostedStore,
+    pub workers: Vec<HostedWorker>,
+    pub vms: Vec<Vm>,
+    caller: Caller,
+}
+
+impl Cluster {
+    /// Starts entry VMs and workers whose tasks take `work` each, and waits until all are ready.
+    pub async fn start(name: &str, vms: usize, workers: usize, work: Duration) -> Cluster {
+        let store = HostedStore::start().expect("a store");
+        store.put("op/config", &configuration(1, KEY));
+        let folder = std::env::temp_dir().join(format!("basilrack-{}-{name}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder");
+        let workers: Vec<HostedWorker> = (0..workers)
+            .map(|number| {
+                let worker = HostedWorker::start(&format!("i-{number}"), work).expect("a worker");
+                store.put(&worker.key(), &worker.entry("service"));
+                worker
+            })
+            .collect();
+        let vms = (0..vms).map(|number| vm(&folder, &format!("entry-{number}"), &store)).collect();
+        let limits = Limits { connect: Duration::from_secs(1), answer_len: 1 << 20 };
+        let mut cluster = Cluster { store, workers, vms, caller: Caller::new(limits) };
+        for vm in &mut cluster.vms {
+            vm.start();
+        }
+        for number in 0..cluster.vms.len() {
+            cluster.ready(number).await;
+        }
+        cluster
+    }
+
+    /// Waits until an entry VM is ready.
+    pub async fn ready(&self, number: usize) {
+        let address = self.vms[number].readiness;
+        self.until("an entry VM is ready", async || {
+            let reply = self.call(address, Method::GET, "/-/readiness", None, "").await;
+            reply.is_ok_and(|reply| reply.status == 200)
+        })
+        .await;
+    }
+
+    /// Waits until `holds`.
+    pub async fn until(&self, what: &str, holds: impl AsyncFn() -> bool) {
+        let rounds = PATIENCE.as_millis() / PAUSE.as_millis();
+        for _ in 0..rounds {
+            if holds().await {
+                return;
+            }
+            sleep(PAUSE).await;
+        }
+        panic!("in vain waited until {what}");
+    }
+
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Result<Reply, CallError> {
+        let mut headers = vec![(HOST, HeaderValue::from_static("jobs.example"))];
+        if let Some(key) = key {
+            let value = HeaderValue::from_str(key).expect("a key");
+            headers.push((HeaderName::from_static("x-api-key"), value));
+        }
+        let body = Bytes::copy_from_slice(body.as_bytes());
+        let limit = Duration::from_secs(4);
+        self.caller.call(address, Call { method, path, headers, body, limit }).await
+    }
+
+    /// Calls an entry VM with the account's key; zero stands for no answer.
+    pub async fn ask(&self, vm: usize, method: Method, path: &str, body: &str) -> (u16, Value) {
+        match self.call(self.vms[vm].callers, method, path, Some(KEY), body).await {
+            Ok(reply) => (reply.status, serde_json::from_slice(&reply.body).unwrap_or(Value::Null)),
+            Err(_) => (0, Value::Null),
+        }
+    }
+
+    /// State of a job as an entry VM shows it.
+    pub async fn state(&self, vm: usize, id: &str) -> String {
+        let (_, body) = self.ask(vm, Method::GET, &format!("/work/{id}"), "").await;
+        body["state"].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Waits until a job is shown as completed.
+    pub async fn completed(&self, vm: usize, id: &str) {
+        self.until(&format!("{id} is completed"), async || self.state(vm, id).await == "completed")
+            .await;
+    }
+
+    /// Names of the tasks that were started, each as often as it was.
+    pub fn started(&self) -> Vec<String> {
+        let mut tasks: Vec<String> =
+            self.workers.iter().flat_map(HostedWorker::starts).map(|run| run.task).collect();
+        tasks.sort();
+        tasks
+    }
+
+    /// Number of the entry VM that owns the jobs.
+    pub fn owner(&self) -> Option<usize> {
+        let name = String::from_utf8(self.store.value("owner")?).ok()?;
+        self.vms.iter().position(|vm| vm.name == name)
+    }
+}
+
+/// A job of `count` tasks with an accelerator each.
+pub fn job(count: u32) -> String {
+    let step = json!({ "count": count, "cpu": 500, "memMb": 256, "gpu": 1, "estimateMs": 500 });
+    json!({ "spec": "text", "steps": [step] }).to_string()
+}
+
+pub fn configuration(version: u64, key: &str) -> Value {
+    json!({
+        "version": version,
+        "routes": [{
+            "name": "work", "host": "jobs.example", "prefix": "/work/", "type": "non_idempotent",
+            "timeoutMs": 3000, "targetDurationMs": 600, "priority": 0, "service": "service",
+            "maxAttempts": 4, "stretch": 1.5, "public": false,
+        }],
+        "services": [{ "name": "service", "enforcesCapacity": false, "spare": false }],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 4096 },
+        "tenants": [{ "name": "a", "apiKeys": [key], "priority": 1, "guaranteed": { "gpu": 8 } }],
+    })
+}
+
+fn vm(folder: &std::path::Path, name: &str, store: &HostedStore) -> Vm {
+    // An address of this process's own, below the ports of outgoing connections: a port that was
+    // free a moment ago may be taken by one.
+    let id = std::process::id();
+    let own = [127, (id >> 14) as u8 | 1, (id >> 7) as u8 & 127, id as u8 & 127];
+    let address = || {
+        let port = FIRST_PORT + PORTS.fetch_add(1, Ordering::Relaxed);
+        SocketAddr::from((own, port))
+    };
+    let (callers, readiness, peers, metrics) = (address(), address(), address(), address());
+    let settings = folder.join(format!("{name}.jsonc"));
+    let text = json!({
+        "vm": name, "zone": "north-a", "region": "north",
+        "callers": callers.to_string(), "readiness": readiness.to_string(),
+        "peers": peers.to_string(), "metrics": metrics.to_string(), "store": store.address().to_string(),
+        "cpu": 0.25, "link_mbps": 1000, "ownership": "1200ms", "apply": "3s", "grace": "4s",
+        "jobs": {
+            "lease": "6s", "stop": "200ms", "gather": "3s", "far_factor": 3, "reclaim": "3s",
+        },
+    });
+    fs::write(&settings, text.to_string()).expect("settings");
+    Vm { name: name.to_owned(), callers, readiness, metrics, settings, child: None }
+}
--- /dev/null
+++ b/crates/entry/tests/hosted/main.rs
@@ -0,0 +1,172 @@
+//! Entry VMs on the platform's store, as processes of their own.
+
+mod cluster;
+mod soak;
+
+use std::time::Duration;
+
+use hyper::Method;
+use tokio::time::sleep;
+
+use crate::cluster::Cluster;
+use crate::cluster::KEY;
+use crate::cluster::configuration;
+use crate::cluster::job;
+use fake::StoreTrouble;
+
+const SHORT: Duration = Duration::from_millis(300);
+const LONG: Duration = Duration::from_millis(3_000);
+
+#[tokio::test]
+async fn whole_path() {
+    let cluster = Cluster::start("whole", 2, 2, SHORT).await;
+    let path = "/work/00000000000000aa";
+    assert_eq!(cluster.ask(0, Method::GET, path, "").await.0, 410);
+    assert_eq!(cluster.ask(0, Method::POST, path, &job(5)).await.0, 200);
+    cluster.completed(1, "00000000000000aa").await;
+    assert_eq!(cluster.ask(1, Method::POST, path, &job(5)).await.0, 200, "it remains one job");
+    assert_eq!(cluster.ask(1, Method::POST, path, &job(4)).await.0, 409, "another job");
+    assert_eq!(cluster.started().len(), 5);
+    let (status, body) = cluster.ask(0, Method::GET, "/work/", "").await;
+    assert_eq!((status, body["waiting"].as_u64()), (200, Some(0)));
+}
+
+#[tokio::test]
+async fn metrics_and_logs() {
+    let cluster = Cluster::start("metrics", 1, 1, SHORT).await;
+    assert_eq!(cluster.ask(0, Method::POST, "/work/00000000000000a0", &job(2)).await.0, 200);
+    cluster.completed(0, "00000000000000a0").await;
+    let shown = cluster.call(cluster.vms[0].metrics, Method::GET, "/metrics", None, "").await;
+    let shown = String::from_utf8(shown.expect("metrics").body.to_vec()).expect("text");
+    for name in [
+        r#"basilrack_answer_seconds_count{method="POST",reason="stored",status="200"} 1"#,
+        r#"basilrack_store_seconds_count{outcome="done",purpose="txn"}"#,
+        r#"basilrack_order_seconds_count{kind="start",outcome="taken"} 2"#,
+        r#"basilrack_events_total{kind="takeover"} 1"#,
+        r#"basilrack_level{name="configuration_version"} 1"#,
+    ] {
+        assert!(shown.contains(name), "{name} is missing in {shown}");
+    }
+    let log = cluster.vms[0].log();
+    for message in ["start", "ownership: claimed", "configuration: in force", "placed", "ends"] {
+        assert!(log.contains(&format!(r#""message":"{message}""#)), "{message} is missing");
+    }
+    for line in log.lines().filter(|line| line.starts_with('{')) {
+        assert!(serde_json::from_str::<serde_json::Value>(line).is_ok(), "{line}");
+    }
+}
+
+#[tokio::test]
+async fn bad_requests() {
+    let cluster = Cluster::start("bad", 1, 1, SHORT).await;
+    let path = "/work/00000000000000ab";
+    let vm = cluster.vms[0].callers;
+    let status = async |path: &str, key: Option<&str>, body: &str| {
+        let reply = cluster.call(vm, Method::POST, path, key, body).await;
+        reply.map_or(0, |reply| reply.status)
+    };
+    assert_eq!(status(path, None, &job(1)).await, 401);
+    assert_eq!(status(path, Some("another"), &job(1)).await, 401);
+    assert_eq!(status("/other/00000000000000ab", Some(KEY), &job(1)).await, 404);
+    assert_eq!(status("/work/short", Some(KEY), &job(1)).await, 404);
+    assert_eq!(status(path, Some(KEY), "{").await, 400);
+    assert_eq!(status(path, Some(KEY), r#"{"steps":[]}"#).await, 400);
+    let cyclic = r#"{"steps":[{"count":1,"after":[0]}]}"#;
+    assert_eq!(status(path, Some(KEY), cyclic).await, 400);
+    let long = format!(r#"{{"spec":"{}","steps":[{{"count":1}}]}}"#, "x".repeat(5_000));
+    assert_eq!(status(path, Some(KEY), &long).await, 413);
+    assert!(cluster.started().is_empty());
+}
+
+#[tokio::test]
+async fn killed_owner() {
+    let mut cluster = Cluster::start("killed", 3, 2, LONG).await;
+    assert_eq!(cluster.ask(0, Method::POST, "/work/00000000000000ac", &job(4)).await.0, 200);
+    cluster.until("all tasks run", async || cluster.started().len() == 4).await;
+    let owner = cluster.owner().expect("an owner");
+    cluster.vms[owner].kill();
+    let other = (owner + 1) % 3;
+    assert_eq!(cluster.ask(other, Method::POST, "/work/00000000000000ad", &job(2)).await.0, 200);
+    cluster.completed(other, "00000000000000ac").await;
+    cluster.completed(other, "00000000000000ad").await;
+    assert_eq!(cluster.started().len(), 6, "what ran was adopted: {:?}", cluster.started());
+}
+
+#[tokio::test]
+async fn stopped_owner() {
+    let mut cluster = Cluster::start("stopped", 2, 2, LONG).await;
+    assert_eq!(cluster.ask(0, Method::POST, "/work/00000000000000ae", &job(4)).await.0, 200);
+    cluster.until("all tasks run", async || cluster.started().len() == 4).await;
+    let owner = cluster.owner().expect("an owner");
+    assert_eq!(cluster.vms[owner].terminate().await, Some(0));
+    let other = 1 - owner;
+    assert_eq!(cluster.owner(), Some(other), "the ownership was handed over");
+    cluster.completed(other, "00000000000000ae").await;
+    assert_eq!(cluster.started().len(), 4);
+}
+
+#[tokio::test]
+async fn store_outage() {
+    let cluster = Cluster::start("outage", 2, 2, LONG).await;
+    assert_eq!(cluster.ask(0, Method::POST, "/work/00000000000000af", &job(3)).await.0, 200);
+    cluster.until("all tasks run", async || cluster.started().len() == 3).await;
+    cluster.store.trouble(StoreTrouble { down: true, ..StoreTrouble::default() });
+    assert_eq!(cluster.ask(0, Method::POST, "/work/00000000000000ba", &job(1)).await.0, 503);
+    sleep(Duration::from_millis(2_500)).await;
+    cluster.store.trouble(StoreTrouble::default());
+    cluster.completed(1, "00000000000000af").await;
+    assert_eq!(cluster.started().len(), 3, "renewals need no store");
+    assert_eq!(cluster.ask(1, Method::GET, "/work/00000000000000ba", "").await.0, 410);
+}
+
+#[tokio::test]
+async fn lost_answers() {
+    let cluster = Cluster::start("lost", 2, 2, SHORT).await;
+    cluster.store.trouble(StoreTrouble { mute_writes: true, ..StoreTrouble::default() });
+    let (status, _) = cluster.ask(0, Method::POST, "/work/00000000000000bb", &job(2)).await;
+    assert_ne!(status, 503, "a job that may be stored was called refused");
+    cluster.store.trouble(StoreTrouble::default());
+    assert_eq!(cluster.ask(1, Method::POST, "/work/00000000000000bb", &job(2)).await.0, 200);
+    cluster.completed(0, "00000000000000bb").await;
+    assert_eq!(cluster.started().len(), 2);
+}
+
+#[tokio::test]
+async fn revoked_key() {
+    let cluster = Cluster::start("revoked", 2, 1, SHORT).await;
+    let path = "/work/00000000000000bc";
+    cluster.store.put("op/config", &configuration(2, "another-key"));
+    cluster.store.forget();
+    for vm in 0..2 {
+        assert_eq!(cluster.ask(vm, Method::POST, path, &job(1)).await.0, 401);
+    }
+    assert!(cluster.started().is_empty());
+}
+
+#[tokio::test]
+async fn silent_connections() {
+    let cluster = Cluster::start("silent", 2, 2, LONG).await;
+    assert_eq!(cluster.ask(0, Method::POST, "/work/00000000000000bd", &job(4)).await.0, 200);
+    cluster.until("all tasks run", async || cluster.started().len() == 4).await;
+    cluster.store.silence();
+    for worker in &cluster.workers {
+        worker.silence();
+    }
+    cluster.completed(1, "00000000000000bd").await;
+    assert_eq!(cluster.started().len(), 4);
+}
+
+#[tokio::test]
+async fn cancelled_job() {
+    let cluster = Cluster::start("cancelled", 2, 2, LONG).await;
+    let path = "/work/00000000000000be";
+    assert_eq!(cluster.ask(0, Method::DELETE, path, "").await.0, 410);
+    assert_eq!(cluster.ask(0, Method::POST, path, &job(4)).await.0, 200);
+    cluster.until("all tasks run", async || cluster.started().len() == 4).await;
+    assert_eq!(cluster.ask(1, Method::DELETE, path, "").await.0, 200);
+    let cancelled = async || cluster.state(0, "00000000000000be").await == "cancelled";
+    cluster.until("it is shown as cancelled", cancelled).await;
+    assert_eq!(cluster.ask(0, Method::POST, path, &job(4)).await.0, 200, "it stays known");
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(cluster.started().len(), 4, "nothing starts again");
+}
--- /dev/null
+++ b/crates/entry/tests/hosted/soak.rs
@@ -0,0 +1,141 @@
+//! Random faults on real processes, with the promises checked from outside.
+//!
+//! `SOAK_SEEDS=50 cargo test --release -p entry --test hosted soak` plays fifty fresh seeds;
+//! `SOAK_SEED=7` plays one again. Without either a few fixed seeds are played.
+
+use std::collections::BTreeMap;
+use std::process::Command;
+use std::time::Duration;
+
+use hyper::Method;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::cluster::Cluster;
+use crate::cluster::job;
+use fake::StoreTrouble;
+
+/// Seeds that are always played.
+const FIXED_SEEDS: [u64; 2] = [1, 2];
+/// How long faults come.
+const FAULT_TIME: Duration = Duration::from_millis(6_000);
+/// How long a task works; shorter than a lease, which no fault outlasts.
+const WORK: Duration = Duration::from_millis(1_200);
+
+fn seeds() -> Vec<u64> {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    match (number("SOAK_SEED"), number("SOAK_SEEDS")) {
+        (Some(seed), _) => vec![seed],
+        (_, Some(count)) => {
+            let base: u64 = rand::rng().random_range(1_000..1_000_000_000);
+            (base..base + count).collect()
+        }
+        _ => FIXED_SEEDS.to_vec(),
+    }
+}
+
+#[tokio::test]
+async fn random_faults() {
+    for seed in seeds() {
+        println!("seed {seed}");
+        play(seed).await;
+    }
+}
+
+async fn play(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut cluster = Cluster::start(&format!("soak-{seed}"), 3, 3, WORK).await;
+    // Jobs with their tasks; none for those that may or may not be stored.
+    let mut jobs: BTreeMap<String, Option<u32>> = BTreeMap::new();
+    let end = Instant::now() + FAULT_TIME;
+    let mut number = 0;
+    while Instant::now() < end {
+        number += 1;
+        let id = format!("{:08x}{number:08x}", seed as u32);
+        let count = rng.random_range(1..4);
+        let vm = rng.random_range(0..3);
+        match cluster.ask(vm, Method::POST, &format!("/work/{id}"), &job(count)).await.0 {
+            200 => drop(jobs.insert(id, Some(count))),
+            503 => {}
+            _ => drop(jobs.insert(id, None)),
+        }
+        disrupt(&mut cluster, &mut rng).await;
+        sleep(Duration::from_millis(rng.random_range(20..300))).await;
+    }
+    cluster.store.trouble(StoreTrouble::default());
+    for vm in 0..3 {
+        cluster.vms[vm].signal("-CONT");
+        if !cluster.vms[vm].runs() {
+            cluster.vms[vm].restart();
+        }
+        cluster.ready(vm).await;
+    }
+    for (id, count) in &jobs {
+        let state = cluster.state(0, id).await;
+        if count.is_some() || !state.is_empty() {
+            cluster.completed(0, id).await;
+        }
+    }
+    let mut runs: BTreeMap<String, u32> = BTreeMap::new();
+    for task in cluster.started() {
+        *runs.entry(task).or_default() += 1;
+    }
+    let twice: Vec<&String> = runs.iter().filter(|(_, runs)| **runs > 1).map(|(t, _)| t).collect();
+    assert!(twice.is_empty(), "seed {seed}: started more than once: {twice:?}");
+    for task in runs.keys() {
+        let job = task.split('.').next().unwrap_or_default();
+        assert!(jobs.contains_key(job), "seed {seed}: {task} was refused and started");
+    }
+    for (id, count) in jobs {
+        if let Some(count) = count {
+            let tasks = runs.keys().filter(|task| task.starts_with(&id)).count();
+            assert_eq!(tasks, count as usize, "seed {seed}: tasks of {id}");
+        }
+    }
+}
+
+/// One fault, or none.
+async fn disrupt(cluster: &mut Cluster, rng: &mut StdRng) {
+    let vm = rng.random_range(0..3);
+    match rng.random_range(0..12) {
+        0 => cluster.vms[vm].kill(),
+        1 if cluster.vms[vm].runs() => {
+            assert_eq!(cluster.vms[vm].terminate().await, Some(0));
+        }
+        2 | 3 => {
+            let stopped = (0..3).find(|vm| !cluster.vms[*vm].runs());
+            if let Some(vm) = stopped {
+                cluster.vms[vm].restart();
+            }
+        }
+        4 => {
+            // The owner stands still for longer than its ownership lasts.
+            let vm = cluster.owner().unwrap_or(vm);
+            cluster.vms[vm].signal("-STOP");
+            sleep(Duration::from_millis(rng.random_range(200..1_800))).await;
+            cluster.vms[vm].signal("-CONT");
+        }
+        5 => cluster.vms[vm].signal("-HUP"),
+        6 => cluster.store.forget(),
+        7 => cluster.store.silence(),
+        8 => {
+            let down = rng.random_bool(0.4);
+            let mute_writes = !down && rng.random_bool(0.5);
+            let delay = Duration::from_millis(if rng.random_bool(0.5) { 150 } else { 0 });
+            cluster.store.trouble(StoreTrouble { down, mute_writes, delay });
+            sleep(Duration::from_millis(rng.random_range(100..900))).await;
+            cluster.store.trouble(StoreTrouble::default());
+        }
+        9 => cluster.workers[rng.random_range(0..3)].silence(),
+        _ => {}
+    }
+}
+
+/// Sends a signal to a process by its id.
+pub fn send_signal(id: u32, signal: &str) {
+    let sent = Command::new("kill").arg(signal).arg(id.to_string()).status().expect("kill runs");
+    assert!(sent.success(), "a process of ours is there");
+}
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod backend;
 mod client;
+mod hosted;
 mod http;
 mod store;
 mod vms;
@@ -28,6 +29,10 @@
 pub use client::get;
 pub use client::post;
 pub use client::send;
+pub use hosted::HostedStore;
+pub use hosted::HostedWorker;
+pub use hosted::RunStarted;
+pub use hosted::StoreTrouble;
 pub use http::Address;
 pub use store::CallKind;
 pub use store::Loss;
--- a/crates/node/src/confirm.rs
+++ b/crates/node/src/confirm.rs
@@ -49,6 +49,7 @@
                 return;
             }
             info!(version = policy.version, revision = item.revision; "configuration: in force");
+            state.metrics.level("configuration_version", policy.version);
             let confirmed = Confirmed { policy: Arc::new(policy), revision: item.revision };
             *state.configuration.borrow_mut() = Some(confirmed);
             state.changed.send_replace(item.revision);
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -16,6 +16,9 @@
         /// What the system said.
         source: io::Error,
     },
+    /// A metric cannot be registered, which is a defect.
+    #[error("metric cannot be registered: {0}")]
+    Metrics(#[from] prometheus::Error),
     /// The runtime cannot start.
     #[error("runtime cannot start: {0}")]
     Runtime(io::Error),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod confirm;
 pub mod error;
+pub mod metrics;
 pub mod owner;
 pub mod run;
 pub mod state;
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,129 @@
+//! What an entry VM counts and measures, for Prometheus.
+//!
+//! Labels come from small fixed sets: no job, caller or worker stands in one.
+
+use std::time::Duration;
+
+use prometheus::Encoder;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::error::Error;
+
+/// Bounds of the time histograms, in seconds.
+const TIMES: [f64; 12] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 20.0];
+
+/// Counters, gauges and histograms of one entry VM.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    answers: HistogramVec,
+    store: HistogramVec,
+    orders: HistogramVec,
+    places: HistogramVec,
+    events: IntCounterVec,
+    levels: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Two metrics have the same name, which is a defect.
+    pub fn new() -> Result<Metrics, Error> {
+        let times = |name: &str, help: &str, labels: &[&str]| {
+            HistogramVec::new(HistogramOpts::new(name, help).buckets(TIMES.to_vec()), labels)
+        };
+        let metrics = Metrics {
+            registry: Registry::new(),
+            answers: times(
+                "basilrack_answer_seconds",
+                "Answers to callers by method, status and reason",
+                &["method", "status", "reason"],
+            )?,
+            store: times(
+                "basilrack_store_seconds",
+                "Calls to the store by purpose and outcome",
+                &["purpose", "outcome"],
+            )?,
+            orders: times(
+                "basilrack_order_seconds",
+                "Orders to workers by kind and outcome",
+                &["kind", "outcome"],
+            )?,
+            places: times(
+                "basilrack_place_seconds",
+                "Age of jobs when tasks of theirs get places, by urgency",
+                &["rank"],
+            )?,
+            events: IntCounterVec::new(
+                Opts::new("basilrack_events_total", "Decisions and changes of belief by kind"),
+                &["kind"],
+            )?,
+            levels: IntGaugeVec::new(
+                Opts::new("basilrack_level", "Jobs, runs, workers, versions and ages, by name"),
+                &["name"],
+            )?,
+        };
+        let registry = &metrics.registry;
+        registry.register(Box::new(metrics.answers.clone()))?;
+        registry.register(Box::new(metrics.store.clone()))?;
+        registry.register(Box::new(metrics.orders.clone()))?;
+        registry.register(Box::new(metrics.places.clone()))?;
+        registry.register(Box::new(metrics.events.clone()))?;
+        registry.register(Box::new(metrics.levels.clone()))?;
+        Ok(metrics)
+    }
+
+    /// An answer to a caller.
+    pub fn answer(&self, method: &str, status: u16, reason: &str, took: Duration) {
+        // Callers choose the method: other ones share a label.
+        let known = ["GET", "POST", "DELETE"].contains(&method);
+        let method = if known { method } else { "other" };
+        let labels = [method, &status.to_string(), reason];
+        self.answers.with_label_values(&labels).observe(took.as_secs_f64());
+    }
+
+    /// A call to the store.
+    pub fn store(&self, purpose: &str, outcome: &str, took: Duration) {
+        self.store.with_label_values(&[purpose, outcome]).observe(took.as_secs_f64());
+    }
+
+    /// An order to a worker.
+    pub fn order(&self, kind: &str, outcome: &str, took: Duration) {
+        self.orders.with_label_values(&[kind, outcome]).observe(took.as_secs_f64());
+    }
+
+    /// A job had its tasks placed.
+    pub fn place(&self, rank: &str, age: Duration) {
+        self.places.with_label_values(&[rank]).observe(age.as_secs_f64());
+    }
+
+    /// A decision or a change of belief.
+    pub fn event(&self, kind: &str) {
+        self.events.with_label_values(&[kind]).inc();
+    }
+
+    /// A level that holds now.
+    pub fn level(&self, name: &str, value: u64) {
+        self.levels.with_label_values(&[name]).set(i64::try_from(value).unwrap_or(i64::MAX));
+    }
+
+    /// All of it in Prometheus' text form.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            Ok(()) => text,
+            Err(error) => {
+                log::warn!(error = error.to_string().as_str(); "metrics: cannot be encoded");
+                Vec::new()
+            }
+        }
+    }
+}
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -11,6 +11,7 @@
 use tokio::task::spawn_local;
 
 use crate::clock::Clock;
+use crate::metrics::Metrics;
 use batch::Action;
 use batch::Event;
 use batch::Held;
@@ -37,6 +38,8 @@
     pub clock: Clock,
     /// Where answers go.
     pub events: UnboundedSender<Event>,
+    /// What is measured.
+    pub metrics: Metrics,
 }
 
 impl Orders {
@@ -49,7 +52,15 @@
                 spawn_local(async move {
                     let (payload, saved) = (spec.payload.as_str(), saved.as_str());
                     let start = Start { task: &task, run, payload, deadline, saved };
+                    let sent = orders.clock.now();
                     let result = orders.workers.start(&worker, address, &start, ORDER_LIMIT).await;
+                    let outcome = match result {
+                        StartResult::Taken => "taken".to_owned(),
+                        StartResult::Refused(reason) => reason.to_string(),
+                        StartResult::Unknown => "unknown".to_owned(),
+                    };
+                    let took = orders.clock.now().since(sent);
+                    orders.metrics.order("start", &outcome, took);
                     // Starts that are taken are the usual case; where they went is in the store.
                     let level = match result {
                         StartResult::Taken => Level::Debug,
@@ -63,8 +74,11 @@
             Action::Stop { worker, task, run } => {
                 let Some(&address) = addresses.get(&worker) else { return };
                 spawn_local(async move {
+                    let sent = orders.clock.now();
                     let result =
                         orders.workers.stop(&worker, address, &task, run, ORDER_LIMIT).await;
+                    let outcome = if result.is_ok() { "done" } else { "failed" };
+                    orders.metrics.order("stop", outcome, orders.clock.now().since(sent));
                     let level = if result.is_ok() { Level::Debug } else { Level::Info };
                     log!(level, task = task.to_string().as_str(), run = run, worker = &*worker.0,
                         result = format!("{result:?}").as_str(); "stop");
@@ -93,7 +107,10 @@
     async fn hold(&self, worker: WorkerId, address: SocketAddr, renewal: Renewal) -> Event {
         let sent = self.clock.now();
         let limit = HOLD_LIMIT + Duration::from_millis(renewal.wait);
-        match self.workers.hold(&worker, address, renewal, limit).await {
+        let held = self.workers.hold(&worker, address, renewal, limit).await;
+        let outcome = if held.is_ok() { "done" } else { "failed" };
+        self.metrics.order("renewal", outcome, self.clock.now().since(sent));
+        match held {
             Ok(lists) => {
                 for end in &lists.ended {
                     let usual = matches!(end.outcome, Outcome::Done | Outcome::Stopped);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -78,6 +78,7 @@
             Err(Deposed) => continue,
         };
         let took = state.clock.now().since(started);
+        state.metrics.event("takeover");
         info!(token = owner.writer.as_ref().map_or(0, |writer| writer.token),
             took_ms = took.as_millis() as u64; "ownership: taken over");
         owner.run().await;
@@ -116,7 +117,8 @@
         let (sender, events) = mpsc::unbounded_channel();
         let (committed, commits) = mpsc::unbounded_channel();
         let workers = Workers::new(caller.clone(), claim.token);
-        let orders = Orders { workers, clock: state.clock.clone(), events: sender.clone() };
+        let (clock, metrics) = (state.clock.clone(), state.metrics.clone());
+        let orders = Orders { workers, clock, events: sender.clone(), metrics };
         let writer = Writer {
             state: Rc::clone(state),
             token: claim.token,
@@ -236,7 +238,14 @@
             match action {
                 Action::Resign => return Err(Deposed),
                 Action::Commit(records) => self.commit(records, true),
-                Action::Note(note) => log_note(&note),
+                Action::Note(note) => {
+                    let metrics = &self.state.metrics;
+                    metrics.event(note.as_ref());
+                    if let Note::Placed { rank, age, .. } = &note {
+                        metrics.place(rank, Duration::from_millis(*age));
+                    }
+                    log_note(&note);
+                }
                 order => self.orders.send(&self.addresses, order),
             }
         }
@@ -250,7 +259,13 @@
             return;
         };
         self.planned = planned;
-        self.waiting = self.planner.summary(self.state.clock.now()).waiting;
+        let summary = self.planner.summary(self.state.clock.now());
+        let metrics = &self.state.metrics;
+        metrics.level("jobs", summary.live as u64);
+        metrics.level("jobs_waiting", summary.waiting.values().sum());
+        metrics.level("runs", summary.runs as u64);
+        metrics.level("workers", summary.usable as u64);
+        self.waiting = summary.waiting;
         self.waiting_at = self.state.clock.now();
         let waiting = self.waiting.clone();
         let committed = self.committed.clone();
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::confirm;
 use crate::error::Error;
+use crate::metrics::Metrics;
 use crate::owner;
 use crate::peers;
 use crate::state::State;
@@ -68,16 +69,23 @@
     // Without a handler this signal ends a process. What it announces is read at the next start.
     let mut reload = signal(SignalKind::hangup()).map_err(Error::Runtime)?;
     let caller = Caller::new(Limits { connect: CONNECT_LIMIT, answer_len: ANSWER_LEN });
-    let store = Store::new(caller.clone(), settings.store);
+    let metrics = Metrics::new()?;
+    let measured = metrics.clone();
+    let store = Store::new(caller.clone(), settings.store, move |purpose, outcome, took| {
+        measured.store(purpose, outcome, took);
+    });
     let vm = settings.vm.to_string();
     info!(vm = vm.as_str(), callers = settings.callers.to_string().as_str(),
         store = settings.store.to_string().as_str(), version = env!("CARGO_PKG_VERSION"); "start");
-    let state = State::new(settings, Clock::start(), store, caller.clone());
+    let state = State::new(settings, Clock::start(), store, caller.clone(), metrics);
     spawn_local(confirm::follow(Rc::clone(&state)));
     spawn_local(web::serve(Rc::clone(&state), callers, Role::Callers));
     spawn_local(web::serve(Rc::clone(&state), readiness, Role::Readiness));
     spawn_local(web::serve(Rc::clone(&state), peers, Role::Peers));
     spawn_local(peers::follow(Rc::clone(&state)));
+    if let Some(address) = state.settings.metrics {
+        spawn_local(web::serve(Rc::clone(&state), listen(address)?, Role::Metrics));
+    }
     owner::start(&state, &caller);
     loop {
         tokio::select! {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
+use crate::metrics::Metrics;
 use batch::Policy;
 use model::Time;
 use net::Caller;
@@ -72,11 +73,19 @@
     pub unhelpful: RefCell<BTreeMap<SocketAddr, Time>>,
     /// Calls to peers.
     pub caller: Caller,
+    /// What is counted and measured.
+    pub metrics: Metrics,
 }
 
 impl State {
     /// The state of a process that starts.
-    pub fn new(settings: HostSettings, clock: Clock, store: Store, caller: Caller) -> Rc<State> {
+    pub fn new(
+        settings: HostSettings,
+        clock: Clock,
+        store: Store,
+        caller: Caller,
+        metrics: Metrics,
+    ) -> Rc<State> {
         Rc::new(State {
             settings,
             clock,
@@ -92,6 +101,7 @@
             peers: RefCell::new(Vec::new()),
             unhelpful: RefCell::new(BTreeMap::new()),
             caller,
+            metrics,
         })
     }
 
--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -147,6 +147,8 @@
     Readiness,
     /// Requests that peers pass on.
     Peers,
+    /// Those who watch the VM.
+    Metrics,
 }
 
 async fn answer(
@@ -161,12 +163,18 @@
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         return Ok(respond(&state, Answer::new(status, "readiness")));
     }
+    if role == Role::Metrics {
+        state.metrics.level("configuration_age_ms", state.age().as_millis() as u64);
+        return Ok(respond(&state, Answer::with(state.metrics.text(), "metrics")));
+    }
     state.open.set(state.open.get() + 1);
     let started = state.clock.now();
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     let result = call(&state, request, role, started).await;
-    let took = state.clock.now().since(started).as_millis() as u64;
+    let span = state.clock.now().since(started);
+    state.metrics.answer(method.as_str(), result.status.as_u16(), result.reason, span);
+    let took = span.as_millis() as u64;
     let version = state.policy().map_or(0, |confirmed| confirmed.policy.version);
     info!(method = method.as_str(), path = path.as_str(), status = result.status.as_u16(),
         reason = result.reason, took_ms = took, configuration = version,
