--- a/crates/entry/tests/hosted/main.rs
+++ b/crates/entry/tests/hosted/main.rs
@@ -170,3 +170,49 @@
     sleep(Duration::from_millis(500)).await;
     assert_eq!(cluster.started().len(), 4, "nothing starts again");
 }
+
+/// Lines of all VMs' logs that hold each of these parts.
+fn lines(cluster: &Cluster, parts: &[&str]) -> Vec<String> {
+    let logs: Vec<String> = cluster.vms.iter().map(|vm| vm.log()).collect();
+    let lines = logs.iter().flat_map(|log| log.lines());
+    let holds = |line: &&str| parts.iter().all(|part| line.contains(part));
+    lines.filter(holds).map(str::to_owned).collect()
+}
+
+#[tokio::test]
+async fn explained_refusal() {
+    let cluster = Cluster::start("refusal", 1, 1, SHORT).await;
+    cluster.store.trouble(StoreTrouble { down: true, ..StoreTrouble::default() });
+    let path = "/work/00000000000000c0";
+    assert_eq!(cluster.ask(0, Method::POST, path, &job(1)).await.0, 503);
+    let logged = async || !lines(&cluster, &[path, r#""status":503"#, "store"]).is_empty();
+    cluster.until("the refusal is logged with its reason", logged).await;
+    assert!(!lines(&cluster, &["store: lost"]).is_empty(), "and when the store was lost");
+}
+
+#[tokio::test]
+async fn explained_wait() {
+    let cluster = Cluster::start("wait", 1, 1, LONG).await;
+    let (first, second) = ("00000000000000c1", "00000000000000c2");
+    assert_eq!(cluster.ask(0, Method::POST, &format!("/work/{first}"), &job(8)).await.0, 200);
+    cluster.until("all tasks run", async || cluster.started().len() == 8).await;
+    assert_eq!(cluster.ask(0, Method::POST, &format!("/work/{second}"), &job(2)).await.0, 200);
+    cluster.completed(0, second).await;
+    let waits = lines(&cluster, &["\"waits\"", second, r#""accelerators":0"#]);
+    assert_eq!(waits.len(), 1, "once it says that no accelerator was free");
+    let placed = lines(&cluster, &["\"placed\"", second]);
+    assert!(!placed.is_empty(), "and how old the job was when it got its places");
+}
+
+#[tokio::test]
+async fn explained_doubt() {
+    let cluster = Cluster::start("doubt", 1, 1, SHORT).await;
+    cluster.store.trouble(StoreTrouble { mute_writes: true, ..StoreTrouble::default() });
+    let path = "/work/00000000000000c3";
+    assert_eq!(cluster.ask(0, Method::POST, path, &job(1)).await.0, 504);
+    cluster.store.trouble(StoreTrouble::default());
+    let logged = async || !lines(&cluster, &[path, r#""status":504"#, "doubt"]).is_empty();
+    cluster.until("the doubt is logged", logged).await;
+    cluster.completed(0, "00000000000000c3").await;
+    assert!(!lines(&cluster, &["\"ends\"", "00000000000000c3"]).is_empty(), "it was stored");
+}
