Give no new runs to workers that leave orders undone

Change: after two orders in a row without an answer a worker gets no new runs. It is asked to stop the last such run, which changes nothing, until it answers an order. Each change of this belief is logged (heeds).

--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -108,6 +108,13 @@
         /// For how long, in ms.
         span: u64,
     },
+    /// A worker leaves orders undone, or carries them out again.
+    Heeds {
+        /// The worker.
+        worker: WorkerId,
+        /// Whether it carries out orders.
+        heeds: bool,
+    },
     /// A run is given up; its task gets another unless its job has ended.
     GivesUp {
         /// The task.
--- a/crates/batch/src/calls.rs
+++ b/crates/batch/src/calls.rs
@@ -21,6 +21,8 @@
 const HOLD_DOUBLINGS: u32 = 3;
 /// Pause before a stop is sent again.
 const STOP_RETRY: Duration = Duration::from_millis(350);
+/// Pause between orders that only show whether a worker carries them out again.
+const PROBE_PAUSE: Duration = Duration::from_millis(700);
 
 impl Planner {
     pub(crate) fn send_stops(&mut self, now: Time) {
@@ -52,6 +54,24 @@
         }
     }
 
+    /// Asks workers that leave orders undone to stop a run again that they have not answered for:
+    /// it changes nothing, for the run is being stopped or has been given up.
+    pub(crate) fn send_probes(&mut self, now: Time) {
+        for (id, worker) in &mut self.workers {
+            if !(worker.unheeding() && worker.listed && worker.answers) {
+                continue;
+            }
+            let Some((task, run)) = &worker.probe else { continue };
+            let placed = self.jobs.get(&task.job).is_some_and(|job| job.holds(task, *run, id));
+            if placed || worker.probed + PROBE_PAUSE > now {
+                continue;
+            }
+            worker.probed = now;
+            let (worker, task, run) = (id.clone(), task.clone(), *run);
+            self.out.push(Action::Stop { worker, task, run });
+        }
+    }
+
     pub(crate) fn run_number(&self, key: &TaskKey) -> u32 {
         self.task(key).map_or(0, |task| task.run)
     }
--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -8,6 +8,7 @@
 
 use crate::spec::JobId;
 use crate::spec::Need;
+use crate::spec::TaskKey;
 use crate::spec::WorkerId;
 use model::Time;
 
@@ -76,8 +77,18 @@
     pub failed: BTreeSet<JobId>,
     /// When it leaves at the earliest, if it is draining.
     pub leaves: Option<Time>,
+    /// Starts and stops in a row without an answer.
+    pub unheeded: u32,
+    /// The last of them, as a task and its run.
+    pub probe: Option<(TaskKey, u32)>,
+    /// When it was last asked to stop that run, to see whether it carries out orders again.
+    pub probed: Time,
 }
 
+/// Orders in a row without an answer after which a worker gets no new runs: one in twenty gets
+/// lost on the users' bad days, and two in a row are a sign of more.
+const UNHEEDED_ORDERS: u32 = 2;
+
 /// Most that a worker's clock may be slow, in parts of a thousand.
 const CLOCK_SLOW_MILLIS: u64 = 20;
 /// Room for delays between our clock and a worker's, in ms.
@@ -106,9 +117,17 @@
             failures: 0,
             failed: BTreeSet::new(),
             leaves: None,
+            unheeded: 0,
+            probe: None,
+            probed: Time::ZERO,
         }
     }
 
+    /// Whether it leaves orders undone, though it may answer renewals.
+    pub fn unheeding(&self) -> bool {
+        self.unheeded >= UNHEEDED_ORDERS
+    }
+
     /// Whether a new run may go there.
     pub fn usable(&self, now: Time) -> bool {
         self.listed
@@ -116,6 +135,7 @@
             && self.answers
             && self.clock.is_some()
             && self.strays == 0
+            && !self.unheeding()
             && self.shunned <= now
     }
 
@@ -153,6 +173,8 @@
         self.failures = 0;
         self.failed.clear();
         self.shunned = Time::ZERO;
+        self.unheeded = 0;
+        self.probe = None;
     }
 }
 
--- a/crates/batch/src/event.rs
+++ b/crates/batch/src/event.rs
@@ -128,10 +128,10 @@
     Deposed,
     /// A renewal met another incarnation.
     Replaced(WorkerId),
-    /// What became of a start.
-    Started(TaskKey, u32, StartResult),
-    /// A stop was answered, or not.
-    Stopped(TaskKey, u32, bool),
+    /// What became of a start at a worker.
+    Started(WorkerId, TaskKey, u32, StartResult),
+    /// A worker answered a stop, or not.
+    Stopped(WorkerId, TaskKey, u32, bool),
     /// The last commit is in the store.
     Committed,
     /// Time has passed.
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -14,6 +14,7 @@
 use crate::spec::Spec;
 use crate::spec::StepSpec;
 use crate::spec::Submission;
+use crate::spec::TaskKey;
 use crate::spec::WorkerId;
 use model::Time;
 
@@ -214,6 +215,15 @@
         self.spec.steps[step].after.iter().all(|&before| steps[before as usize].done())
     }
 
+    /// Whether a run of a task is on a worker, as far as is known.
+    pub fn holds(&self, key: &TaskKey, number: u32, worker: &WorkerId) -> bool {
+        let step = self.turns.get(key.turn as usize).and_then(|steps| steps.get(key.step as usize));
+        let task = step.and_then(|step| step.tasks.get(key.index as usize));
+        task.is_some_and(|task| {
+            task.run == number && matches!(&task.stage, Stage::Placed(run) if run.worker == *worker)
+        })
+    }
+
     pub fn tasks(&self) -> impl Iterator<Item = &Task> {
         self.turns.iter().flatten().flat_map(|step| &step.tasks)
     }
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -15,6 +15,7 @@
 use crate::directory::Workers;
 use crate::directory::millis;
 use crate::event::Event;
+use crate::event::StartResult;
 use crate::job::Job;
 use crate::job::JobState;
 use crate::job::Run;
@@ -147,6 +148,7 @@
                 self.place(now);
             }
             self.send_stops(now);
+            self.send_probes(now);
             self.forget_jobs(now);
             self.settle_ends();
             self.send_holds(now);
@@ -199,8 +201,14 @@
             Event::Unheld(worker) => self.unheld(&worker),
             Event::Deposed => self.out.push(Action::Resign),
             Event::Replaced(worker) => self.replaced(now, &worker),
-            Event::Started(task, run, result) => self.started(now, &task, run, result),
-            Event::Stopped(task, run, answered) => self.stop_answered(now, &task, run, answered),
+            Event::Started(worker, task, run, result) => {
+                self.heed(&worker, &task, run, result != StartResult::Unknown);
+                self.started(now, &worker, &task, run, result);
+            }
+            Event::Stopped(worker, task, run, answered) => {
+                self.heed(&worker, &task, run, answered);
+                self.stop_answered(now, &worker, &task, run, answered);
+            }
             Event::Committed => self.committed(now),
             Event::Tick => {}
         }
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -325,13 +325,40 @@
         }
     }
 
-    pub(crate) fn started(&mut self, now: Time, key: &TaskKey, number: u32, result: StartResult) {
+    /// Notes whether a worker answered an order.
+    pub(crate) fn heed(&mut self, id: &WorkerId, key: &TaskKey, number: u32, answered: bool) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let before = worker.unheeding();
+        if answered {
+            worker.unheeded = 0;
+            worker.probe = None;
+        } else {
+            worker.unheeded += 1;
+            worker.probe = Some((key.clone(), number));
+        }
+        if worker.unheeding() != before {
+            self.replan |= answered;
+            self.out.push(Action::Note(Note::Heeds { worker: id.clone(), heeds: answered }));
+        }
+    }
+
+    pub(crate) fn started(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        key: &TaskKey,
+        number: u32,
+        result: StartResult,
+    ) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let Some(task) = task_mut(job, key) else { return };
         if task.run != number {
             return;
         }
         let Stage::Placed(run) = &mut task.stage else { return };
+        if run.worker != *id {
+            return;
+        }
         match result {
             StartResult::Taken => {
                 run.taken.get_or_insert(now);
@@ -369,13 +396,22 @@
         }
     }
 
-    pub(crate) fn stop_answered(&mut self, now: Time, key: &TaskKey, number: u32, answered: bool) {
+    pub(crate) fn stop_answered(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        key: &TaskKey,
+        number: u32,
+        answered: bool,
+    ) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let Some(task) = task_mut(job, key) else { return };
         if task.run != number || !answered {
             return;
         }
-        if let Stage::Placed(run) = &mut task.stage {
+        if let Stage::Placed(run) = &mut task.stage
+            && run.worker == *id
+        {
             run.stop_done.get_or_insert(now);
         }
     }
--- a/crates/batch/tests/schedules/regressions.rs
+++ b/crates/batch/tests/schedules/regressions.rs
@@ -99,3 +99,29 @@
     world.run(20_000);
     assert_eq!(world.shown(&second), JobState::Completed);
 }
+
+/// Some workers leave every start and stop undone but answer renewals: gangs used to be placed on
+/// them again and again, each for more than a second of waiting and with its sound members' work
+/// thrown away.
+#[test]
+fn idle_workers() {
+    let mut world = World::new(6, 24, Faults::default(), policy(0));
+    for number in 0..12 {
+        world.workers.get_mut(&worker_id(number * 2)).expect("there").idle = 40_000;
+    }
+    let mut ids = Vec::new();
+    for number in 0..30 {
+        let mut gang = step(4, 4, 1_500);
+        gang.gang = true;
+        ids.push(world.submit(&format!("{number:016x}"), "usual", "a", vec![gang]));
+        world.run(1_000);
+    }
+    world.run(5_000);
+    let done = ids.iter().filter(|id| world.shown(id) == JobState::Completed).count();
+    assert!(done >= 27, "{done} of 30 gangs are done while half of the workers do nothing");
+    // Each of the twelve is found out once: two tasks of a gang, four starts each.
+    assert!(world.unheard <= 12 * 2 * 4, "{} starts went to them", world.unheard);
+    world.run(60_000);
+    world.check_ends();
+    assert_eq!(world.usable(), 24, "all workers get work again once they carry out orders");
+}
--- a/crates/batch/tests/schedules/worker.rs
+++ b/crates/batch/tests/schedules/worker.rs
@@ -55,6 +55,8 @@
     pub cut: u64,
     /// It answers no call before this, in ms, and is listed all the same.
     pub deaf: u64,
+    /// It neither carries out nor answers orders before this, in ms, but answers renewals.
+    pub idle: u64,
     /// It refuses starts before this, in ms.
     pub unwell: u64,
     /// All that it starts fails before this, in ms.
@@ -79,6 +81,7 @@
             up: true,
             cut: 0,
             deaf: 0,
+            idle: 0,
             unwell: 0,
             failing: 0,
             leaves: None,
@@ -204,6 +207,11 @@
         self.up && self.cut <= now && self.deaf <= now
     }
 
+    /// Whether a call, an order or a renewal, is heard now.
+    pub fn hears(&self, now: u64, order: bool) -> bool {
+        self.reachable(now) && !(order && self.idle > now)
+    }
+
     /// Starts a new incarnation.
     pub fn restart(&mut self, now: u64) {
         *self = FakeWorker {
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -151,6 +151,8 @@
     /// Runs of each task or gang that failed.
     failures: BTreeMap<(JobId, u32, u32, u32), BTreeSet<u32>>,
     pub starts: u64,
+    /// Starts that no worker heard.
+    pub unheard: u64,
     pub trace: Vec<String>,
     dead: BTreeSet<u64>,
     /// Jobs that were removed from the store.
@@ -221,6 +223,7 @@
             done: BTreeSet::new(),
             failures: BTreeMap::new(),
             starts: 0,
+            unheard: 0,
             trace: Vec::new(),
             dead: BTreeSet::new(),
             forgotten: BTreeSet::new(),
@@ -384,8 +387,10 @@
         if born.is_some_and(|born| self.workers[&id].born != born) {
             return;
         }
-        let reachable = self.workers.get(&id).is_some_and(|worker| worker.reachable(now));
-        if !reachable {
+        let order = !matches!(action, Action::Hold { .. });
+        let heard = self.workers.get(&id).is_some_and(|worker| worker.hears(now, order));
+        if !heard {
+            self.unheard += u64::from(matches!(action, Action::Start { .. }));
             if answered {
                 self.post(600, Message::Tell { owner, event: unanswered(&action) });
             }
@@ -404,7 +409,7 @@
                 if answered {
                     self.post(
                         back,
-                        Message::Tell { owner, event: Event::Started(task, run, result) },
+                        Message::Tell { owner, event: Event::Started(worker, task, run, result) },
                     );
                 }
             }
@@ -412,7 +417,7 @@
                 let fake = self.workers.get_mut(&worker).expect("reachable");
                 let done = fake.stop(owner, &task, run);
                 let event = match done {
-                    true => Event::Stopped(task, run, true),
+                    true => Event::Stopped(worker, task, run, true),
                     false => Event::Deposed,
                 };
                 if answered {
@@ -750,6 +755,10 @@
                 self.note(format!("{id} is deaf for {span}"));
                 self.workers.get_mut(&id).expect("known").deaf = now + span;
             }
+            8 if faults.refusals => {
+                self.note(format!("{id} leaves orders undone for {span}"));
+                self.workers.get_mut(&id).expect("known").idle = now + span;
+            }
             3 if faults.refusals => {
                 self.workers.get_mut(&id).expect("known").unwell = now + span;
             }
@@ -772,6 +781,11 @@
         }
     }
 
+    /// Workers that the present owner gives new runs.
+    pub fn usable(&self) -> usize {
+        self.owners[&self.owner].summary(Time::from_millis(self.now)).usable
+    }
+
     /// State of a job as callers are shown it.
     pub fn shown(&self, id: &JobId) -> JobState {
         self.records.get(id).map_or(JobState::Pending, |record| record.state)
@@ -805,8 +819,12 @@
 
 fn unanswered(action: &Action) -> Event {
     match action {
-        Action::Start { task, run, .. } => Event::Started(task.clone(), *run, StartResult::Unknown),
-        Action::Stop { task, run, .. } => Event::Stopped(task.clone(), *run, false),
+        Action::Start { worker, task, run, .. } => {
+            Event::Started(worker.clone(), task.clone(), *run, StartResult::Unknown)
+        }
+        Action::Stop { worker, task, run } => {
+            Event::Stopped(worker.clone(), task.clone(), *run, false)
+        }
         Action::Hold { worker, .. } => Event::Unheld(worker.clone()),
         other => panic!("not a call: {other:?}"),
     }
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -68,7 +68,7 @@
                     };
                     log!(level, task = task.to_string().as_str(), run = run, worker = &*worker.0,
                         result = format!("{result:?}").as_str(); "start");
-                    orders.report(Event::Started(task, run, result));
+                    orders.report(Event::Started(worker, task, run, result));
                 });
             }
             Action::Stop { worker, task, run } => {
@@ -85,7 +85,7 @@
                     if result == Err(WorkerError::Fenced) {
                         orders.report(Event::Deposed);
                     } else {
-                        orders.report(Event::Stopped(task, run, result.is_ok()));
+                        orders.report(Event::Stopped(worker, task, run, result.is_ok()));
                     }
                 });
             }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -319,6 +319,9 @@
         Note::Shuns { worker, why, span } => {
             info!(worker = &*worker.0, why = why, span_ms = span; "{what}");
         }
+        Note::Heeds { worker, heeds } => {
+            info!(worker = &*worker.0, heeds = heeds; "{what}");
+        }
         Note::GivesUp { task, worker, why } => {
             info!(task = task.to_string().as_str(), worker = &*worker.0, why = why; "{what}");
         }
