Keep runs off workers where others failed lately

One job in ten was shown as failed though two thirds of the workers were sound.

Change: a failed run casts doubt on its worker for 4 s, longer for failures in a row, until a run is done there. Doubted workers come last, gangs leave them out where the others hold them, and a step with a failed run waits up to 4 s for workers that are not doubted.

--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -75,6 +75,10 @@
     pub failures: u32,
     /// Jobs that have failed here since then.
     pub failed: BTreeSet<JobId>,
+    /// Until when it may be the cause of failures or standstill seen here.
+    pub doubted: Time,
+    /// Failures in a row that raised this doubt.
+    pub doubts: u32,
     /// When it leaves at the earliest, if it is draining.
     pub leaves: Option<Time>,
     /// Starts and stops in a row without an answer.
@@ -89,6 +93,12 @@
 /// lost on the users' bad days, and two in a row are a sign of more.
 const UNHEEDED_ORDERS: u32 = 2;
 
+/// For how long a worker is doubted after one failure: the shortest of the users' disruptions of
+/// workers last five seconds.
+const DOUBT_TIME: Duration = Duration::from_millis(4_000);
+/// Most doublings of that time, for failures in a row.
+const DOUBT_DOUBLINGS: u32 = 2;
+
 /// Most that a worker's clock may be slow, in parts of a thousand.
 const CLOCK_SLOW_MILLIS: u64 = 20;
 /// Room for delays between our clock and a worker's, in ms.
@@ -116,6 +126,8 @@
             shunned: Time::ZERO,
             failures: 0,
             failed: BTreeSet::new(),
+            doubted: Time::ZERO,
+            doubts: 0,
             leaves: None,
             unheeded: 0,
             probe: None,
@@ -139,6 +151,21 @@
             && self.shunned <= now
     }
 
+    /// A run failed here: the worker may be the cause, the likelier the more fail in a row.
+    pub fn doubt(&mut self, now: Time) {
+        let span = DOUBT_TIME * 2u32.pow(self.doubts.min(DOUBT_DOUBLINGS));
+        self.doubted = self.doubted.max(now + span);
+        self.doubts += 1;
+    }
+
+    /// A run was done here: the worker is sound.
+    pub fn trust(&mut self) {
+        self.failures = 0;
+        self.failed.clear();
+        self.doubted = Time::ZERO;
+        self.doubts = 0;
+    }
+
     /// What is left of its capacity.
     pub fn room(&self) -> Need {
         self.info.capacity.less(&self.used)
@@ -170,8 +197,7 @@
         self.acked = 0;
         self.telling = 0;
         self.strays = 0;
-        self.failures = 0;
-        self.failed.clear();
+        self.trust();
         self.shunned = Time::ZERO;
         self.unheeded = 0;
         self.probe = None;
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -115,6 +116,10 @@
     pub failed_on: Option<WorkerId>,
 }
 
+/// For how long a step with a failed run waits for workers that are not doubted; a job that runs
+/// out of attempts is lost to its caller, one that waits is late at worst.
+const WARY_TIME: Duration = Duration::from_millis(4_000);
+
 /// A step of one occurrence.
 #[derive(Clone, Debug)]
 pub(crate) struct Step {
@@ -125,6 +130,8 @@
     pub noted: bool,
     /// Before this no room is made for it.
     pub reclaim_after: Time,
+    /// When a run of it failed last.
+    pub failed_at: Time,
 }
 
 impl Step {
@@ -137,6 +144,11 @@
         self.tasks.iter().any(|task| !task.done && task.stage == Stage::Idle)
     }
 
+    /// Whether a run failed lately, so that doubted workers are no place for the next.
+    pub fn wary(&self, now: Time) -> bool {
+        self.failed_at != Time::ZERO && now < self.failed_at + WARY_TIME
+    }
+
     /// Whether no task has a run or room made for it.
     pub fn idle(&self) -> bool {
         self.tasks.iter().all(|task| task.stage == Stage::Idle)
@@ -184,6 +196,7 @@
             since: None,
             noted: false,
             reclaim_after: Time::ZERO,
+            failed_at: Time::ZERO,
         };
         self.turns = record.turns.iter().map(|turn| turn.iter().map(step).collect()).collect();
     }
@@ -204,6 +217,7 @@
             since: None,
             noted: false,
             reclaim_after: Time::ZERO,
+            failed_at: Time::ZERO,
         };
         let steps = steps.map(step);
         self.turns.push(steps.collect());
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -75,9 +75,10 @@
             } else {
                 count_taken(&mut slots, open, step);
                 let patient = self.patient(now, open, step);
+                let wary = open.wary(now);
                 match step.gang {
-                    true => gang_places(&mut slots, open, step, &service, patient),
-                    false => single_places(&mut slots, open, step, &service, patient),
+                    true => gang_places(&mut slots, open, step, &service, patient, wary),
+                    false => single_places(&mut slots, open, step, &service, patient, wary),
                 }
             };
             let missing = open.tasks.iter().filter(|task| !task.done && task.stage == Stage::Idle);
@@ -175,7 +176,7 @@
                 continue;
             };
             let at = slots.iter().position(|slot| slot.worker == *id).unwrap_or_else(|| {
-                slots.push(Slot::new(id, worker));
+                slots.push(Slot::new(id, worker, now));
                 slots.len() - 1
             });
             if step.need.fits(&slots[at].room) {
@@ -222,12 +223,15 @@
     }
 }
 
-/// How well a task fits: near its data first, then not where it failed, then the tightest fit.
-fn fit(slot: &Slot, step: &StepSpec, failed_on: Option<&WorkerId>) -> (bool, bool, u64, u64, u64) {
+/// How well a task fits: not where it failed or others did lately, near its data, then the
+/// tightest fit.
+type Fit = (bool, bool, u64, u64, u64);
+
+fn fit(slot: &Slot, step: &StepSpec, failed_on: Option<&WorkerId>) -> Fit {
+    let doubted = slot.doubted || failed_on == Some(&slot.worker);
     let far = step.rack.as_ref().is_some_and(|rack| *rack != slot.info.rack);
-    let failed = failed_on == Some(&slot.worker);
     let left = slot.room.less(&step.need);
-    (far, failed, left.gpu, left.memory, left.cpu)
+    (doubted, far, left.gpu, left.memory, left.cpu)
 }
 
 /// The slot that fits a task best; the one that fitted the task before it, if it still holds one.
@@ -253,6 +257,7 @@
     step: &StepSpec,
     service: &str,
     patient: bool,
+    wary: bool,
 ) -> Places {
     let mut found = Places::new();
     let mut last: Option<usize> = None;
@@ -260,7 +265,7 @@
         if task.done || task.stage != Stage::Idle {
             continue;
         }
-        let suits = |slot: &Slot| slot.suits(step, service);
+        let suits = |slot: &Slot| slot.suits(step, service) && !(wary && slot.doubted);
         let best = best_slot(slots, step, task.failed_on.as_ref(), last, suits);
         let Some(at) = best else { break };
         if patient && step.rack.as_ref().is_some_and(|rack| *rack != slots[at].info.rack) {
@@ -281,11 +286,17 @@
     step: &StepSpec,
     service: &str,
     patient: bool,
+    wary: bool,
 ) -> Places {
     // What holds no task at all need not be looked at again for each of them.
-    let all: Vec<usize> = (0..slots.len())
+    let mut all: Vec<usize> = (0..slots.len())
         .filter(|&at| slots[at].holds(step) && slots[at].suits(step, service))
         .collect();
+    // One member on a worker that fails costs the work of all.
+    let sound: Vec<usize> = all.iter().copied().filter(|&at| !slots[at].doubted).collect();
+    if wary || pack(slots, &sound, open, step).is_some() {
+        all = sound;
+    }
     let racks: BTreeSet<String> = all.iter().map(|&at| slots[at].info.rack.clone()).collect();
     let mut best: Option<((bool, u64), Places)> = None;
     for rack in &racks {
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -20,6 +20,7 @@
 use crate::job::JobState;
 use crate::job::Run;
 use crate::job::Stage;
+use crate::job::Step;
 use crate::job::Task;
 use crate::record::Record;
 use crate::spec::JobId;
@@ -518,6 +519,11 @@
     step.tasks.get_mut(key.index as usize)
 }
 
+/// The step of `key`, which exists.
+pub(crate) fn step_mut<'j>(job: &'j mut Job, key: &TaskKey) -> &'j mut Step {
+    &mut job.turns[key.turn as usize][key.step as usize]
+}
+
 pub(crate) fn stage<'j>(job: &'j mut Job, key: &TaskKey) -> &'j mut Stage {
     &mut job.turns[key.turn as usize][key.step as usize].tasks[key.index as usize].stage
 }
--- a/crates/batch/src/reclaim.rs
+++ b/crates/batch/src/reclaim.rs
@@ -85,7 +85,9 @@
             .map(|(index, _)| index)
             .collect();
         let Some(victims) = found.victims.get(&unit.rank) else { return };
-        let Some(clearing) = clear(slots, step, service, &missing, victims) else { return };
+        let wary = open.wary(now);
+        let clearing = clear(slots, step, service, &missing, victims, wary);
+        let Some(clearing) = clearing else { return };
         for (index, at) in &clearing.places {
             let task = &mut open.tasks[*index as usize];
             task.stage = Stage::Reserved(slots[*at].worker.clone());
@@ -152,12 +154,29 @@
     service: &str,
     missing: &[u32],
     victims: &Victims,
+    wary: bool,
 ) -> Option<Clearing> {
     let all: Vec<usize> = (0..slots.len()).filter(|&at| slots[at].suits(step, service)).collect();
+    let sound: Vec<usize> = all.iter().copied().filter(|&at| !slots[at].doubted).collect();
+    let best = clear_among(slots, &sound, step, missing, victims);
+    if wary || best.is_some() || sound.len() == all.len() {
+        return best;
+    }
+    clear_among(slots, &all, step, missing, victims)
+}
+
+/// The cheapest way on some of the slots.
+fn clear_among(
+    slots: &[Slot],
+    all: &[usize],
+    step: &StepSpec,
+    missing: &[u32],
+    victims: &Victims,
+) -> Option<Clearing> {
     let mut best: Option<Clearing> = None;
     if step.gang && step.one_rack {
         let mut racks: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
-        for &at in &all {
+        for &at in all {
             racks.entry(slots[at].info.rack.as_str()).or_default().push(at);
         }
         for group in racks.values() {
@@ -168,7 +187,7 @@
             }
         }
     }
-    best.or_else(|| clear_group(slots, &all, step, missing, victims))
+    best.or_else(|| clear_group(slots, all, step, missing, victims))
 }
 
 /// Finds places for the missing tasks on the slots of `group`, with the runs to stop for them.
--- a/crates/batch/src/room.rs
+++ b/crates/batch/src/room.rs
@@ -21,17 +21,20 @@
     pub owed: Need,
     /// Tasks of the step at hand that were put here.
     pub taken: u32,
+    /// Whether it may be the cause of recent failures.
+    pub doubted: bool,
 }
 
 impl Slot {
     /// A worker with its present room.
-    pub fn new(id: &WorkerId, worker: &Worker) -> Slot {
+    pub fn new(id: &WorkerId, worker: &Worker, now: Time) -> Slot {
         Slot {
             worker: id.clone(),
             info: Arc::clone(&worker.info),
             room: worker.room(),
             owed: Need::default(),
             taken: 0,
+            doubted: now < worker.doubted,
         }
     }
 
@@ -72,7 +75,7 @@
             .workers
             .iter()
             .filter(|(_, worker)| worker.usable(now))
-            .map(|(id, worker)| Slot::new(id, worker))
+            .map(|(id, worker)| Slot::new(id, worker, now))
             .collect();
         self.reserving.retain(|id| {
             let Some(job) = self.jobs.get(id) else { return false };
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -14,6 +14,7 @@
 use crate::event::StartResult;
 use crate::job::JobState;
 use crate::job::Stage;
+use crate::planner::step_mut;
 use crate::planner::task_mut;
 use crate::spec::JobId;
 use crate::spec::TaskKey;
@@ -159,6 +160,7 @@
         let failed = end.outcome == Outcome::Failed && task.failures.insert(end.run);
         if failed {
             task.failed_on = Some(id.clone());
+            step_mut(job, key).failed_at = now;
             self.dirty.insert(key.job.clone());
             self.blame(now, id, Some(&key.job));
         }
@@ -217,8 +219,7 @@
             if let Some(Stage::Placed(run)) = self.task(&key).map(|task| &task.stage)
                 && let Some(worker) = self.workers.get_mut(&run.worker.clone())
             {
-                worker.failures = 0;
-                worker.failed.clear();
+                worker.trust();
             }
             self.free(&key);
         }
@@ -272,6 +273,9 @@
     /// runs for a while. One job that fails everywhere says nothing about a worker.
     fn blame(&mut self, now: Time, id: &WorkerId, job: Option<&JobId>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        if job.is_some() {
+            worker.doubt(now);
+        }
         match job {
             Some(job) if !worker.failed.insert(job.clone()) => return,
             Some(_) => worker.failures = worker.failed.len() as u32,
--- a/crates/batch/tests/schedules/regressions.rs
+++ b/crates/batch/tests/schedules/regressions.rs
@@ -125,3 +125,30 @@
     world.check_ends();
     assert_eq!(world.usable(), 24, "all workers get work again once they carry out orders");
 }
+
+/// A third of the workers fail all that they start for a while: jobs used to spend all their
+/// attempts on them and were shown as failed.
+#[test]
+fn failing_workers() {
+    let mut lost = 0;
+    for seed in 0..10 {
+        let mut world = World::new(seed, 24, Faults::default(), policy(0));
+        world.run(500);
+        for number in 0..8 {
+            world.workers.get_mut(&worker_id(number * 3)).expect("there").failing = 8_000;
+        }
+        let mut ids = Vec::new();
+        for number in 0..24 {
+            let mut gang = step(3, [2, 4][number % 2], 1_500);
+            gang.gang = number % 3 != 0;
+            ids.push(world.submit(&format!("{number:016x}"), "usual", "a", vec![gang]));
+            world.run(300);
+        }
+        world.run(60_000);
+        lost += ids.iter().filter(|id| world.shown(id) != JobState::Completed).count();
+    }
+    assert!(
+        lost <= 2,
+        "{lost} of 240 jobs were given up while two thirds of the workers are sound"
+    );
+}
