Keep tasks that fill from tasks with a target, and spare lasting tasks

Cause: room for urgent jobs was made without regard to how many tasks of a lasting step may be away at once, and tasks that fill were put beside tasks whose response times have a target.

Change: of a step that names a bound, no more tasks are stopped for others than the bound leaves beside those that are away anyway. Tasks that fill and tasks with a target never share a worker, so neither has to be slowed down for the other. Without such jobs nothing is computed.

--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -282,8 +282,7 @@
         if patient && step.rack.as_ref().is_some_and(|rack| *rack != slots[at].info.rack) {
             break;
         }
-        slots[at].room.remove(&step.need);
-        slots[at].taken += 1;
+        slots[at].take(step);
         found.push((index, at));
         last = Some(at);
     }
@@ -328,8 +327,7 @@
     }
     let Some((_, places)) = best else { return Places::new() };
     for (_, at) in &places {
-        slots[*at].room.remove(&step.need);
-        slots[*at].taken += 1;
+        slots[*at].take(step);
     }
     places
 }
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -25,6 +25,7 @@
 use crate::job::Task;
 use crate::record::Record;
 use crate::spec::JobId;
+use crate::spec::StepSpec;
 use crate::spec::Submission;
 use crate::spec::TaskKey;
 use crate::spec::WorkerId;
@@ -64,6 +65,9 @@
     ended: VecDeque<(Time, JobId)>,
     /// Jobs that were removed lately: a slow read of the store may still name them.
     forgotten: VecDeque<(Time, JobId)>,
+    /// Whether there has been a job with tasks that fill or that have a target, which are to be
+    /// kept apart.
+    pub(crate) sharing: bool,
     /// Whether places have to be looked for.
     pub(crate) replan: bool,
     /// When places are looked for at the latest.
@@ -122,6 +126,7 @@
             live: BTreeSet::new(),
             ended: VecDeque::new(),
             forgotten: VecDeque::new(),
+            sharing: false,
             replan: false,
             replan_at: Time::NEVER,
             complete: false,
@@ -255,6 +260,7 @@
         if self.jobs.contains_key(&id) || self.forgotten.iter().any(|(_, known)| *known == id) {
             return;
         }
+        self.note_sharing(submission);
         self.jobs.insert(id.clone(), Job::new(submission, now));
         self.live.insert(id.clone());
         self.replan = true;
@@ -263,7 +269,13 @@
         }
     }
 
+    fn note_sharing(&mut self, submission: &Submission) {
+        let mut steps = submission.spec.steps.iter();
+        self.sharing |= steps.any(|step| step.fills || step.target_ms > 0);
+    }
+
     fn restored(&mut self, now: Time, id: JobId, submission: &Submission, record: Option<&Record>) {
+        self.note_sharing(submission);
         let mut job = Job::new(submission, now);
         if let Some(record) = record {
             job.restore(record, now);
@@ -505,6 +517,10 @@
         });
     }
 
+    pub(crate) fn step_spec(&self, key: &TaskKey) -> Option<&StepSpec> {
+        self.jobs.get(&key.job)?.spec.steps.get(key.step as usize)
+    }
+
     pub(crate) fn task(&self, key: &TaskKey) -> Option<&Task> {
         let job = self.jobs.get(&key.job)?;
         job.turns.get(key.turn as usize)?.get(key.step as usize)?.tasks.get(key.index as usize)
--- a/crates/batch/src/reclaim.rs
+++ b/crates/batch/src/reclaim.rs
@@ -15,6 +15,7 @@
 use crate::spec::JobId;
 use crate::spec::Need;
 use crate::spec::Spec;
+use crate::spec::StepKey;
 use crate::spec::StepSpec;
 use crate::spec::TaskKey;
 use crate::spec::WorkerId;
@@ -28,6 +29,9 @@
 /// What each stop costs beside the lost work: its next start and the restore, in ms.
 const RESTART_LOSS_MS: u64 = 500;
 
+/// Progress of a lasting task that is at work.
+const WHOLE: u32 = 100;
+
 /// What one search for places has found out about runs that may be stopped.
 #[derive(Debug, Default)]
 pub(crate) struct Reclaim {
@@ -113,6 +117,7 @@
     /// Runs that may be stopped for a step of `rank`.
     fn victims(&self, now: Time, rank: Rank, guaranteed: &BTreeMap<JobId, u64>) -> Victims {
         let mut victims = Victims::new();
+        let mut spared: BTreeMap<StepKey, u32> = BTreeMap::new();
         for (worker, keys) in &self.runs {
             for key in keys {
                 let Some(job) = self.jobs.get(&key.job) else { continue };
@@ -129,6 +134,14 @@
                     continue;
                 }
                 let step = &job.spec.steps[key.step as usize];
+                if step.may_miss > 0 && run.stopping.is_none() {
+                    let step = StepKey { job: key.job.clone(), turn: key.turn, step: key.step };
+                    let left = spared.entry(step).or_insert_with_key(|step| self.may_stop(step));
+                    if *left == 0 {
+                        continue;
+                    }
+                    *left -= 1;
+                }
                 let worked = millis(now.since(run.taken.unwrap_or(now)));
                 let lost = if step.checkpoints { worked.min(CHECKPOINT_LOSS_MS) } else { worked };
                 let members = if step.gang { u64::from(step.count) } else { 1 };
@@ -147,6 +160,18 @@
     }
 }
 
+impl Planner {
+    /// How many more tasks of a step may be away at once through orders of ours.
+    fn may_stop(&self, key: &StepKey) -> u32 {
+        let Some(job) = self.jobs.get(&key.job) else { return 0 };
+        let may_miss = job.spec.steps[key.step as usize].may_miss;
+        let tasks = &job.turns[key.turn as usize][key.step as usize].tasks;
+        let works = |stage: &Stage| matches!(stage, Stage::Placed(run) if run.stopping.is_none() && run.percent >= WHOLE);
+        let away = tasks.iter().filter(|task| !works(&task.stage)).count();
+        may_miss.saturating_sub(u32::try_from(away).unwrap_or(u32::MAX))
+    }
+}
+
 /// The cheapest way to make room for the missing tasks of a step.
 fn clear(
     slots: &[Slot],
--- a/crates/batch/src/room.rs
+++ b/crates/batch/src/room.rs
@@ -27,6 +27,10 @@
     pub born: u64,
     /// Whether the step at hand may not run here for want of advice.
     pub barred: bool,
+    /// Whether tasks with a target for their response times run here.
+    pub serves: bool,
+    /// Whether tasks run here that take what processor time others leave.
+    pub fills: bool,
 }
 
 impl Slot {
@@ -41,6 +45,8 @@
             doubted: now < worker.doubted,
             born: worker.born,
             barred: false,
+            serves: false,
+            fills: false,
         }
     }
 
@@ -50,11 +56,23 @@
     }
 
     /// Whether a task of `step` may run here, room and advice aside.
+    ///
+    /// Tasks that fill slow those down that serve users of their own, so the two are kept apart.
     pub fn suits_unbarred(&self, step: &StepSpec, service: &str) -> bool {
-        self.info.service == service
+        let disturbs = step.fills && self.serves || step.target_ms > 0 && self.fills;
+        !disturbs
+            && self.info.service == service
             && step.label.as_ref().is_none_or(|label| self.info.labels.contains(label))
     }
 
+    /// Puts a task of `step` here.
+    pub fn take(&mut self, step: &StepSpec) {
+        self.room.remove(&step.need);
+        self.taken += 1;
+        self.serves |= step.target_ms > 0;
+        self.fills |= step.fills;
+    }
+
     /// Sets room aside, some of which may still be in use.
     pub fn reserve(&mut self, need: &Need) {
         self.owed.add(&need.less(&self.room));
@@ -88,6 +106,13 @@
             .filter(|(_, worker)| worker.usable(now))
             .map(|(id, worker)| Slot::new(id, worker, now))
             .collect();
+        for slot in slots.iter_mut().filter(|_| self.sharing) {
+            let keys = self.runs.get(&slot.worker).into_iter().flatten();
+            for step in keys.filter_map(|key| self.step_spec(key)) {
+                slot.serves |= step.target_ms > 0;
+                slot.fills |= step.fills;
+            }
+        }
         self.reserving.retain(|id| {
             let Some(job) = self.jobs.get(id) else { return false };
             let mut any = false;
@@ -98,6 +123,8 @@
                         any = true;
                         if let Ok(at) = slots.binary_search_by(|slot| slot.worker.cmp(worker)) {
                             slots[at].reserve(&spec.need);
+                            slots[at].serves |= spec.target_ms > 0;
+                            slots[at].fills |= spec.fills;
                         }
                     }
                 }
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -1,6 +1,7 @@
 //! Seeded schedules of jobs and faults, with the promises checked throughout.
 
 mod advice;
+mod lasting;
 mod load;
 mod regressions;
 mod worker;
--- a/crates/batch/tests/schedules/worker.rs
+++ b/crates/batch/tests/schedules/worker.rs
@@ -32,6 +32,10 @@
     /// Members of its gang; one for a task alone.
     pub members: u32,
     pub gathered: bool,
+    /// Whether it goes on until it is stopped.
+    pub lasts: bool,
+    /// Whether it is past its startup, if it lasts.
+    pub started: bool,
 }
 
 /// A stand-in for a worker.
@@ -166,7 +170,10 @@
             task: task.clone(),
             run: work.run,
             saved: String::new(),
-            percent: (100 - work.left.min(work.total) * 100 / work.total.max(1)) as u32,
+            percent: match work.lasts {
+                true => u32::from(work.started) * 100,
+                false => (100 - work.left.min(work.total) * 100 / work.total.max(1)) as u32,
+            },
         };
         Some(Held {
             sent: Time::ZERO,
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -533,6 +533,8 @@
             saves,
             members,
             gathered: members == 1,
+            lasts: step.lasting,
+            started: false,
         }
     }
 
@@ -707,6 +709,9 @@
                     continue;
                 }
                 work.gathered = true;
+                if work.lasts {
+                    continue;
+                }
                 work.left = work.left.saturating_sub(ms);
                 let fails = work.fails && work.left * 2 < work.total;
                 if work.left == 0 || fails {
@@ -853,6 +858,13 @@
         }
     }
 
+    /// Lets every lasting task be at work.
+    pub fn finish_startup(&mut self) {
+        for work in self.workers.values_mut().flat_map(|fake| fake.running.values_mut()) {
+            work.started = true;
+        }
+    }
+
     /// Workers that the present owner gives new runs.
     pub fn usable(&self) -> usize {
         self.owners[&self.owner].summary(Time::from_millis(self.now)).usable
