--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -119,6 +119,15 @@
         /// For how long, in ms.
         span: u64,
     },
+    /// A job's run failed on a worker, which others avoid for a while.
+    Doubts {
+        /// The worker.
+        worker: WorkerId,
+        /// The job.
+        job: JobId,
+        /// For how long, in ms.
+        span: u64,
+    },
     /// A worker leaves orders undone, or carries them out again.
     Heeds {
         /// The worker.
--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -152,10 +152,12 @@
     }
 
     /// A run failed here: the worker may be the cause, the likelier the more fail in a row.
-    pub fn doubt(&mut self, now: Time) {
+    /// Returns for how long it is doubted.
+    pub fn doubt(&mut self, now: Time) -> Duration {
         let span = DOUBT_TIME * 2u32.pow(self.doubts.min(DOUBT_DOUBLINGS));
         self.doubted = self.doubted.max(now + span);
         self.doubts += 1;
+        span
     }
 
     /// A run was done here: the worker is sound.
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -273,8 +273,9 @@
     /// runs for a while. One job that fails everywhere says nothing about a worker.
     fn blame(&mut self, now: Time, id: &WorkerId, job: Option<&JobId>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        if job.is_some() {
-            worker.doubt(now);
+        if let Some(job) = job {
+            let (worker, span) = (id.clone(), millis(worker.doubt(now)));
+            self.out.push(Action::Note(Note::Doubts { worker, job: job.clone(), span }));
         }
         match job {
             Some(job) if !worker.failed.insert(job.clone()) => return,
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -326,6 +326,9 @@
         Note::Shuns { worker, why, span } => {
             info!(worker = &*worker.0, why = why, span_ms = span; "{what}");
         }
+        Note::Doubts { worker, job, span } => {
+            info!(worker = &*worker.0, job = &*job.0, span_ms = span; "{what}");
+        }
         Note::Heeds { worker, heeds } => {
             info!(worker = &*worker.0, heeds = heeds; "{what}");
         }
