--- a/crates/entry/tests/hosted/main.rs
+++ b/crates/entry/tests/hosted/main.rs
@@ -3,9 +3,14 @@
 mod cluster;
 mod soak;
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::Method;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::time::sleep;
 
 use crate::cluster::Cluster;
@@ -16,6 +21,8 @@
 
 const SHORT: Duration = Duration::from_millis(300);
 const LONG: Duration = Duration::from_millis(3_000);
+/// Time after which an entry VM has read the list of its peers.
+const PEERS_READ: Duration = Duration::from_millis(2_500);
 
 #[tokio::test]
 async fn whole_path() {
@@ -131,6 +138,42 @@
     assert_eq!(cluster.started().len(), 2);
 }
 
+#[tokio::test]
+async fn doubt_and_refusal() {
+    // A peer that already has a configuration without the caller's key.
+    let peer = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = peer.local_addr().expect("its address");
+    let asked = Rc::new(Cell::new(0));
+    let mut cluster = Cluster::start("refusing", 1, 1, SHORT).await;
+    cluster.store.put_text("p/refusing", &address.to_string());
+    cluster.vms[0].restart();
+    cluster.ready(0).await;
+    let answers = async {
+        loop {
+            let (mut stream, _) = peer.accept().await.expect("a connection");
+            asked.set(asked.get() + 1);
+            let _ = stream.read(&mut [0; 4096]).await;
+            let refusal = b"HTTP/1.1 401 Unauthorized\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(refusal).await.expect("an answer");
+        }
+    };
+    let path = "/work/00000000000000c4";
+    let asks = async {
+        sleep(PEERS_READ).await;
+        cluster.store.trouble(StoreTrouble { mute_writes: true, ..StoreTrouble::default() });
+        let (status, _) = cluster.ask(0, Method::POST, path, &job(1)).await;
+        cluster.store.trouble(StoreTrouble::default());
+        status
+    };
+    let status = tokio::select! {
+        status = asks => status,
+        () = answers => unreachable!("the peer answers until the end"),
+    };
+    assert_eq!(asked.get(), 1, "the request was passed on");
+    assert_eq!(status, 504, "the job is stored, so no refusal by a peer may stand for it");
+    cluster.completed(0, "00000000000000c4").await;
+}
+
 #[tokio::test]
 async fn revoked_key() {
     let cluster = Cluster::start("revoked", 2, 1, SHORT).await;
--- a/crates/fake/src/hosted/store.rs
+++ b/crates/fake/src/hosted/store.rs
@@ -116,6 +116,11 @@
         lock(&self.state).write(key, STANDARD.encode(value.to_string()), 0);
     }
 
+    /// Writes an item whose value is a plain text, as an entry VM does.
+    pub fn put_text(&self, key: &str, value: &str) {
+        lock(&self.state).write(key, STANDARD.encode(value), 0);
+    }
+
     /// Removes an item as the platform does.
     pub fn remove(&self, key: &str) {
         let mut state = lock(&self.state);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -129,14 +129,18 @@
 }
 
 /// Passes a request on to a few peers in turn.
-pub async fn pass(state: &State, request: &Request) -> Passed {
-    let mut passed = Passed::Alone;
+///
+/// `doubt` says that it may have been carried out already: a peer that turns it down, by a newer
+/// configuration for instance, says nothing about that.
+pub async fn pass(state: &State, request: &Request, doubt: bool) -> Passed {
+    let mut passed = if doubt { Passed::Unknown } else { Passed::Alone };
     for peer in candidates(state) {
         let left = request.deadline.since(state.clock.now());
         if left.is_zero() {
             return passed;
         }
         match ask(state, peer, request, PEER_LIMIT.min(left)).await {
+            Ok(reply) if passed == Passed::Unknown && !settles(reply.status) => shun(state, peer),
             Ok(reply) if reply.status != 503 && reply.status != 504 => {
                 return Passed::Answered(reply);
             }
@@ -159,6 +163,12 @@
     passed
 }
 
+/// Whether a peer's answer tells what became of a request that may have been carried out before:
+/// it is stored, another job has its id, or the job is gone.
+fn settles(status: u16) -> bool {
+    matches!(status, 200..300 | 409 | 410)
+}
+
 fn shun(state: &State, peer: SocketAddr) {
     let until = state.clock.now() + UNHELPFUL_TIME;
     state.unhelpful.borrow_mut().insert(peer, until);
--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -275,7 +275,8 @@
     if !here.cut {
         return here;
     }
-    match peers::pass(state, &request).await {
+    let doubt = here.status == StatusCode::GATEWAY_TIMEOUT;
+    match peers::pass(state, &request, doubt).await {
         Passed::Answered(reply) => match StatusCode::from_u16(reply.status) {
             Ok(status) => {
                 Answer { status, ..Answer::with(reply.body.to_vec(), "answered by a peer") }
