--- a/crates/entry/tests/hosted/main.rs
+++ b/crates/entry/tests/hosted/main.rs
@@ -126,6 +126,23 @@
     assert_eq!(cluster.ask(1, Method::GET, "/work/00000000000000ba", "").await.0, 410);
 }
 
+#[tokio::test]
+async fn slow_link() {
+    let cluster = Cluster::start("slow-link", 2, 1, SHORT).await;
+    let before = cluster.store.ranges("o");
+    let delay = Duration::from_millis(800);
+    cluster.store.trouble(StoreTrouble { delay, ..StoreTrouble::default() });
+    sleep(Duration::from_millis(5_000)).await;
+    assert_eq!(cluster.store.ranges("o"), before, "calls that fail are no reason to read all anew");
+    // What changed meanwhile is known as soon as calls are answered again.
+    cluster.store.put("op/config", &configuration(2, "another-key"));
+    cluster.store.trouble(StoreTrouble::default());
+    let path = "/work/00000000000000c5";
+    let known = async || cluster.ask(1, Method::POST, path, &job(1)).await.0 == 401;
+    cluster.until("the new configuration is in force", known).await;
+    assert_eq!(cluster.store.ranges("o"), before);
+}
+
 #[tokio::test]
 async fn lost_answers() {
     let cluster = Cluster::start("lost", 2, 2, SHORT).await;
--- a/crates/fake/src/hosted/store.rs
+++ b/crates/fake/src/hosted/store.rs
@@ -67,6 +67,8 @@
     granted: u64,
     trouble: StoreTrouble,
     calls: u64,
+    /// Reads of whole ranges, by prefix.
+    ranges: BTreeMap<String, u64>,
 }
 
 /// A stand-in for the platform's store.
@@ -134,6 +136,11 @@
         STANDARD.decode(&state.items.get(key)?.value).ok()
     }
 
+    /// Reads of all items under a prefix.
+    pub fn ranges(&self, prefix: &str) -> u64 {
+        lock(&self.state).ranges.get(prefix).copied().unwrap_or(0)
+    }
+
     /// Calls received.
     pub fn calls(&self) -> u64 {
         lock(&self.state).calls
@@ -274,6 +281,10 @@
             let mut state = lock(&self.state);
             state.calls += 1;
             state.expire(Instant::now());
+            if path == "/-/kv-range" {
+                let prefix = query.split('&').find_map(|pair| pair.strip_prefix("prefix="));
+                *state.ranges.entry(prefix.unwrap_or_default().to_owned()).or_default() += 1;
+            }
             state.trouble
         };
         sleep(trouble.delay).await;
--- a/crates/net/src/call.rs
+++ b/crates/net/src/call.rs
@@ -1,7 +1,8 @@
 //! Single HTTP calls on kept connections, with the raw answer.
 //!
-//! A connection carries its next call only after a whole answer to the last one. A call that
-//! outlives its limit closes its connection and all idle ones to the same address: a path that
+//! A connection carries its next call only after a whole answer to the last one. The limit of a
+//! call is the time until its answer begins; a long answer over a slow link may take longer, as
+//! long as it goes on. A call that outlives its limit closes its connection and all idle ones to the same address: a path that
 //! went silent without a reset is thus left after one call. A kept connection that turns out
 //! closed before anything was sent is replaced once.
 
@@ -13,11 +14,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::http::HeaderName;
 use hyper::http::HeaderValue;
@@ -63,7 +67,7 @@
     pub headers: Vec<(HeaderName, HeaderValue)>,
     /// Body, JSON unless empty.
     pub body: Bytes,
-    /// Limit on the whole call.
+    /// Limit on the time until the answer begins.
     pub limit: Duration,
 }
 
@@ -72,6 +76,10 @@
 pub struct Limits {
     /// Limit on connecting.
     pub connect: Duration,
+    /// Longest pause within an answer.
+    pub stall: Duration,
+    /// Limit on an answer from its beginning to its end.
+    pub answer: Duration,
     /// Longest answer, in bytes.
     pub answer_len: usize,
 }
@@ -108,11 +116,24 @@
     /// See [`CallError`].
     pub async fn call(&self, address: SocketAddr, call: Call<'_>) -> Result<Reply, CallError> {
         let limit = call.limit;
-        if let Ok(result) = timeout(limit, self.attempt(address, &call)).await {
-            return result;
+        let Ok(begun) = timeout(limit, self.attempt(address, &call)).await else {
+            self.drop_idle(address);
+            let reason = format!("{} {}: none within {limit:?}", call.method, call.path);
+            return Err(CallError::NoAnswer(reason));
+        };
+        let (connection, response) = begun?;
+        let received = timeout(self.limits.answer, self.receive(response)).await;
+        match received.unwrap_or_else(|_| Err("took too long".to_owned())) {
+            Ok(reply) => {
+                self.keep(address, connection);
+                Ok(reply)
+            }
+            Err(reason) => {
+                self.drop_idle(address);
+                let reason = format!("{} {}: answer {reason}", call.method, call.path);
+                Err(CallError::NoAnswer(reason))
+            }
         }
-        self.drop_idle(address);
-        Err(CallError::NoAnswer(format!("{} {}: none within {limit:?}", call.method, call.path)))
     }
 
     /// Closes the idle connections to `address`.
@@ -143,11 +164,16 @@
         }
     }
 
-    async fn attempt(&self, address: SocketAddr, call: &Call<'_>) -> Result<Reply, CallError> {
+    /// Sends a call and waits for the beginning of its answer.
+    async fn attempt(
+        &self,
+        address: SocketAddr,
+        call: &Call<'_>,
+    ) -> Result<(Connection, Response<Incoming>), CallError> {
         let mut request = request(address, call)?;
         if let Some(mut connection) = self.take(address) {
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return self.receive(address, connection, response).await,
+                Ok(response) => return Ok((connection, response)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(CallError::NoAnswer(error.into_error().to_string())),
@@ -156,7 +182,7 @@
         }
         let mut connection = self.connect(address).await?;
         match connection.sender.try_send_request(request).await {
-            Ok(response) => self.receive(address, connection, response).await,
+            Ok(response) => Ok((connection, response)),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let reason = error.into_error().to_string();
@@ -165,17 +191,24 @@
         }
     }
 
-    async fn receive(
-        &self,
-        address: SocketAddr,
-        connection: Connection,
-        response: hyper::Response<hyper::body::Incoming>,
-    ) -> Result<Reply, CallError> {
+    /// Reads the rest of an answer; the error says what is wrong with it.
+    async fn receive(&self, response: Response<Incoming>) -> Result<Reply, String> {
         let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), self.limits.answer_len).collect().await;
-        let body = body.map_err(|error| CallError::NoAnswer(error.to_string()))?.to_bytes();
-        self.keep(address, connection);
-        Ok(Reply { status, body })
+        let mut body = Limited::new(response.into_body(), self.limits.answer_len);
+        let mut read = BytesMut::new();
+        loop {
+            match timeout(self.limits.stall, body.frame()).await {
+                Err(_) => return Err(format!("stalled after {} bytes", read.len())),
+                Ok(None) => return Ok(Reply { status, body: read.freeze() }),
+                Ok(Some(Err(error))) => return Err(format!("broke off: {error}")),
+                Ok(Some(Ok(frame))) => {
+                    // Trailers say nothing that is needed.
+                    if let Ok(data) = frame.into_data() {
+                        read.extend_from_slice(&data);
+                    }
+                }
+            }
+        }
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, CallError> {
--- a/crates/node/src/confirm.rs
+++ b/crates/node/src/confirm.rs
@@ -25,8 +25,15 @@
 const CONFIRM_MARGIN: Duration = Duration::from_millis(400);
 /// Part of a confirmation's life for the answer of a watch to arrive.
 const WATCH_MARGIN: Duration = Duration::from_millis(600);
-/// Limit on one read.
+/// Limit on a short look for changes, which moves few bytes.
+const LOOK_LIMIT: Duration = Duration::from_millis(700);
+/// Limit on the first read of the whole configuration.
 const READ_LIMIT: Duration = Duration::from_millis(700);
+/// Longest limit on such a read: a configuration of a megabyte, a third longer on the way, takes
+/// about a second on a link of 10 Mbit/s, and several VMs may share the one between regions.
+const READ_LIMIT_MAX: Duration = Duration::from_millis(5_600);
+/// How long a short look waits for changes; the store takes whole milliseconds.
+const LOOK_WAIT: Duration = Duration::from_millis(1);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -66,14 +73,12 @@
     if state.age() < lifetime(state) && state.policy().is_some() {
         return true;
     }
-    let sent = state.clock.now();
-    match state.store.get(configuration::KEY, READ_LIMIT).await {
-        Ok(Some(item)) => {
-            adopt(state, &item);
-            state.confirmed.set(state.confirmed.get().max(sent));
-            true
-        }
-        Ok(None) => false,
+    let result = match state.head.get() {
+        Some(after) => look(state, after).await.map(drop),
+        None => Err(StoreError::Refused("not read yet".to_owned())),
+    };
+    match result {
+        Ok(()) => true,
         Err(error) => {
             warn!(error = error.to_string().as_str(), age_ms = millis(state.age());
                 "configuration: cannot be confirmed");
@@ -83,39 +88,46 @@
 }
 
 /// Follows the configuration and the ownership for as long as the process runs.
+///
+/// After a failure it looks for changes from where it was. Reading all anew moves the whole
+/// configuration, and many VMs that do so in turn would fill the link between regions.
 pub async fn follow(state: Rc<State>) {
-    let mut after = None;
+    let mut limit = READ_LIMIT;
+    let mut failed = false;
     loop {
-        let result = match after {
-            None => read_all(&state).await,
+        let result = match state.head.get() {
+            None => read_all(&state, limit).await,
+            Some(after) if failed => look(&state, after).await,
             Some(after) => tokio::select! {
                 watched = watch(&state, after) => watched,
                 // Some other call failed: a watch that waits would tell only later.
-                () = state.probe.notified() => read_all(&state).await,
+                () = state.probe.notified() => look(&state, after).await,
             },
         };
         match result {
             Ok(revision) => {
                 state.note_store(true);
-                after = Some(revision);
+                state.head.set(Some(revision));
+                (limit, failed) = (READ_LIMIT, false);
             }
             Err(StoreError::Compacted) => {
-                info!(revision = after.unwrap_or(0); "store: history is gone, read anew");
-                after = None;
+                info!(revision = state.head.get().unwrap_or(0); "store: history is gone, read anew");
+                state.head.set(None);
             }
             Err(error) => {
                 warn!(error = error.to_string().as_str(); "store: watch failed");
                 state.note_store(false);
-                after = None;
+                failed = true;
+                limit = (limit * 2).min(READ_LIMIT_MAX);
                 sleep(RETRY_PAUSE).await;
             }
         }
     }
 }
 
-async fn read_all(state: &State) -> Result<u64, StoreError> {
+async fn read_all(state: &State, limit: Duration) -> Result<u64, StoreError> {
     let sent = state.clock.now();
-    let (items, revision) = state.store.range(HEAD_PREFIX, READ_LIMIT).await?;
+    let (items, revision) = state.store.range(HEAD_PREFIX, limit).await?;
     let mut owned = false;
     for item in &items {
         match item.key.as_str() {
@@ -124,15 +136,30 @@
             _ => {}
         }
     }
-    state.confirmed.set(sent);
+    state.confirmed.set(state.confirmed.get().max(sent));
     state.vacant.send_if_modified(|vacant| std::mem::replace(vacant, !owned) == owned);
     Ok(revision)
 }
 
+/// Waits for changes after a store revision.
 async fn watch(state: &State, after: u64) -> Result<u64, StoreError> {
     let wait = lifetime(state).saturating_sub(WATCH_MARGIN);
-    let (changes, revision) =
-        state.store.watch(HEAD_PREFIX, after, wait, wait + WATCH_MARGIN / 2).await?;
+    changes(state, after, wait, wait + WATCH_MARGIN / 2).await
+}
+
+/// Asks for changes after a store revision without waiting for any.
+async fn look(state: &State, after: u64) -> Result<u64, StoreError> {
+    changes(state, after, LOOK_WAIT, LOOK_LIMIT).await
+}
+
+async fn changes(
+    state: &State,
+    after: u64,
+    wait: Duration,
+    limit: Duration,
+) -> Result<u64, StoreError> {
+    let sent = state.clock.now();
+    let (changes, revision) = state.store.watch(HEAD_PREFIX, after, wait, limit).await?;
     for change in changes {
         match change {
             Change::Written(item) if item.key == configuration::KEY => adopt(state, &item),
@@ -145,7 +172,9 @@
             _ => {}
         }
     }
-    state.confirmed.set(state.clock.now());
+    // The answer was made when its wait ended, and is no older than its way back.
+    let waited = state.clock.now().since(sent).min(wait);
+    state.confirmed.set(state.confirmed.get().max(sent + waited));
     Ok(revision)
 }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -29,6 +29,10 @@
 
 /// Limit on connecting to the store and to workers.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// Longest pause within an answer: a queue of half a second on a link counts as disrupted.
+const STALL_LIMIT: Duration = Duration::from_millis(700);
+/// Limit on a whole answer: a page of the store over a tenth of a link of 10 Mbit/s.
+const ANSWER_LIMIT: Duration = Duration::from_millis(11_000);
 /// Longest answer that is read: the store's values go up to a megabyte, its pages to one, and
 /// both are a third longer in their encoding.
 const ANSWER_LEN: usize = 4 << 20;
@@ -68,7 +72,12 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::Runtime)?;
     // Without a handler this signal ends a process. What it announces is read at the next start.
     let mut reload = signal(SignalKind::hangup()).map_err(Error::Runtime)?;
-    let caller = Caller::new(Limits { connect: CONNECT_LIMIT, answer_len: ANSWER_LEN });
+    let caller = Caller::new(Limits {
+        connect: CONNECT_LIMIT,
+        stall: STALL_LIMIT,
+        answer: ANSWER_LIMIT,
+        answer_len: ANSWER_LEN,
+    });
     let metrics = Metrics::new()?;
     let measured = metrics.clone();
     let store = Store::new(caller.clone(), settings.store, move |purpose, outcome, took| {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -55,6 +55,8 @@
     pub configuration: RefCell<Option<Confirmed>>,
     /// When the store last confirmed that the configuration is the newest.
     pub confirmed: Cell<Time>,
+    /// Store revision up to which changes of the configuration and the ownership are known.
+    pub head: Cell<Option<u64>>,
     /// Whether the VM takes new connections.
     pub draining: Cell<bool>,
     /// Whether the ownership is vacant, as far as known here.
@@ -92,6 +94,7 @@
             store,
             configuration: RefCell::new(None),
             confirmed: Cell::new(Time::ZERO),
+            head: Cell::new(None),
             draining: Cell::new(false),
             vacant: watch::Sender::new(false),
             changed: watch::Sender::new(0),
