--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -6,6 +6,7 @@
 use crate::record::Record;
 use crate::spec::JobId;
 use crate::spec::Spec;
+use crate::spec::StepKey;
 use crate::spec::TaskKey;
 use crate::spec::WorkerId;
 
@@ -29,6 +30,16 @@
         deadline: u64,
         /// Checkpoint to resume from; empty for none.
         saved: String,
+        /// Ticket of the advice service, where the queue needs one.
+        ticket: Option<String>,
+    },
+    /// Ask the advice service which workers may run a step. The next call comes after the answer
+    /// to this one.
+    Advise {
+        /// The step.
+        step: StepKey,
+        /// The workers in question.
+        workers: Vec<WorkerId>,
     },
     /// Tell a worker to stop a run.
     Stop {
--- /dev/null
+++ b/crates/batch/src/advice.rs
@@ -0,0 +1,152 @@
+//! Queues whose steps may run only on workers that the advice service names.
+//!
+//! The service takes one call at a time from each VM and the longer the more workers a call names,
+//! so calls go out one after the other, the most urgent step first. What it says of a worker and a
+//! step does not change; only its tickets run out.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::Planner;
+use crate::action::Action;
+use crate::job::Step;
+use crate::order::Unit;
+use crate::room::Slot;
+use crate::spec::JobId;
+use crate::spec::StepKey;
+use crate::spec::StepSpec;
+use crate::spec::WorkerId;
+use model::Time;
+
+/// Workers that one call names, if the step has no more tasks: the users' objectives count one
+/// call on this many a step.
+const WORKERS_ASKED: usize = 30;
+/// Most workers of one call.
+const WORKERS_ASKED_MAX: usize = 100;
+/// Life that a ticket must have left for a start, which may be sent several times.
+const TICKET_MARGIN: Duration = Duration::from_millis(1_500);
+/// Pause after a call that was refused or not answered.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Leave to run a step on a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Ticket {
+    pub text: String,
+    /// When it runs out at the earliest.
+    pub until: Time,
+    /// Incarnation of the worker that it is for.
+    pub born: u64,
+}
+
+/// What the advice service has answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Advice {
+    /// When the call was sent.
+    pub sent: Time,
+    /// Workers that may run the step, each with its ticket.
+    pub tickets: Vec<(WorkerId, String)>,
+    /// Life of the tickets.
+    pub valid: Duration,
+}
+
+/// The call that is on its way.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Advisor {
+    /// The step and the workers that it names.
+    call: Option<(StepKey, Vec<WorkerId>)>,
+    /// No call before this.
+    after: Time,
+}
+
+impl Step {
+    /// The ticket for a worker, if it lives long enough for a start.
+    pub fn ticket(&self, worker: &WorkerId, born: u64, now: Time) -> Option<&str> {
+        let ticket = self.tickets.get(worker)?;
+        let lives = ticket.born == born && now + TICKET_MARGIN <= ticket.until;
+        lives.then_some(ticket.text.as_str())
+    }
+}
+
+impl Planner {
+    /// Bars workers that the advice service has not named for a step.
+    pub(crate) fn bar_unadvised(&self, now: Time, slots: &mut [Slot], unit: &Unit, advised: bool) {
+        let step = self.jobs.get(&unit.job).map(|job| &job.turns[unit.turn][unit.step]);
+        for slot in slots {
+            slot.barred = advised
+                && step.is_none_or(|step| step.ticket(&slot.worker, slot.born, now).is_none());
+        }
+    }
+
+    /// Asks for advice on workers that may hold a step's waiting tasks.
+    pub(crate) fn ask_advice(&mut self, now: Time, unit: &Unit, step: &StepSpec, slots: &[Slot]) {
+        if self.advisor.call.is_some() || now < self.advisor.after {
+            return;
+        }
+        let Some(job) = self.jobs.get(&unit.job) else { return };
+        let open = &job.turns[unit.turn][unit.step];
+        let service = self.policy.queues.get(&job.queue).map(|queue| queue.service.as_str());
+        let Some(service) = service else { return };
+        let mut asked: Vec<&Slot> = slots
+            .iter()
+            .filter(|slot| slot.suits_unbarred(step, service))
+            .filter(|slot| !open.denied.contains(&(slot.worker.clone(), slot.born)))
+            .filter(|slot| open.ticket(&slot.worker, slot.born, now).is_none())
+            .collect();
+        // Those that hold most tasks now, near the data first.
+        let far = |slot: &Slot| step.rack.as_ref().is_some_and(|rack| *rack != slot.info.rack);
+        asked.sort_by_key(|slot| {
+            (std::cmp::Reverse(slot.room.copies(&step.need)), far(slot), slot.doubted)
+        });
+        asked.truncate((2 * step.count as usize).clamp(WORKERS_ASKED, WORKERS_ASKED_MAX));
+        if asked.is_empty() {
+            return;
+        }
+        let workers: Vec<WorkerId> = asked.iter().map(|slot| slot.worker.clone()).collect();
+        let (turn, number) = (unit.turn as u32, unit.step as u32);
+        let key = StepKey { job: unit.job.clone(), turn, step: number };
+        self.advisor.call = Some((key.clone(), workers.clone()));
+        self.out.push(Action::Advise { step: key, workers });
+    }
+
+    /// Takes in the answer of the advice service; none if there was none of use.
+    pub(crate) fn advised(&mut self, now: Time, advice: Option<&Advice>) {
+        let Some((key, workers)) = self.advisor.call.take() else { return };
+        self.replan = true;
+        let Some(advice) = advice else {
+            self.advisor.after = now + RETRY_PAUSE;
+            self.replan_at = self.replan_at.min(self.advisor.after);
+            return;
+        };
+        let born = |id: &WorkerId| self.workers.get(id).map(|worker| worker.born);
+        let named: BTreeSet<&WorkerId> = advice.tickets.iter().map(|(id, _)| id).collect();
+        let denied: Vec<(WorkerId, u64)> = workers
+            .iter()
+            .filter(|id| !named.contains(id))
+            .filter_map(|id| Some((id.clone(), born(id)?)))
+            .collect();
+        let tickets: Vec<(WorkerId, Ticket)> = advice
+            .tickets
+            .iter()
+            .filter_map(|(id, text)| {
+                let until = advice.sent + advice.valid;
+                Some((id.clone(), Ticket { text: text.clone(), until, born: born(id)? }))
+            })
+            .collect();
+        let Some(step) = self.open_step(&key) else { return };
+        step.denied.extend(denied);
+        step.tickets.extend(tickets);
+    }
+
+    /// A worker did not accept a ticket.
+    pub(crate) fn drop_ticket(&mut self, id: &JobId, turn: u32, step: u32, worker: &WorkerId) {
+        let key = StepKey { job: id.clone(), turn, step };
+        if let Some(step) = self.open_step(&key) {
+            step.tickets.remove(worker);
+        }
+    }
+
+    fn open_step(&mut self, key: &StepKey) -> Option<&mut Step> {
+        let steps = self.jobs.get_mut(&key.job)?.turns.get_mut(key.turn as usize)?;
+        steps.get_mut(key.step as usize)
+    }
+}
--- a/crates/batch/src/event.rs
+++ b/crates/batch/src/event.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::Advice;
 use crate::Policy;
 use crate::directory::WorkerInfo;
 use crate::record::Record;
@@ -132,6 +133,8 @@
     Started(WorkerId, TaskKey, u32, StartResult),
     /// A worker answered a stop, or not.
     Stopped(WorkerId, TaskKey, u32, bool),
+    /// The advice service answered, or not.
+    Advised(Option<Advice>),
     /// The last commit is in the store.
     Committed,
     /// Time has passed.
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -1,5 +1,6 @@
 //! Jobs, steps and tasks in memory.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use strum::Display;
 use strum::EnumString;
 
+use crate::advice::Ticket;
 use crate::record::Record;
 use crate::record::TaskRecord;
 use crate::spec::Spec;
@@ -132,6 +134,10 @@
     pub reclaim_after: Time,
     /// When a run of it failed last.
     pub failed_at: Time,
+    /// Leave of the advice service, by worker.
+    pub tickets: BTreeMap<WorkerId, Ticket>,
+    /// Incarnations of workers that the advice service has left out.
+    pub denied: BTreeSet<(WorkerId, u64)>,
 }
 
 impl Step {
@@ -197,6 +203,8 @@
             noted: false,
             reclaim_after: Time::ZERO,
             failed_at: Time::ZERO,
+            tickets: BTreeMap::new(),
+            denied: BTreeSet::new(),
         };
         self.turns = record.turns.iter().map(|turn| turn.iter().map(step).collect()).collect();
     }
@@ -218,6 +226,8 @@
             noted: false,
             reclaim_after: Time::ZERO,
             failed_at: Time::ZERO,
+            tickets: BTreeMap::new(),
+            denied: BTreeSet::new(),
         };
         let steps = steps.map(step);
         self.turns.push(steps.collect());
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -7,6 +7,7 @@
 //! was ever sent.
 
 mod action;
+mod advice;
 mod calls;
 mod directory;
 mod event;
@@ -24,6 +25,7 @@
 
 pub use action::Action;
 pub use action::Note;
+pub use advice::Advice;
 pub use directory::WorkerInfo;
 pub use event::End;
 pub use event::Event;
@@ -45,6 +47,7 @@
 pub use spec::JobId;
 pub use spec::Need;
 pub use spec::Spec;
+pub use spec::StepKey;
 pub use spec::StepSpec;
 pub use spec::Submission;
 pub use spec::TaskKey;
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -50,6 +50,7 @@
         let mut failed: Vec<Failed> = Vec::new();
         let mut reclaim = Reclaim::default();
         let mut waiting = false;
+        let mut barred = false;
         for unit in &units {
             if self.finish_reserved(now, unit) {
                 waiting = true;
@@ -63,14 +64,20 @@
                 waiting |= !open.done();
                 continue;
             }
-            let service = self.policy.queues.get(&job.queue).map(|queue| queue.service.clone());
-            let Some(service) = service else { continue };
+            let queue = self.policy.queues.get(&job.queue);
+            let Some((service, advised)) = queue.map(|q| (q.service.clone(), q.advised)) else {
+                continue;
+            };
+            if advised || barred {
+                self.bar_unadvised(now, &mut slots, unit, advised);
+                barred = advised;
+            }
             let known = |failed: &Failed| {
                 failed.service == service
                     && failed.need.fits(&step.need)
                     && (failed.label.is_none() || failed.label == step.label)
             };
-            let found = if failed.iter().any(known) {
+            let found = if !advised && failed.iter().any(known) {
                 Places::new()
             } else {
                 count_taken(&mut slots, open, step);
@@ -83,7 +90,8 @@
             };
             let missing = open.tasks.iter().filter(|task| !task.done && task.stage == Stage::Idle);
             let missing = missing.count() - found.len();
-            if missing > 0 && !step.gang && step.rack.is_none() && step.spread.is_none() {
+            let plain = !(advised || step.gang || step.rack.is_some() || step.spread.is_some());
+            if missing > 0 && plain {
                 let (service, label) = (service.clone(), step.label.clone());
                 failed.push(Failed { service, need: step.need, label });
             }
@@ -91,6 +99,9 @@
             self.assign(now, unit, &spec, &slots, &found);
             if missing > 0 {
                 waiting = true;
+                if advised {
+                    self.ask_advice(now, unit, step, &slots);
+                }
                 if matches!(unit.rank, Rank::Guaranteed | Rank::Priority(0)) {
                     self.reclaim(now, unit, &spec, &mut slots, &service, &mut reclaim);
                 }
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -10,6 +10,7 @@
 use crate::Settings;
 use crate::action::Action;
 use crate::action::Note;
+use crate::advice::Advisor;
 use crate::directory::Worker;
 use crate::directory::WorkerInfo;
 use crate::directory::Workers;
@@ -73,6 +74,7 @@
     /// No commit before this.
     commit_after: Time,
     pub(crate) out: Vec<Action>,
+    pub(crate) advisor: Advisor,
     /// Before this a worker that never answered may hold runs of former owners.
     clear: Time,
 }
@@ -126,6 +128,7 @@
             commit: None,
             commit_after: Time::ZERO,
             out: Vec::new(),
+            advisor: Advisor::default(),
             clear,
         }
     }
@@ -210,6 +213,7 @@
                 self.heed(&worker, &task, run, answered);
                 self.stop_answered(now, &worker, &task, run, answered);
             }
+            Event::Advised(advice) => self.advised(now, advice.as_ref()),
             Event::Committed => self.committed(now),
             Event::Tick => {}
         }
@@ -485,16 +489,19 @@
         }
         let Some(worker) = self.workers.get_mut(&run.worker) else { return };
         let Some(deadline) = worker.renewal(now, lease) else { return };
+        let (id, born) = (run.worker.clone(), worker.born);
         worker.deadline = worker.deadline.max(deadline);
         run.deadline = run.deadline.max(deadline);
         run.sent = Some(now);
+        let ticket = step_mut(job, key).ticket(&id, born, now).map(str::to_owned);
         self.out.push(Action::Start {
-            worker: run.worker.clone(),
+            worker: id,
             task: key.clone(),
             run: number,
             spec,
             deadline,
             saved,
+            ticket,
         });
     }
 
--- a/crates/batch/src/room.rs
+++ b/crates/batch/src/room.rs
@@ -23,6 +23,10 @@
     pub taken: u32,
     /// Whether it may be the cause of recent failures.
     pub doubted: bool,
+    /// Its incarnation.
+    pub born: u64,
+    /// Whether the step at hand may not run here for want of advice.
+    pub barred: bool,
 }
 
 impl Slot {
@@ -35,11 +39,18 @@
             owed: Need::default(),
             taken: 0,
             doubted: now < worker.doubted,
+            born: worker.born,
+            barred: false,
         }
     }
 
     /// Whether a task of `step` may run here, room aside.
     pub fn suits(&self, step: &StepSpec, service: &str) -> bool {
+        !self.barred && self.suits_unbarred(step, service)
+    }
+
+    /// Whether a task of `step` may run here, room and advice aside.
+    pub fn suits_unbarred(&self, step: &StepSpec, service: &str) -> bool {
         self.info.service == service
             && step.label.as_ref().is_none_or(|label| self.info.labels.contains(label))
     }
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -386,7 +386,11 @@
                 if run.taken.is_some() {
                     return;
                 }
+                if reason == Refusal::Ticket {
+                    self.drop_ticket(&key.job, key.turn, key.step, &worker);
+                }
                 match (reason, self.workers.get_mut(&worker)) {
+                    (Refusal::Ticket, _) => {}
                     (Refusal::Late, Some(worker)) => worker.clock = None,
                     (Refusal::Reborn, Some(worker)) => worker.listed = false,
                     _ => self.shun(now, &worker, SHUN, "it refused a start"),
--- a/crates/batch/src/spec.rs
+++ b/crates/batch/src/spec.rs
@@ -49,6 +49,23 @@
     }
 }
 
+/// One step of an occurrence of a job.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StepKey {
+    /// The job.
+    pub job: JobId,
+    /// Occurrence of the job, from zero.
+    pub turn: u32,
+    /// Step, from zero.
+    pub step: u32,
+}
+
+impl fmt::Display for StepKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.turn, self.step)
+    }
+}
+
 /// Resources of one task, or the capacity of one worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Need {
@@ -66,6 +83,13 @@
         self.cpu <= room.cpu && self.memory <= room.memory && self.gpu <= room.gpu
     }
 
+    /// How often `need` fits into this.
+    pub fn copies(&self, need: &Need) -> u64 {
+        let times = |room: u64, need: u64| room.checked_div(need).unwrap_or(u64::MAX);
+        let cores = times(self.cpu, need.cpu).min(times(self.memory, need.memory));
+        cores.min(times(self.gpu, need.gpu))
+    }
+
     /// Adds `other`.
     pub fn add(&mut self, other: &Need) {
         self.cpu += other.cpu;
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -1,5 +1,6 @@
 //! Seeded schedules of jobs and faults, with the promises checked throughout.
 
+mod advice;
 mod load;
 mod regressions;
 mod worker;
--- a/crates/entry/tests/hosted/main.rs
+++ b/crates/entry/tests/hosted/main.rs
@@ -4,6 +4,7 @@
 mod soak;
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use crate::cluster::KEY;
 use crate::cluster::configuration;
 use crate::cluster::job;
+use fake::HostedAdvice;
 use fake::StoreTrouble;
 
 const SHORT: Duration = Duration::from_millis(300);
@@ -126,6 +128,20 @@
     assert_eq!(cluster.ask(1, Method::GET, "/work/00000000000000ba", "").await.0, 410);
 }
 
+#[tokio::test]
+async fn advised_queue() {
+    let advice = HostedAdvice::start(&["i-1"], 1).expect("an advice service");
+    let address: SocketAddr = advice.address().to_string().parse().expect("an address");
+    let cluster = Cluster::start_with("advised", 2, 3, SHORT, Some(address)).await;
+    assert_eq!(cluster.ask(0, Method::POST, "/work/00000000000000c6", &job(5)).await.0, 200);
+    cluster.completed(1, "00000000000000c6").await;
+    let tickets: Vec<String> =
+        cluster.workers[1].starts().into_iter().map(|run| run.ticket).collect();
+    assert_eq!(tickets, vec!["ticket-00000000000000c6.0.0-i-1"; 5]);
+    assert_eq!(cluster.started().len(), 5, "no other worker was told to start one");
+    assert_eq!(advice.steps(), ["00000000000000c6.0.0"], "one call for the step");
+}
+
 #[tokio::test]
 async fn slow_link() {
     let cluster = Cluster::start("slow-link", 2, 1, SHORT).await;
--- a/crates/fake/src/hosted/worker.rs
+++ b/crates/fake/src/hosted/worker.rs
@@ -42,6 +42,8 @@
     pub run: u64,
     /// Fencing token of the order.
     pub token: u64,
+    /// Ticket of the advice service; empty for none.
+    pub ticket: String,
 }
 
 #[derive(Debug)]
@@ -182,7 +184,8 @@
             if deadline <= self.clock() {
                 return self.refuse("late");
             }
-            self.starts.push(RunStarted { task: task.clone(), run, token: self.token });
+            let ticket = body["ticket"].as_str().unwrap_or_default().to_owned();
+            self.starts.push(RunStarted { task: task.clone(), run, token: self.token, ticket });
             self.running.insert(task, (run, Instant::now()));
         }
         self.renew(deadline);
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -29,6 +29,7 @@
 pub use client::get;
 pub use client::post;
 pub use client::send;
+pub use hosted::HostedAdvice;
 pub use hosted::HostedStore;
 pub use hosted::HostedWorker;
 pub use hosted::RunStarted;
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -7,17 +7,23 @@
 use log::Level;
 use log::info;
 use log::log;
+use log::warn;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use batch::Action;
+use batch::Advice;
 use batch::Event;
 use batch::Held;
 use batch::Outcome;
 use batch::StartResult;
+use batch::StepKey;
 use batch::WorkerId;
+use net::Caller;
+use platform::advice::advise;
 use platform::worker::Renewal;
 use platform::worker::Start;
 use platform::worker::WorkerError;
@@ -29,6 +35,9 @@
 /// Limit on a renewal, beside the wait that it asks for.
 const HOLD_LIMIT: Duration = Duration::from_millis(700);
 
+/// Limit on a call for advice: a hundred workers at some tens of milliseconds each.
+const ADVICE_LIMIT: Duration = Duration::from_millis(5_000);
+
 /// Carries out orders and reports what became of them.
 #[derive(Clone, Debug)]
 pub struct Orders {
@@ -40,6 +49,10 @@
     pub events: UnboundedSender<Event>,
     /// What is measured.
     pub metrics: Metrics,
+    /// Calls to the advice service.
+    pub caller: Caller,
+    /// Where the advice service is, if there is one.
+    pub advice: Option<SocketAddr>,
 }
 
 impl Orders {
@@ -47,11 +60,12 @@
     pub fn send(&self, addresses: &BTreeMap<WorkerId, SocketAddr>, action: Action) {
         let orders = self.clone();
         match action {
-            Action::Start { worker, task, run, spec, deadline, saved } => {
+            Action::Start { worker, task, run, spec, deadline, saved, ticket } => {
                 let Some(&address) = addresses.get(&worker) else { return };
                 spawn_local(async move {
                     let (payload, saved) = (spec.payload.as_str(), saved.as_str());
-                    let start = Start { task: &task, run, payload, deadline, saved };
+                    let ticket = ticket.as_deref();
+                    let start = Start { task: &task, run, payload, deadline, saved, ticket };
                     let sent = orders.clock.now();
                     let result = orders.workers.start(&worker, address, &start, ORDER_LIMIT).await;
                     let outcome = match result {
@@ -100,10 +114,42 @@
                     orders.report(event);
                 });
             }
+            Action::Advise { step, workers } => {
+                spawn_local(async move {
+                    let advice = orders.advise(&step, &workers).await;
+                    orders.report(Event::Advised(advice));
+                });
+            }
             Action::Commit(_) | Action::Note(_) | Action::Resign => {}
         }
     }
 
+    async fn advise(&self, step: &StepKey, workers: &[WorkerId]) -> Option<Advice> {
+        let Some(address) = self.advice else {
+            warn!(step = step.to_string().as_str(); "advice: the settings name no service");
+            // A step that needs advice waits for settings that name the service.
+            sleep(ADVICE_LIMIT).await;
+            return None;
+        };
+        let sent = self.clock.now();
+        let advised = advise(&self.caller, address, step, workers, sent, ADVICE_LIMIT).await;
+        let took = self.clock.now().since(sent);
+        let outcome = if advised.is_ok() { "done" } else { "failed" };
+        self.metrics.order("advice", outcome, took);
+        match advised {
+            Ok(advice) => {
+                info!(step = step.to_string().as_str(), asked = workers.len(),
+                    named = advice.tickets.len(), took_ms = took.as_millis() as u64; "advice");
+                Some(advice)
+            }
+            Err(error) => {
+                info!(step = step.to_string().as_str(), asked = workers.len(),
+                    error = error.as_str(); "advice: none");
+                None
+            }
+        }
+    }
+
     async fn hold(&self, worker: WorkerId, address: SocketAddr, renewal: Renewal) -> Event {
         let sent = self.clock.now();
         let limit = HOLD_LIMIT + Duration::from_millis(renewal.wait);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -118,7 +118,14 @@
         let (committed, commits) = mpsc::unbounded_channel();
         let workers = Workers::new(caller.clone(), claim.token);
         let (clock, metrics) = (state.clock.clone(), state.metrics.clone());
-        let orders = Orders { workers, clock, events: sender.clone(), metrics };
+        let orders = Orders {
+            workers,
+            clock,
+            events: sender.clone(),
+            metrics,
+            caller: caller.clone(),
+            advice: state.settings.advice,
+        };
         let writer = Writer {
             state: Rc::clone(state),
             token: claim.token,
--- a/crates/text/src/host.rs
+++ b/crates/text/src/host.rs
@@ -35,6 +35,8 @@
     pub metrics: Option<SocketAddr>,
     /// Address of the store.
     pub store: SocketAddr,
+    /// Address of the advice service, if there is one.
+    pub advice: Option<SocketAddr>,
     /// Share of a core that the VM has, over all its cores.
     pub cpu: f64,
     /// Bandwidth of its own link, in Mbit/s.
@@ -66,7 +68,7 @@
     pub retention: Duration,
 }
 
-const FIELDS: [&str; 17] = [
+const FIELDS: [&str; 18] = [
     "vm",
     "zone",
     "region",
@@ -75,6 +77,7 @@
     "peers",
     "metrics",
     "store",
+    "advice",
     "cpu",
     "link_mbps",
     "ownership",
@@ -108,6 +111,7 @@
         let peers = reader.required(object, path, "peers", "\"10.0.0.5:8090\"");
         let metrics = reader.or(object, path, "metrics", None);
         let store = reader.required(object, path, "store", "\"10.0.0.2:2379\"");
+        let advice = reader.or(object, path, "advice", None);
         let cpu = reader.required(object, path, "cpu", "0.25");
         let link_mbps = reader.required(object, path, "link_mbps", "1000");
         let ownership = reader.required(object, path, "ownership", "\"1200ms\"");
@@ -126,6 +130,7 @@
             peers: peers?,
             metrics: metrics?,
             store: store?,
+            advice: advice?,
             cpu: cpu?,
             link_mbps: link_mbps?,
             ownership: ownership?,
