--- a/crates/entry/tests/hosted/soak.rs
+++ b/crates/entry/tests/hosted/soak.rs
@@ -15,8 +15,8 @@
 use tokio::time::sleep;
 
 use crate::cluster::Cluster;
-use crate::cluster::job;
 use fake::StoreTrouble;
+use fake::hosted_job as job;
 
 /// Seeds that are always played.
 const FIXED_SEEDS: [u64; 2] = [1, 2];
--- /dev/null
+++ b/crates/fake/src/hosted/bodies.rs
@@ -0,0 +1,45 @@
+//! Bodies as operators and callers write them.
+
+use serde_json::Value;
+use serde_json::json;
+
+/// A configuration with one queue, one service and one client account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HostedConfiguration<'k> {
+    /// Its version.
+    pub version: u64,
+    /// The account's key.
+    pub key: &'k str,
+    /// Whether the queue needs advice.
+    pub advised: bool,
+}
+
+impl HostedConfiguration<'_> {
+    /// The body that the store holds.
+    pub(crate) fn body(&self) -> Value {
+        let mut body = json!({
+            "version": self.version,
+            "routes": [{
+                "name": "work", "host": "jobs.example", "prefix": "/work/",
+                "type": "non_idempotent", "timeoutMs": 3000, "targetDurationMs": 600,
+                "priority": 0, "service": "service", "maxAttempts": 4, "stretch": 1.5,
+                "public": false,
+            }],
+            "services": [{ "name": "service", "enforcesCapacity": false, "spare": false }],
+            "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 4096 },
+            "tenants": [{
+                "name": "a", "apiKeys": [self.key], "priority": 1, "guaranteed": { "gpu": 8 },
+            }],
+        });
+        if self.advised {
+            body["routes"][0]["advice"] = json!({ "decideMs": 5, "eachMs": 1, "validMs": 3000 });
+        }
+        body
+    }
+}
+
+/// The body of a job of `count` tasks with an accelerator each.
+pub fn hosted_job(count: u32) -> String {
+    let step = json!({ "count": count, "cpu": 500, "memMb": 256, "gpu": 1, "estimateMs": 500 });
+    json!({ "spec": "text", "steps": [step] }).to_string()
+}
--- a/crates/fake/src/hosted/mod.rs
+++ b/crates/fake/src/hosted/mod.rs
@@ -1,10 +1,13 @@
 //! The platform's store and workers, as entry VMs of `basilrackd host` meet them.
 
 mod advice;
+mod bodies;
 mod store;
 mod worker;
 
 pub use advice::HostedAdvice;
+pub use bodies::HostedConfiguration;
+pub use bodies::hosted_job;
 pub use store::HostedStore;
 pub use store::StoreTrouble;
 pub use worker::HostedWorker;
--- a/crates/fake/src/hosted/store.rs
+++ b/crates/fake/src/hosted/store.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::hosted::HostedConfiguration;
 use crate::http::Address;
 use crate::http::Body;
 use crate::http::Handler;
@@ -113,6 +114,11 @@
         self.server.silence();
     }
 
+    /// Writes a configuration as the operator does.
+    pub fn configure(&self, configuration: &HostedConfiguration<'_>) {
+        self.put("op/config", &configuration.body());
+    }
+
     /// Writes an item as the operator or a worker does.
     pub fn put(&self, key: &str, value: &Value) {
         lock(&self.state).write(key, STANDARD.encode(value.to_string()), 0);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -14,6 +14,7 @@
 use prometheus::TextEncoder;
 
 use crate::error::Error;
+use platform::store::Observer;
 
 /// Bounds of the time histograms, in seconds.
 const TIMES: [f64; 12] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 20.0];
@@ -90,11 +91,6 @@
         self.answers.with_label_values(&labels).observe(took.as_secs_f64());
     }
 
-    /// A call to the store.
-    pub fn store(&self, purpose: &str, outcome: &str, took: Duration) {
-        self.store.with_label_values(&[purpose, outcome]).observe(took.as_secs_f64());
-    }
-
     /// An order to a worker.
     pub fn order(&self, kind: &str, outcome: &str, took: Duration) {
         self.orders.with_label_values(&[kind, outcome]).observe(took.as_secs_f64());
@@ -127,3 +123,9 @@
         }
     }
 }
+
+impl Observer for Metrics {
+    fn observe(&self, purpose: &str, outcome: &str, took: Duration) {
+        self.store.with_label_values(&[purpose, outcome]).observe(took.as_secs_f64());
+    }
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -79,10 +79,7 @@
         answer_len: ANSWER_LEN,
     });
     let metrics = Metrics::new()?;
-    let measured = metrics.clone();
-    let store = Store::new(caller.clone(), settings.store, move |purpose, outcome, took| {
-        measured.store(purpose, outcome, took);
-    });
+    let store = Store::new(caller.clone(), settings.store, metrics.clone());
     let vm = settings.vm.to_string();
     info!(vm = vm.as_str(), callers = settings.callers.to_string().as_str(),
         store = settings.store.to_string().as_str(), version = env!("CARGO_PKG_VERSION"); "start");
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -50,7 +50,7 @@
     /// Time source.
     pub clock: Clock,
     /// The platform's store.
-    pub store: Store,
+    pub store: Store<Metrics>,
     /// The configuration; none before the first one was read.
     pub configuration: RefCell<Option<Confirmed>>,
     /// When the store last confirmed that the configuration is the newest.
@@ -84,7 +84,7 @@
     pub fn new(
         settings: HostSettings,
         clock: Clock,
-        store: Store,
+        store: Store<Metrics>,
         caller: Caller,
         metrics: Metrics,
     ) -> Rc<State> {
