Hold requests until the store returns, for half of their caller's time

A caller whose time reached beyond the return was served only if one of its tries fell after it; writes forwarded in the last 50 ms of a caller's time were answered 504 though they had reached nobody. The owner repeated its commit every 7 ms. Change: a VM that knows from its peers that they have lost the store too holds a request for at most half of the time that its caller waits, then refuses it with Retry-After 0. A commit in doubt is repeated after a pause.

--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -28,6 +28,9 @@
 const REFUSED_PAUSE_MIN: Duration = Duration::from_millis(60);
 /// Maximum pause after a refused transaction.
 const REFUSED_PAUSE_MAX: Duration = Duration::from_millis(500);
+/// Maximum pause after a transaction with an unknown outcome; the first commit after an outage waits
+/// for it.
+const DOUBT_PAUSE_MAX: Duration = Duration::from_millis(200);
 /// Maximum timeout of a transaction, which doubles while the outcome is unknown: a slow link may
 /// need more time.
 const COMMIT_TIMEOUT_MAX: Duration = Duration::from_millis(4_000);
@@ -149,6 +152,9 @@
                     warn!(error = error.to_string().as_str(), number = self.number;
                         "commit: in doubt, again");
                     timeout = (timeout * 2).min(COMMIT_TIMEOUT_MAX);
+                    // A store that resets connections fails each call at once.
+                    sleep(pause).await;
+                    pause = (pause * 2).min(DOUBT_PAUSE_MAX);
                 }
             }
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod confirm;
 pub mod error;
 pub mod metrics;
+pub mod outage;
 pub mod owner;
 pub mod run;
 pub mod state;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -171,7 +171,7 @@
 
 /// Whether a peer's answer settles the outcome of a request that may have been carried out before:
 /// the job is stored, another job has its id, or the job no longer exists.
-fn is_conclusive(status: u16) -> bool {
+pub fn is_conclusive(status: u16) -> bool {
     matches!(status, 200..300 | 409 | 410)
 }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
+use crate::outage::Outage;
 use batch::Policy;
 use model::Time;
 use net::Caller;
@@ -68,6 +69,10 @@
     pub open_requests: Cell<usize>,
     /// Time since which the store does not answer this VM; `None` while it answers.
     pub store_lost: Cell<Option<Time>>,
+    /// Time of the last answer of peers that they have lost the store too.
+    pub peers_lost: Cell<Option<Time>>,
+    /// Wakes the requests that are held until the store returns.
+    pub store_returned: Notify,
     /// Interrupts the watch to poll the store at once.
     pub poll_store: Notify,
     /// Addresses of the other entry VMs.
@@ -101,6 +106,8 @@
             configuration_changed: watch::Sender::new(0),
             open_requests: Cell::new(0),
             store_lost: Cell::new(None),
+            peers_lost: Cell::new(None),
+            store_returned: Notify::new(),
             poll_store: Notify::new(),
             peers: RefCell::new(Vec::new()),
             failed_peers: RefCell::new(BTreeMap::new()),
@@ -121,6 +128,8 @@
                 let span = self.clock.now().since(since).as_millis() as u64;
                 info!(span_ms = span; "store: regained");
                 self.store_lost.set(None);
+                self.peers_lost.set(None);
+                self.store_returned.notify_waiters();
             }
             (false, None) => {
                 info!("store: lost");
@@ -131,6 +140,11 @@
         }
     }
 
+    /// Returns what this VM knows about the store.
+    pub fn outage(&self) -> Outage {
+        Outage { lost: self.store_lost.get(), peers_lost: self.peers_lost.get() }
+    }
+
     /// Returns the time since the store last confirmed the configuration.
     pub fn configuration_age(&self) -> Duration {
         self.clock.now().since(self.confirmed_at.get())
--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -31,10 +31,12 @@
 use serde::Deserialize;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::commit::Sequence;
 use crate::confirm::apply_configuration;
 use crate::confirm::ensure_confirmed;
+use crate::outage::Choice;
 use crate::peers;
 use crate::peers::ForwardOutcome;
 use crate::peers::HOST_HEADER;
@@ -263,8 +265,8 @@
     };
     let host = host.unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
-    let timeout = header(platform::DEADLINE_HEADER).and_then(|text| text.parse().ok());
-    let timeout = timeout.map_or(DEFAULT_CALLER_TIMEOUT, Duration::from_millis);
+    let patience = header(platform::DEADLINE_HEADER).and_then(|text| text.parse().ok());
+    let patience = patience.map_or(DEFAULT_CALLER_TIMEOUT, Duration::from_millis);
     let (method, path) = (request.method().clone(), request.uri().path().to_owned());
     let key = header(platform::API_KEY_HEADER);
     let max_bytes = state.active_configuration().map(|active| active.policy.body_bytes);
@@ -276,7 +278,7 @@
         }
         Err(_) => return Answer::new(StatusCode::BAD_REQUEST, "body broke off"),
     };
-    let deadline = started + timeout.saturating_sub(ANSWER_MARGIN);
+    let deadline = started + patience.saturating_sub(ANSWER_MARGIN);
     let request = peers::Request { method, host, path, key, body, deadline };
     if role == Role::Peers {
         if state.store_lost.get().is_some() {
@@ -284,28 +286,69 @@
         }
         return serve_locally(state, &request).await;
     }
-    // Without the store, the request is forwarded without a local attempt.
-    let local = match state.store_lost.get() {
-        Some(_) => Answer::forwardable(StatusCode::SERVICE_UNAVAILABLE, "store is away"),
-        None => serve_locally(state, &request).await,
-    };
-    if !local.forwardable {
-        return local;
-    }
-    let maybe_applied = local.status == StatusCode::GATEWAY_TIMEOUT;
-    match peers::forward(state, &request, maybe_applied).await {
-        ForwardOutcome::Answered(reply) => match StatusCode::from_u16(reply.status) {
-            Ok(status) => {
-                Answer { status, ..Answer::ok(reply.body.to_vec(), "answered by a peer") }
+    serve_caller(state, &request, started).await
+}
+
+/// Serves a caller's request here or through a peer; while neither can use the store, holds it for
+/// a limited time.
+async fn serve_caller(state: &State, request: &peers::Request, started: Time) -> Answer {
+    let mut refusal = Answer::forwardable(StatusCode::SERVICE_UNAVAILABLE, "store is away");
+    let mut maybe_applied = false;
+    let mut forwarded = false;
+    loop {
+        let choice = state.outage().choose(state.clock.now(), started, request.deadline, forwarded);
+        match choice {
+            Choice::Serve => {
+                let local = serve_locally(state, request).await;
+                if !local.forwardable {
+                    return settled(local, maybe_applied);
+                }
+                maybe_applied |= local.status == StatusCode::GATEWAY_TIMEOUT;
+                refusal = local;
+                if forwarded || !state.outage().can_forward(state.clock.now(), request.deadline) {
+                    if state.outage().lost.is_none() {
+                        return settled(refusal, maybe_applied);
+                    }
+                    continue;
+                }
+            }
+            Choice::Forward => {}
+            Choice::Hold(until) => {
+                let left = until.since(state.clock.now());
+                // Whether the store has returned is checked next.
+                let _ = timeout(left, state.store_returned.notified()).await;
+                continue;
+            }
+            Choice::Refuse(seconds) => {
+                return settled(Answer { retry_after: seconds, ..refusal }, maybe_applied);
             }
-            Err(_) => local,
-        },
-        // Other VMs may be able to serve the caller although this one cannot reach them.
-        ForwardOutcome::NoPeer => Answer { retry_after: RETRY_ELSEWHERE_SECONDS, ..local },
-        ForwardOutcome::Refused => local,
-        ForwardOutcome::Unknown if request.method == Method::GET => local,
-        ForwardOutcome::Unknown => Answer::new(StatusCode::GATEWAY_TIMEOUT, "peer in doubt"),
+        }
+        forwarded = true;
+        match peers::forward(state, request, maybe_applied).await {
+            ForwardOutcome::Answered(reply) => match StatusCode::from_u16(reply.status) {
+                Ok(status) => {
+                    return Answer {
+                        status,
+                        ..Answer::ok(reply.body.to_vec(), "answered by a peer")
+                    };
+                }
+                Err(_) => return settled(refusal, maybe_applied),
+            },
+            // Other VMs may be able to serve the caller although this one cannot reach them.
+            ForwardOutcome::NoPeer => refusal.retry_after = RETRY_ELSEWHERE_SECONDS,
+            ForwardOutcome::Refused => state.peers_lost.set(Some(state.clock.now())),
+            ForwardOutcome::Unknown if request.method == Method::GET => {}
+            ForwardOutcome::Unknown => maybe_applied = true,
+        }
+    }
+}
+
+/// Returns `answer`, unless the request may have been carried out and the answer does not tell.
+fn settled(answer: Answer, maybe_applied: bool) -> Answer {
+    if maybe_applied && !peers::is_conclusive(answer.status.as_u16()) {
+        return Answer::new(StatusCode::GATEWAY_TIMEOUT, "outcome unknown");
     }
+    answer
 }
 
 /// Serves a request with this VM's own calls to the store.
