Keep capacity free for urgent jobs, avoid slow workers, and restart broken gangs at once

Three changes of the planner, each with its load in tests/schedules/large_fleet.rs; the tests fail without them.

Change: the peak of urgent use within the last 6 s stays free for urgent steps, at most a fifth of the fleet.

Slow workers. Change: the progress of a run is compared with the rest of its step and with its own best; a slow worker, or one whose last renewal was unanswered, comes last.

Broken gangs. Change: if all members elsewhere ended as broken, the one on the silent worker has ended, so the gang starts again at once, unless that end may have used up its attempts. Runs that are no gang still wait for the lease: a worker that is cut off looks the same.

--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -130,6 +130,11 @@
         /// For how long, in ms.
         span: u64,
     },
+    /// Runs make much less progress on a worker than elsewhere, so other workers are preferred.
+    Slow {
+        /// The worker.
+        worker: WorkerId,
+    },
     /// A worker has stopped answering starts and stops, or answers them again.
     #[strum(serialize = "heeds")]
     AnswersOrders {
--- a/crates/batch/src/calls.rs
+++ b/crates/batch/src/calls.rs
@@ -92,7 +92,8 @@
             }
             let busy = self.runs.get(id).is_some_and(|keys| !keys.is_empty());
             // A worker gets no runs until it has answered.
-            let unheard = (worker.clock.is_none() || !worker.reachable) && worker.listed;
+            let doubtful = !worker.reachable || worker.missed_calls > 0;
+            let unheard = (worker.clock.is_none() || doubtful) && worker.listed;
             let unacked = worker.stored_end > worker.acked_end;
             if !(busy || unheard || unacked || worker.foreign_runs > 0) {
                 continue;
--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -80,6 +80,8 @@
     pub suspect_until: Time,
     /// Number of failures in a row behind this suspicion.
     pub suspicions: u32,
+    /// Until when the worker is taken to be slow.
+    pub slow_until: Time,
     /// Earliest time at which a draining worker goes away; `None` if it is not draining.
     pub drain_end: Option<Time>,
     /// Number of starts and stops in a row without an answer.
@@ -129,6 +131,7 @@
             failed_jobs: BTreeSet::new(),
             suspect_until: Time::ZERO,
             suspicions: 0,
+            slow_until: Time::ZERO,
             drain_end: None,
             unanswered_orders: 0,
             probe: None,
@@ -202,6 +205,7 @@
         self.acking_end = 0;
         self.foreign_runs = 0;
         self.clear_suspicion();
+        self.slow_until = Time::ZERO;
         self.backoff_until = Time::ZERO;
         self.unanswered_orders = 0;
         self.probe = None;
--- /dev/null
+++ b/crates/batch/src/headroom.rs
@@ -0,0 +1,115 @@
+//! Capacity that is kept free for urgent steps while less urgent ones wait.
+//!
+//! Urgent jobs come and go within seconds. If less urgent tasks took all of the capacity that they
+//! leave, the next urgent jobs would have to preempt these tasks again: each would wait for the
+//! stops, and the preempted work would be lost. So the capacity that urgent jobs have used at a time
+//! within the last seconds stays free for the next ones.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::Planner;
+use crate::job::Stage;
+use crate::room::Slot;
+use crate::spec::Need;
+use model::Time;
+
+/// Time for which the peak of the urgent use counts: a few run times of urgent jobs.
+const PEAK_TIME: Duration = Duration::from_millis(6_000);
+/// Time over which uses are merged into one peak.
+const PEAK_STEP: Duration = Duration::from_millis(500);
+/// Maximum headroom, in percent of the fleet. More than half of an idle fleet always stays open to
+/// less urgent work.
+const MAX_FLEET_PERCENT: u64 = 20;
+
+/// Capacity in thousandths of a worker, by the resource that is scarcest.
+type Share = u64;
+
+/// Capacity of one worker.
+const WORKER_SHARE: Share = 1_000;
+
+/// Recent capacity use of urgent steps.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct UrgentUse {
+    /// Peaks by the time at which their step began, the oldest first.
+    peaks: VecDeque<(Time, Share)>,
+}
+
+impl UrgentUse {
+    /// Records the present use and returns the highest one within [`PEAK_TIME`].
+    fn record(&mut self, now: Time, used: Share) -> Share {
+        match self.peaks.back_mut() {
+            Some((at, peak)) if now.since(*at) < PEAK_STEP => *peak = (*peak).max(used),
+            _ => self.peaks.push_back((now, used)),
+        }
+        while self.peaks.front().is_some_and(|(at, _)| now.since(*at) > PEAK_TIME) {
+            self.peaks.pop_front();
+        }
+        self.peaks.iter().map(|(_, peak)| *peak).max().unwrap_or(used)
+    }
+}
+
+impl Planner {
+    /// Withholds the emptiest slots from less urgent steps, as many as urgent steps used beyond
+    /// their present use within the last seconds.
+    pub(crate) fn keep_headroom(&mut self, now: Time, slots: &mut [Slot]) {
+        let used = self.urgent_use();
+        let peak = self.urgent_peaks.record(now, used);
+        let most = slots.len() as Share * WORKER_SHARE * MAX_FLEET_PERCENT / 100;
+        let mut missing = peak.saturating_sub(used).min(most);
+        // Whole workers are kept, since an urgent task may need one.
+        let mut emptiest: Vec<(Share, usize)> = slots
+            .iter()
+            .enumerate()
+            .map(|(at, slot)| (free_share(&slot.free, &slot.info.capacity), at))
+            .filter(|(free, _)| *free > 0)
+            .collect();
+        emptiest.sort_unstable_by(|a, b| b.cmp(a));
+        for (free, at) in emptiest {
+            if missing == 0 {
+                return;
+            }
+            slots[at].withheld = true;
+            missing = missing.saturating_sub(free);
+        }
+    }
+
+    /// Capacity in use by or reserved for steps of the highest priority.
+    fn urgent_use(&self) -> Share {
+        let mut used = 0;
+        for job in self.live.iter().filter_map(|id| self.jobs.get(id)) {
+            let queue = self.policy.queues.get(&job.queue);
+            if queue.is_none_or(|queue| queue.priority > 0) {
+                continue;
+            }
+            for (spec, step) in
+                job.occurrences.iter().flat_map(|steps| job.spec.steps.iter().zip(steps))
+            {
+                for task in &step.tasks {
+                    let id = match &task.stage {
+                        Stage::Placed(run) => &run.worker,
+                        Stage::Reserved(worker) => worker,
+                        Stage::Idle => continue,
+                    };
+                    let Some(worker) = self.workers.get(id) else { continue };
+                    used += used_share(&spec.need, &worker.info.capacity);
+                }
+            }
+        }
+        used
+    }
+}
+
+/// The largest part of a worker's resources that a task needs.
+fn used_share(need: &Need, capacity: &Need) -> Share {
+    let part = |need: u64, all: u64| (need * WORKER_SHARE).checked_div(all).unwrap_or(0);
+    let cores = part(need.cpu, capacity.cpu).max(part(need.memory, capacity.memory));
+    cores.max(part(need.gpu, capacity.gpu)).min(WORKER_SHARE)
+}
+
+/// The smallest part of a worker's resources that is free.
+fn free_share(free: &Need, capacity: &Need) -> Share {
+    let part = |free: u64, all: u64| (free * WORKER_SHARE).checked_div(all).unwrap_or(WORKER_SHARE);
+    let cores = part(free.cpu, capacity.cpu).min(part(free.memory, capacity.memory));
+    cores.min(part(free.gpu, capacity.gpu))
+}
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -12,6 +12,7 @@
 use strum::EnumString;
 
 use crate::advice::Ticket;
+use crate::pace::RunPace;
 use crate::record::Record;
 use crate::record::TaskRecord;
 use crate::spec::Spec;
@@ -71,13 +72,13 @@
     pub stop_acked: Option<Time>,
     /// Last reported progress in percent.
     pub percent: u32,
-    /// When the reported progress last increased.
-    pub progress_at: Time,
+    /// Pace of its progress.
+    pub pace: RunPace,
 }
 
 impl Run {
     /// Creates a run that is neither stored nor sent to its worker.
-    pub fn new(worker: WorkerId, now: Time) -> Run {
+    pub fn new(worker: WorkerId) -> Run {
         Run {
             worker,
             stored: false,
@@ -89,7 +90,7 @@
             stop_sent: None,
             stop_acked: None,
             percent: 0,
-            progress_at: now,
+            pace: RunPace::default(),
         }
     }
 }
@@ -120,6 +121,8 @@
     pub saved: String,
     /// Worker on which it last failed.
     pub failed_on: Option<WorkerId>,
+    /// Highest run that ended because another member of its gang had ended; zero for none.
+    pub broken_run: u32,
 }
 
 /// For how long a step avoids suspected workers after one of its runs has failed. A job that uses
@@ -228,6 +231,7 @@
             failures: BTreeSet::new(),
             saved: String::new(),
             failed_on: None,
+            broken_run: 0,
         };
         let steps = self.spec.steps.iter();
         let step = |step: &StepSpec| Step {
@@ -292,7 +296,7 @@
             stored: true,
             start_sent: Some(now),
             confirmed: Some(now),
-            ..Run::new(worker.clone(), now)
+            ..Run::new(worker.clone())
         }),
     };
     Task {
@@ -302,6 +306,7 @@
         failures: record.failures.clone(),
         saved: record.saved.clone(),
         failed_on: None,
+        broken_run: 0,
     }
 }
 
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -53,7 +53,13 @@
         let mut reclaim = Reclaim::default();
         let mut waiting = false;
         let mut barred = false;
+        let mut all_urgent = true;
         for pending in &pending_steps {
+            let urgent = matches!(pending.rank, Rank::Guaranteed | Rank::Priority(0));
+            if all_urgent && !urgent {
+                all_urgent = false;
+                self.keep_headroom(now, &mut slots);
+            }
             if self.finish_reserved(now, pending) {
                 waiting = true;
                 continue;
@@ -113,13 +119,13 @@
                 unplaceable.push(Unplaceable { service, need: step.need, label });
             }
             self.note_place(now, pending, &slots, found.len(), missing);
-            self.assign(now, pending, &spec, &slots, &found);
+            self.assign(pending, &spec, &slots, &found);
             if missing > 0 {
                 waiting = true;
                 if advised {
                     self.ask_advice(now, pending, step, &slots);
                 }
-                if matches!(pending.rank, Rank::Guaranteed | Rank::Priority(0)) {
+                if urgent {
                     self.reclaim(now, pending, &spec, &mut slots, &service, &mut reclaim);
                 }
             }
@@ -157,14 +163,7 @@
     }
 
     /// Creates runs for tasks on the workers found for them.
-    fn assign(
-        &mut self,
-        now: Time,
-        pending: &PendingStep,
-        spec: &Spec,
-        slots: &[Slot],
-        found: &Places,
-    ) {
+    fn assign(&mut self, pending: &PendingStep, spec: &Spec, slots: &[Slot], found: &Places) {
         if found.is_empty() {
             return;
         }
@@ -181,7 +180,7 @@
             worker.used.add(&step.need);
             let Some(task) = task_mut(job, &key) else { continue };
             task.run = if step.gang { highest + 1 } else { task.run + 1 };
-            task.stage = Stage::Placed(Run::new(id.clone(), now));
+            task.stage = Stage::Placed(Run::new(id.clone()));
             self.runs.entry(id).or_default().insert(key);
         }
         job.begun = true;
@@ -242,7 +241,7 @@
         }
         if !step.gang || found.len() == reserved.len() {
             self.note_place(now, pending, &slots, found.len(), 0);
-            self.assign(now, pending, &spec, &slots, &found);
+            self.assign(pending, &spec, &slots, &found);
         }
         true
     }
@@ -269,14 +268,15 @@
 }
 
 /// Placement score of a slot; the lowest is best. It prefers workers without recent failures of
-/// this or other tasks, then workers near the data, then the tightest fit.
-type Score = (bool, bool, u64, u64, u64);
+/// this or other tasks, then workers that are not slow, then workers near the data, then the
+/// tightest fit.
+type Score = (bool, bool, bool, u64, u64, u64);
 
 fn placement_score(slot: &Slot, step: &StepSpec, failed_on: Option<&WorkerId>) -> Score {
     let suspect = slot.suspect || failed_on == Some(&slot.worker);
     let far = step.rack.as_ref().is_some_and(|rack| *rack != slot.info.rack);
     let left = slot.free.less(&step.need);
-    (suspect, far, left.gpu, left.memory, left.cpu)
+    (suspect, slot.slow, far, left.gpu, left.memory, left.cpu)
 }
 
 /// Finds the best slot for a task. The slot of the previous task is reused while a task still fits.
@@ -337,12 +337,17 @@
     let mut all: Vec<usize> = (0..slots.len())
         .filter(|&at| slots[at].fits_task(step) && slots[at].suits(step, service))
         .collect();
-    // If one member fails, the work of the whole gang is lost, so suspected workers are left out
-    // where the gang fits without them.
+    // If one member fails, the work of the whole gang is lost, and a gang is as slow as its slowest
+    // member. So suspected workers are left out where the gang fits without them, and then slow
+    // ones.
     let unsuspected: Vec<usize> = all.iter().copied().filter(|&at| !slots[at].suspect).collect();
     if avoid_suspects || pack(slots, &unsuspected, step_state, step).is_some() {
         all = unsuspected;
     }
+    let brisk: Vec<usize> = all.iter().copied().filter(|&at| !slots[at].slow).collect();
+    if pack(slots, &brisk, step_state, step).is_some() {
+        all = brisk;
+    }
     let racks: BTreeSet<String> = all.iter().map(|&at| slots[at].info.rack.clone()).collect();
     let mut best: Option<((bool, u64), Places)> = None;
     for rack in &racks {
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -17,6 +17,7 @@
 use crate::directory::millis;
 use crate::event::Event;
 use crate::event::StartResult;
+use crate::headroom::UrgentUse;
 use crate::job::Job;
 use crate::job::JobState;
 use crate::job::Run;
@@ -41,9 +42,6 @@
 /// Divisor of the longest lease for the lease that a start carries, so that a delayed start is
 /// refused early; renewals carry the whole lease.
 const START_LEASE_DIVISOR: u32 = 2;
-/// Margin, beside the time to stop a task, before a draining worker goes away; its runs are stopped
-/// that early.
-const DRAIN_MARGIN: Duration = Duration::from_millis(300);
 
 /// Scheduler for the jobs of one owner.
 #[derive(Debug)]
@@ -69,6 +67,8 @@
     /// Whether any job has had filler tasks or tasks with a latency target, which never share a
     /// worker.
     pub(crate) needs_isolation: bool,
+    /// Recent capacity use of urgent steps.
+    pub(crate) urgent_peaks: UrgentUse,
     /// Whether a placement pass is due.
     pub(crate) replan: bool,
     /// Latest time of the next placement pass.
@@ -129,6 +129,7 @@
             ended: VecDeque::new(),
             removed: VecDeque::new(),
             needs_isolation: false,
+            urgent_peaks: UrgentUse::default(),
             replan: false,
             replan_at: Time::NEVER,
             restored: false,
@@ -364,28 +365,6 @@
         }
     }
 
-    /// Gives up runs on unreachable workers whose leases have expired, and stops all runs on
-    /// draining workers that are about to go away.
-    fn check_workers(&mut self, now: Time) {
-        let mut expired = Vec::new();
-        let mut draining = Vec::new();
-        let stop = self.settings.stop;
-        for (id, keys) in self.runs.iter().filter(|(_, keys)| !keys.is_empty()) {
-            let Some(worker) = self.workers.get(id) else { continue };
-            if !worker.reachable && worker.leases_end() <= now {
-                expired.extend(keys.iter().cloned());
-            } else if worker.drain_end.is_some_and(|at| at <= now + stop + DRAIN_MARGIN) {
-                draining.extend(keys.iter().cloned());
-            }
-        }
-        for key in expired {
-            self.give_up(now, &key, "all leases sent to the worker have expired");
-        }
-        for key in draining {
-            self.stop_run(now, &key);
-        }
-    }
-
     /// Marks the run of `key` to be stopped, together with the rest of its gang.
     pub(crate) fn stop_run(&mut self, now: Time, key: &TaskKey) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
--- a/crates/batch/src/room.rs
+++ b/crates/batch/src/room.rs
@@ -24,10 +24,14 @@
     pub step_tasks: u32,
     /// Whether the worker may be the cause of recent failures.
     pub suspect: bool,
+    /// Whether runs make less progress on the worker than elsewhere, or it did not answer lately.
+    pub slow: bool,
     /// Incarnation of the worker.
     pub incarnation: u64,
     /// Whether the current step lacks a ticket of the advice service for this worker.
     pub barred: bool,
+    /// Whether it is kept free for urgent steps, which are placed before it is marked.
+    pub withheld: bool,
     /// Whether tasks with a latency target run here.
     pub has_target: bool,
     /// Whether filler tasks run here, which use only idle CPU time.
@@ -44,8 +48,10 @@
             unfreed: Need::default(),
             step_tasks: 0,
             suspect: now < worker.suspect_until,
+            slow: now < worker.slow_until || worker.missed_calls > 0,
             incarnation: worker.incarnation,
             barred: false,
+            withheld: false,
             has_target: false,
             has_fillers: false,
         }
@@ -53,7 +59,7 @@
 
     /// Whether a task of `step` may run here, regardless of free capacity.
     pub fn suits(&self, step: &StepSpec, service: &str) -> bool {
-        !self.barred && self.suits_unbarred(step, service)
+        !self.barred && !self.withheld && self.suits_unbarred(step, service)
     }
 
     /// Whether a task of `step` may run here, regardless of free capacity and advice.
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -72,6 +72,7 @@
             }
             worker.foreign_runs = foreign_runs;
         }
+        self.judge_pace(now, id, report);
         self.give_up_missing(now, id, report);
         self.send_delayed_starts(now, id);
     }
@@ -98,6 +99,7 @@
         id: &WorkerId,
         report: &crate::event::RunReport,
     ) -> bool {
+        let begun = self.work_begun(&report.task);
         let Some(job) = self.jobs.get_mut(&report.task.job) else { return false };
         let Some(task) = task_mut(job, &report.task) else { return false };
         if task.run != report.run {
@@ -108,10 +110,8 @@
             return false;
         }
         run.confirmed.get_or_insert(now);
-        if report.percent > run.percent {
-            run.percent = report.percent;
-            run.progress_at = now;
-        }
+        run.pace.record(now, report.percent, begun);
+        run.percent = run.percent.max(report.percent);
         if !report.saved.is_empty() {
             task.saved.clone_from(&report.saved);
         }
@@ -167,6 +167,9 @@
         if current && !end.saved.is_empty() {
             task.saved.clone_from(&end.saved);
         }
+        if end.outcome == Outcome::Broken {
+            task.broken_run = task.broken_run.max(end.run);
+        }
         // A failure also counts if the run was given up before its end was reported.
         let failed = end.outcome == Outcome::Failed && task.failures.insert(end.run);
         if failed {
@@ -184,7 +187,7 @@
     }
 
     /// Number of failed runs of a task, or of its gang.
-    fn failures(&self, key: &TaskKey) -> usize {
+    pub(crate) fn failures(&self, key: &TaskKey) -> usize {
         let Some(job) = self.jobs.get(&key.job) else { return 0 };
         let tasks = &job.occurrences[key.occurrence as usize][key.step as usize].tasks;
         if !job.spec.steps[key.step as usize].gang {
@@ -393,6 +396,9 @@
         match result {
             StartResult::Taken => {
                 run.confirmed.get_or_insert(now);
+                if task.saved.is_empty() {
+                    run.pace.started.get_or_insert(now);
+                }
             }
             StartResult::Unknown => {
                 run.unanswered_starts += 1;
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -1,6 +1,7 @@
 //! Seeded simulations of jobs and faults, with the scheduler's invariants checked throughout.
 
 mod advice;
+mod large_fleet;
 mod lasting;
 mod load;
 mod regressions;
--- a/crates/batch/tests/schedules/worker.rs
+++ b/crates/batch/tests/schedules/worker.rs
@@ -14,6 +14,8 @@
 
 /// Longest lease that a worker grants, in ms.
 pub const LEASE_MS: u64 = 6_000;
+/// How many times as long work takes on a slow worker.
+pub const SLOW_FACTOR: u64 = 5;
 /// Time that a gang's member waits for the others to start, in ms.
 pub const GANG_TIMEOUT_MS: u64 = 3_000;
 
@@ -65,6 +67,8 @@
     pub unwell_until: u64,
     /// All runs that it starts before this time in ms fail.
     pub failing_until: u64,
+    /// Work takes [`SLOW_FACTOR`] times as long before this time in ms.
+    pub slow_until: u64,
     /// When it goes away for good, in ms.
     pub leaves_at: Option<u64>,
 }
@@ -88,6 +92,7 @@
             idle_until: 0,
             unwell_until: 0,
             failing_until: 0,
+            slow_until: 0,
             leaves_at: None,
         }
     }
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -17,6 +17,7 @@
 use crate::worker::FakeWorker;
 use crate::worker::GANG_TIMEOUT_MS;
 use crate::worker::LEASE_MS;
+use crate::worker::SLOW_FACTOR;
 use crate::worker::Work;
 use batch::Account;
 use batch::Action;
@@ -652,11 +653,14 @@
     fn advance_work(&mut self, ms: u64) {
         let now = self.now;
         let mut present: BTreeMap<(JobId, u32, u32, u32), u32> = BTreeMap::new();
+        let mut unfinished: BTreeSet<(JobId, u32, u32, u32)> = BTreeSet::new();
         for fake in self.workers.values().filter(|fake| fake.up) {
             for (task, work) in &fake.running {
-                *present
-                    .entry((task.job.clone(), task.occurrence, task.step, work.run))
-                    .or_default() += 1;
+                let gang = (task.job.clone(), task.occurrence, task.step, work.run);
+                if work.members > 1 && work.left > ms {
+                    unfinished.insert(gang.clone());
+                }
+                *present.entry(gang).or_default() += 1;
             }
         }
         let mut finished: BTreeSet<(JobId, u32, u32, u32, bool)> = BTreeSet::new();
@@ -685,9 +689,11 @@
                 if work.lasts {
                     continue;
                 }
-                work.left = work.left.saturating_sub(ms);
+                let worked = if fake.slow_until > now { ms / SLOW_FACTOR } else { ms };
+                work.left = work.left.saturating_sub(worked);
                 let fails = work.fails && work.left * 2 < work.total;
-                if work.left == 0 || fails {
+                // A gang's members end together.
+                if work.left == 0 && !unfinished.contains(&gang) || fails {
                     if work.members > 1 {
                         finished.insert((gang.0, gang.1, gang.2, gang.3, fails));
                     }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -351,6 +351,7 @@
         Note::Suspects { worker, job, span } => {
             info!(worker = &*worker.0, job = &*job.0, span_ms = span; "{what}");
         }
+        Note::Slow { worker } => info!(worker = &*worker.0; "{what}"),
         Note::AnswersOrders { worker, heeds } => {
             info!(worker = &*worker.0, heeds = heeds; "{what}");
         }
