Ignore reported runs of unknown steps when comparing paces

Cause: found in the read-through; the comparison of paces indexed the steps of a job by the names in a worker's report, so a report of a run that the job does not have ended the owner's process. Change: such runs are passed over. Test: unknown_task_report panics without the change (index out of bounds).

--- a/crates/batch/src/pace.rs
+++ b/crates/batch/src/pace.rs
@@ -116,7 +116,7 @@
     pub(crate) fn work_begun(&self, key: &TaskKey) -> Option<Time> {
         let job = self.jobs.get(&key.job)?;
         let gang = job.spec.steps.get(key.step as usize)?.gang;
-        let tasks = &job.occurrences[key.occurrence as usize][key.step as usize].tasks;
+        let tasks = &job.occurrences.get(key.occurrence as usize)?.get(key.step as usize)?.tasks;
         let started = |task: &Task| match &task.stage {
             Stage::Placed(run) => run.pace.started,
             _ => None,
@@ -132,7 +132,7 @@
     /// other runs of its step, or with its own best if that is higher.
     fn compare_pace(&self, now: Time, key: &TaskKey) -> Option<Comparison> {
         let job = self.jobs.get(&key.job)?;
-        let tasks = &job.occurrences[key.occurrence as usize][key.step as usize].tasks;
+        let tasks = &job.occurrences.get(key.occurrence as usize)?.get(key.step as usize)?.tasks;
         let Stage::Placed(run) = &tasks.get(key.index as usize)?.stage else { return None };
         let pace = run.pace.last.filter(|_| run.pace.measured == now)?;
         let mut others: Vec<Pace> = Vec::new();
--- a/crates/batch/tests/schedules/large_fleet.rs
+++ b/crates/batch/tests/schedules/large_fleet.rs
@@ -8,6 +8,7 @@
 use batch::JobId;
 use batch::JobState;
 use batch::StepSpec;
+use batch::TaskKey;
 
 /// A gang of `count` tasks that each take a whole worker for a second.
 fn wide_gang(count: u32) -> StepSpec {
@@ -130,3 +131,24 @@
     }
     assert!(slow_starts <= 3, "{slow_starts} of 30 members were started on slow workers");
 }
+
+/// Guards against a worker's report taking the owner down: it may list a run of a step that the job
+/// does not have, or of a job whose tasks are no longer kept.
+#[test]
+fn unknown_task_report() {
+    let mut world = World::new(36, 4, Faults::default(), policy(0));
+    let id = world.submit("00000000000000ac", "usual", "a", vec![step(3, 1, 4_000)]);
+    world.run(500);
+    for fake in world.workers.values_mut() {
+        let Some((key, work)) = fake.running.iter().next() else { continue };
+        let (key, work) = (key.clone(), work.clone());
+        fake.running.insert(TaskKey { occurrence: 7, ..key.clone() }, work.clone());
+        fake.running.insert(TaskKey { step: 9, ..key }, work);
+    }
+    world.run(2_500);
+    for fake in world.workers.values_mut() {
+        fake.running.retain(|key, _| key.occurrence == 0 && key.step == 0);
+    }
+    world.run(12_000);
+    assert_eq!(world.stored_state(&id), JobState::Completed);
+}
