--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -293,7 +293,8 @@
 /// a limited time.
 async fn serve_caller(state: &State, request: &peers::Request, started: Time) -> Answer {
     let mut refusal = Answer::forwardable(StatusCode::SERVICE_UNAVAILABLE, "store is away");
-    let mut maybe_applied = false;
+    // Reason for which the request may have been carried out unnoticed.
+    let mut doubt = None;
     let mut forwarded = false;
     loop {
         let choice = state.outage().choose(state.clock.now(), started, request.deadline, forwarded);
@@ -301,13 +302,15 @@
             Choice::Serve => {
                 let local = serve_locally(state, request).await;
                 if !local.forwardable {
-                    return settled(local, maybe_applied);
+                    return settled(local, doubt);
+                }
+                if local.status == StatusCode::GATEWAY_TIMEOUT {
+                    doubt = Some(local.reason);
                 }
-                maybe_applied |= local.status == StatusCode::GATEWAY_TIMEOUT;
                 refusal = local;
                 if forwarded || !state.outage().can_forward(state.clock.now(), request.deadline) {
                     if state.outage().lost.is_none() {
-                        return settled(refusal, maybe_applied);
+                        return settled(refusal, doubt);
                     }
                     continue;
                 }
@@ -320,11 +323,11 @@
                 continue;
             }
             Choice::Refuse(seconds) => {
-                return settled(Answer { retry_after: seconds, ..refusal }, maybe_applied);
+                return settled(Answer { retry_after: seconds, ..refusal }, doubt);
             }
         }
         forwarded = true;
-        match peers::forward(state, request, maybe_applied).await {
+        match peers::forward(state, request, doubt.is_some()).await {
             ForwardOutcome::Answered(reply) => match StatusCode::from_u16(reply.status) {
                 Ok(status) => {
                     return Answer {
@@ -332,23 +335,25 @@
                         ..Answer::ok(reply.body.to_vec(), "answered by a peer")
                     };
                 }
-                Err(_) => return settled(refusal, maybe_applied),
+                Err(_) => return settled(refusal, doubt),
             },
             // Other VMs may be able to serve the caller although this one cannot reach them.
             ForwardOutcome::NoPeer => refusal.retry_after = RETRY_ELSEWHERE_SECONDS,
             ForwardOutcome::Refused => state.peers_lost.set(Some(state.clock.now())),
             ForwardOutcome::Unknown if request.method == Method::GET => {}
-            ForwardOutcome::Unknown => maybe_applied = true,
+            ForwardOutcome::Unknown => doubt = doubt.or(Some("peer in doubt")),
         }
     }
 }
 
 /// Returns `answer`, unless the request may have been carried out and the answer does not tell.
-fn settled(answer: Answer, maybe_applied: bool) -> Answer {
-    if maybe_applied && !peers::is_conclusive(answer.status.as_u16()) {
-        return Answer::new(StatusCode::GATEWAY_TIMEOUT, "outcome unknown");
+fn settled(answer: Answer, doubt: Option<&'static str>) -> Answer {
+    match doubt {
+        Some(reason) if !peers::is_conclusive(answer.status.as_u16()) => {
+            Answer::new(StatusCode::GATEWAY_TIMEOUT, reason)
+        }
+        _ => answer,
     }
-    answer
 }
 
 /// Serves a request with this VM's own calls to the store.
