Log what a new owner adopts, and count runs of ended jobs

Callers saw: a task of a cancelled job runs on after the acknowledgement (UNASKED). Cause of the gap: a takeover logged neither how many runs it adopts nor how many of them it stops, and an answered stop is logged at debug level only, so a missing stop looked like a failed one. Change: the note `adopts` after a takeover (jobs, runs, runs of ended jobs, runs being stopped) and the gauges `runs_of_ended_jobs` and `runs_stopping`. No decision changes.

--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -143,6 +143,17 @@
         /// Whether it answers orders.
         heeds: bool,
     },
+    /// A new owner has restored the stored jobs and adopts their runs.
+    Adopts {
+        /// Number of jobs that have not ended, or still have runs.
+        jobs: usize,
+        /// Number of runs that workers may have.
+        runs: usize,
+        /// How many of these belong to jobs that have ended.
+        ended: usize,
+        /// How many of these are being stopped.
+        stopping: usize,
+    },
     /// A run is given up as lost; its task is scheduled again unless its job has ended.
     GivesUp {
         /// The task.
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -105,6 +105,10 @@
     pub waiting: BTreeMap<String, u64>,
     /// Number of runs placed on workers.
     pub runs: usize,
+    /// Number of these runs whose jobs have ended.
+    pub ended_runs: usize,
+    /// Number of these runs that are being stopped.
+    pub stopping_runs: usize,
     /// Number of workers that accept new runs.
     pub usable: usize,
 }
@@ -187,11 +191,24 @@
         Summary {
             live: self.live.len(),
             waiting,
-            runs: self.runs.values().map(BTreeSet::len).sum(),
+            runs: self.placed_runs(),
+            ended_runs: self.ended_runs(),
+            stopping_runs: self.stopping.len(),
             usable: self.workers.values().filter(|worker| worker.usable(now)).count(),
         }
     }
 
+    /// Number of runs placed on workers.
+    fn placed_runs(&self) -> usize {
+        self.runs.values().map(BTreeSet::len).sum()
+    }
+
+    /// Number of runs whose jobs have ended.
+    fn ended_runs(&self) -> usize {
+        let jobs = self.live.iter().filter_map(|id| Some((id, self.jobs.get(id)?)));
+        jobs.filter(|(_, job)| job.state.ended()).map(|(id, job)| job_runs(id, job).count()).sum()
+    }
+
     /// Applies one event to the state; [`Planner::decide`] acts on it.
     pub fn apply(&mut self, now: Time, event: Event) {
         match event {
@@ -207,6 +224,7 @@
             Event::RestoreComplete => {
                 self.restored = true;
                 self.replan = true;
+                self.note_adopted();
             }
             Event::Cancelled(id) => self.cancelled(now, &id),
             Event::Renewed(worker, report) => self.renewal_answered(now, &worker, &report),
@@ -313,6 +331,12 @@
         self.replan = true;
     }
 
+    fn note_adopted(&mut self) {
+        let (jobs, runs) = (self.live.len(), self.placed_runs());
+        let (ended, stopping) = (self.ended_runs(), self.stopping.len());
+        self.out.push(Action::Note(Note::Adopts { jobs, runs, ended, stopping }));
+    }
+
     fn cancelled(&mut self, now: Time, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         if job.state.ended() {
