Stop the obsolete runs of restored jobs

Callers saw: a task of a cancelled job runs on although the cancellation was acknowledged (UNASKED), when the owner was suspended or killed within milliseconds of storing the job's end. Cause: decisions to stop a run live only in the owner's memory. The record of a cancelled job says `cancelled` and still names the places of its runs. A new owner that restored such a record found a final state, skipped the end of the job and with it the marks for stopping, adopted the runs and renewed their leases until they finished. Class: an intention of one owner that is neither stored nor derived from what is stored. The same held for the remaining runs of a failed job, for a run of a task that an earlier run had completed, and for the members of a gang that has lost one. Change: restoring a job derives which of its runs have no purpose and stops them.

--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -324,6 +324,7 @@
             self.ended.push_back((now, id));
         } else {
             self.live.insert(id.clone());
+            self.stop_obsolete_runs(now, &id);
             if submission.cancelled {
                 self.cancelled(now, &id);
             }
@@ -331,6 +332,29 @@
         self.replan = true;
     }
 
+    /// Stops the restored runs of a job that have no purpose: all once the job has ended, those of
+    /// tasks that have completed, and those of gangs that have lost a member.
+    ///
+    /// Decisions to stop a run are not stored, and the stops of a former owner may not have reached
+    /// the workers.
+    fn stop_obsolete_runs(&mut self, now: Time, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let (ended, spec) = (job.state.ended(), Arc::clone(&job.spec));
+        for steps in &mut job.occurrences {
+            for (step, spec) in steps.iter_mut().zip(&spec.steps) {
+                let lost = |task: &Task| !task.done && task.stage == Stage::Idle;
+                let all = ended || spec.gang && step.tasks.iter().any(lost);
+                for task in step.tasks.iter_mut().filter(|task| all || task.done) {
+                    if let Stage::Placed(run) = &mut task.stage {
+                        run.stopping.get_or_insert(now);
+                    }
+                }
+            }
+        }
+        let stopping = job_runs(id, job).filter(|(_, run)| run.stopping.is_some());
+        self.stopping.extend(stopping.map(|(key, _)| key));
+    }
+
     fn note_adopted(&mut self) {
         let (jobs, runs) = (self.live.len(), self.placed_runs());
         let (ended, stopping) = (self.ended_runs(), self.stopping.len());
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -89,3 +89,10 @@
 fn all_faults() {
     run_seeds(400_000, Faults::all());
 }
+
+/// Guards against tasks that run on after their job was cancelled while its owner was replaced.
+#[test]
+fn cancelled_takeovers() {
+    let faults = Faults { takeovers: true, cancels: true, ..Faults::default() };
+    run_seeds(700_000, Faults { cancelled_takeovers: true, ..faults });
+}
--- a/crates/batch/tests/schedules/regressions.rs
+++ b/crates/batch/tests/schedules/regressions.rs
@@ -1,6 +1,7 @@
 //! Regression tests for faults found elsewhere, each with a minimal schedule.
 
 use crate::load::step;
+use crate::worker::FakeWorker;
 use crate::world::Faults;
 use crate::world::World;
 use crate::world::policy;
@@ -156,3 +157,22 @@
         "{lost} of 240 jobs were given up while two thirds of the workers are healthy"
     );
 }
+
+/// Guards against tasks that run on after their job was cancelled: the owner stored the job's end
+/// and was replaced before its stops reached the workers.
+#[test]
+fn cancelled_before_takeover() {
+    let mut world = World::new(7, 2, Faults::default(), policy(0));
+    let id = world.submit("00000000000000df", "patient", "a", vec![step(12, 1, 60_000)]);
+    world.run(1_000);
+    for number in 0..2 {
+        world.workers.get_mut(&worker_id(number)).expect("there").idle_until = world.now + 500;
+    }
+    world.cancel(&id);
+    world.run(200);
+    assert_eq!(world.stored_state(&id), JobState::Cancelled);
+    world.take_over(false);
+    world.run(3_000);
+    let running = |fake: &FakeWorker| fake.running.keys().any(|task| task.job == id);
+    assert!(!world.workers.values().any(running), "a task still runs");
+}
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -47,6 +47,10 @@
 
 /// Time within which all runs of a cancelled job have to stop, in ms.
 const CANCEL_TIMEOUT_MS: u64 = 3_000;
+/// Time that a worker takes at most to stop a task, in ms.
+const STOP_TIMEOUT_MS: u64 = 200;
+/// Time without faults near a worker after which it has to follow orders in time, in ms.
+const CONTACT_MS: u64 = 4_000;
 /// Time within which a guaranteed job has to start, in ms.
 const GUARANTEE_TIMEOUT_MS: u64 = 2_700;
 /// Lifetime of a ticket of the advice service, in ms.
@@ -67,9 +71,12 @@
     pub failures: bool,
     pub leaving: bool,
     pub cancels: bool,
+    /// Takeovers shortly after cancellations, in which calls of the former owner are lost.
+    pub cancelled_takeovers: bool,
 }
 
 impl Faults {
+    /// All kinds, except takeovers that coincide with cancellations.
     pub fn all() -> Faults {
         Faults {
             takeovers: true,
@@ -80,6 +87,7 @@
             failures: true,
             leaving: true,
             cancels: true,
+            cancelled_takeovers: false,
         }
     }
 }
@@ -173,6 +181,12 @@
     pub undelivered_starts: u64,
     pub trace: Vec<String>,
     former_owners: BTreeSet<u64>,
+    /// When the current owner took over, in ms.
+    owner_since: u64,
+    /// When a new owner takes over, in ms.
+    takeover_at: Option<u64>,
+    /// When each job's end was first stored, in ms.
+    ended_at: BTreeMap<JobId, u64>,
     /// Owners with a call to the advice service in flight.
     advising: BTreeSet<u64>,
     pub advice_calls: u64,
@@ -185,7 +199,7 @@
 pub fn settings() -> Settings {
     Settings {
         lease: Duration::from_millis(LEASE_MS),
-        stop: Duration::from_millis(200),
+        stop: Duration::from_millis(STOP_TIMEOUT_MS),
         retention: Duration::from_secs(120),
     }
 }
@@ -250,6 +264,9 @@
             undelivered_starts: 0,
             trace: Vec::new(),
             former_owners: BTreeSet::new(),
+            owner_since: 0,
+            takeover_at: None,
+            ended_at: BTreeMap::new(),
             advising: BTreeSet::new(),
             advice_calls: 0,
             refused_starts: 0,
@@ -279,6 +296,7 @@
             self.owners.remove(&self.owner);
         }
         self.owner += 1;
+        self.owner_since = self.now;
         self.log_line(format!("owner {}", self.owner));
         let stale_time = Duration::from_millis(STALE_OWNER_MS);
         let planner = Planner::new(settings(), Time::from_millis(self.now), stale_time);
@@ -447,6 +465,11 @@
     ) {
         let Some(id) = called_worker(&action).cloned() else { return };
         let now = self.now;
+        // A call whose connection is not established when its owner ends is never sent.
+        let ended = self.former_owners.contains(&owner);
+        if self.faults.cancelled_takeovers && ended && self.rng.random_bool(0.5) {
+            return;
+        }
         if incarnation.is_some_and(|incarnation| self.workers[&id].incarnation != incarnation) {
             return;
         }
@@ -611,6 +634,9 @@
                     "{id} is stored as failed though it has attempts left"
                 ));
             }
+            if record.state.ended() {
+                self.ended_at.entry(id.clone()).or_insert(self.now);
+            }
             self.records.insert(id, record);
         }
         let delay = self.delay();
@@ -637,10 +663,16 @@
             }
             if self.now.is_multiple_of(100) {
                 self.check_guarantees();
+                self.check_ended_jobs();
                 for owner in self.owners.keys().copied().collect::<Vec<_>>() {
                     self.handle_event(owner, Event::Tick);
                 }
             }
+            if self.takeover_at.is_some_and(|at| at <= self.now) {
+                self.takeover_at = None;
+                let lives = self.rng.random_bool(0.3);
+                self.take_over(lives);
+            }
             if self.now.is_multiple_of(1_000) {
                 self.list_workers();
                 self.inject_fault();
@@ -742,6 +774,10 @@
             return;
         }
         let faults = self.faults;
+        if faults.cancelled_takeovers && self.rng.random_bool(0.3) {
+            self.cancel_before_takeover();
+            return;
+        }
         let ids: Vec<WorkerId> = self.workers.keys().cloned().collect();
         let id = ids[self.rng.random_range(0..ids.len())].clone();
         let span = self.rng.random_range(500..9_000);
@@ -791,6 +827,19 @@
         }
     }
 
+    /// Cancels one of the running jobs, and lets a new owner take over shortly after.
+    fn cancel_before_takeover(&mut self) {
+        let running = |id: &&JobId| self.stored_state(id) == JobState::Running;
+        let ids: Vec<JobId> = self.jobs.keys().filter(running).cloned().collect();
+        if ids.is_empty() {
+            return;
+        }
+        let id = ids[self.rng.random_range(0..ids.len())].clone();
+        self.log_line(format!("cancel {id} before a takeover"));
+        self.cancel(&id);
+        self.takeover_at = Some(self.now + self.rng.random_range(5..60));
+    }
+
     /// Marks all running tasks of long-running steps as past their startup.
     pub fn finish_startup(&mut self) {
         for work in self.workers.values_mut().flat_map(|fake| fake.running.values_mut()) {
--- a/crates/batch/tests/schedules/world/promises.rs
+++ b/crates/batch/tests/schedules/world/promises.rs
@@ -5,11 +5,14 @@
 
 use super::ATTEMPTS;
 use super::CANCEL_TIMEOUT_MS;
+use super::CONTACT_MS;
 use super::Faults;
 use super::GUARANTEE_TIMEOUT_MS;
+use super::STOP_TIMEOUT_MS;
 use super::SubmittedJob;
 use super::World;
 use super::is_allowed;
+use crate::worker::FakeWorker;
 use batch::JobId;
 use batch::JobState;
 use batch::Record;
@@ -128,6 +131,31 @@
         }
     }
 
+    /// Checks that runs of cancelled and ended jobs stop in time on workers without recent faults.
+    pub(super) fn check_ended_jobs(&self) {
+        let now = self.now;
+        let recent = |at: u64| at + CONTACT_MS > now;
+        if recent(self.owner_since) {
+            return;
+        }
+        let calm = |fake: &&FakeWorker| {
+            let faults = [fake.started, fake.cut_until, fake.deaf_until, fake.idle_until];
+            fake.up && !faults.into_iter().any(recent)
+        };
+        let overdue = |id: &JobId| {
+            let cancelled_at = self.jobs[id].cancelled_at;
+            let ended_at = cancelled_at.or_else(|| self.ended_at.get(id).copied());
+            ended_at.is_some_and(|at| at + CANCEL_TIMEOUT_MS + STOP_TIMEOUT_MS < now)
+        };
+        for fake in self.workers.values().filter(calm) {
+            for (task, work) in &fake.running {
+                if overdue(&task.job) && !recent(work.since) {
+                    self.fail_schedule(&format!("{task} runs on though its job has ended"));
+                }
+            }
+        }
+    }
+
     /// Whether no fault can have an effect any longer.
     pub(super) fn faults_over(&self) -> bool {
         let none = Faults::default();
