Log which tasks were on a worker that has crashed

Callers saw: one task crashes worker after worker (BUDGET). The log gave no sign of it: gives_up names single runs, with three different reasons for the same crash. Cause of the gap: nothing reports that another incarnation answers while runs are placed on a worker. Change: the note crashed, with the worker and its tasks, from both paths (a replaced worker and a renewal's report), as log line and event. Decisions are unchanged.

--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -143,6 +143,13 @@
         /// Whether it answers orders.
         heeds: bool,
     },
+    /// A worker has started again as another incarnation, and the runs placed on it are lost.
+    Crashed {
+        /// The worker.
+        worker: WorkerId,
+        /// Tasks whose runs may have been there.
+        tasks: Vec<TaskKey>,
+    },
     /// A run is given up as lost; its task is scheduled again unless its job has ended.
     GivesUp {
         /// The task.
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -39,7 +39,12 @@
             return;
         }
         if report.incarnation > worker.incarnation {
+            // A worker from the store that was not listed has no known incarnation.
+            let known = worker.incarnation > 0;
             worker.start_incarnation(report.incarnation);
+            if known {
+                self.note_crash(id);
+            }
             self.stop_unconfirmed(now, id);
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -318,6 +323,19 @@
         self.out.push(Action::Note(Note::BacksOff { worker: id.clone(), why, span }));
     }
 
+    /// Notes which tasks may have been running on a worker whose former incarnation has ended.
+    fn note_crash(&mut self, id: &WorkerId) {
+        let sent = |key: &&TaskKey| {
+            let stage = self.task(key).map(|task| &task.stage);
+            matches!(stage, Some(Stage::Placed(run)) if run.start_sent.is_some())
+        };
+        let tasks: Vec<TaskKey> =
+            self.runs.get(id).into_iter().flatten().filter(sent).cloned().collect();
+        if !tasks.is_empty() {
+            self.out.push(Action::Note(Note::Crashed { worker: id.clone(), tasks }));
+        }
+    }
+
     /// Gives up all runs of a worker, since another incarnation answers under its id or address.
     pub(crate) fn replaced(&mut self, now: Time, id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -325,6 +343,7 @@
         worker.listed = false;
         worker.clock = None;
         worker.reachable = false;
+        self.note_crash(id);
         let gone = self.runs.get(id).cloned().unwrap_or_default();
         for key in gone {
             self.give_up(now, &key, "another incarnation of the worker answers");
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -355,6 +355,11 @@
         Note::AnswersOrders { worker, heeds } => {
             info!(worker = &*worker.0, heeds = heeds; "{what}");
         }
+        Note::Crashed { worker, tasks } => {
+            let names: Vec<String> = tasks.iter().map(ToString::to_string).collect();
+            info!(worker = &*worker.0, count = tasks.len(), tasks = names.join(" ").as_str();
+                "{what}");
+        }
         Note::GivesUp { task, worker, why } => {
             info!(task = task.to_string().as_str(), worker = &*worker.0, why = why; "{what}");
         }
