--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -1,6 +1,7 @@
 //! Seeded simulations of jobs and faults, with the scheduler's invariants checked throughout.
 
 mod advice;
+mod crashing;
 mod large_fleet;
 mod lasting;
 mod load;
@@ -85,6 +86,12 @@
     run_seeds(300_000, Faults { cuts: true, crashes: true, ..Faults::default() });
 }
 
+#[test]
+fn crashing_tasks() {
+    let faults = Faults { takeovers: true, crashes: true, crashing: true, ..Faults::default() };
+    run_seeds(600_000, faults);
+}
+
 #[test]
 fn all_faults() {
     run_seeds(400_000, Faults::all());
--- a/crates/batch/tests/schedules/worker.rs
+++ b/crates/batch/tests/schedules/worker.rs
@@ -30,6 +30,8 @@
     pub total: u64,
     /// Whether the run is going to fail.
     pub fails: bool,
+    /// Whether the run crashes its worker soon after its start.
+    pub crashes: bool,
     pub saves: bool,
     /// Number of members of its gang; one for a single task.
     pub members: u32,
@@ -71,6 +73,8 @@
     pub slow_until: u64,
     /// When it goes away for good, in ms.
     pub leaves_at: Option<u64>,
+    /// When a crashed worker starts its next incarnation, in ms.
+    pub restarts_at: Option<u64>,
 }
 
 impl FakeWorker {
@@ -94,6 +98,7 @@
             failing_until: 0,
             slow_until: 0,
             leaves_at: None,
+            restarts_at: None,
         }
     }
 
@@ -235,6 +240,14 @@
         self.reachable(now) && !(order && self.idle_until > now)
     }
 
+    /// Loses everything, and starts a new incarnation at `until`.
+    pub fn crash(&mut self, until: u64) {
+        self.up = false;
+        self.running.clear();
+        self.ended.clear();
+        self.restarts_at = Some(until);
+    }
+
     /// Starts a new incarnation.
     pub fn restart(&mut self, now: u64) {
         *self = FakeWorker {
