Fail jobs whose tasks keep crashing their workers

Cause: a run that ends with its worker was given up and started again like one that was never sent. Nothing counted such losses, and what the planner did learn of them was forgotten at a takeover. Class: a retry without a limit that survives the process that retries. Change: a run whose worker goes silent within 7 s of the start is recorded as a loss of its task, in the job's record, with the worker's incarnation. Another incarnation's answer, also under another id at the same address, confirms the crash; the same incarnation's answer drops the loss. From the second loss in a row a task gets a worker of its own where one is free, so that the others on it are neither lost nor suspected. With the third, two of them confirmed, the job fails; until then the step waits, for 30 s at most. Running for longer than 7 s clears the losses, so that long jobs outlive ordinary crashes. Entry VMs of earlier versions ignore the new fields of records.

--- /dev/null
+++ b/crates/batch/src/crash.rs
@@ -0,0 +1,222 @@
+//! Tasks that may crash the workers that start them.
+//!
+//! A worker that goes silent soon after a start may have been crashed by that run. Such a run is
+//! recorded as a loss of its task, and the loss is confirmed once another incarnation of the worker
+//! answers; if the same incarnation answers, the worker was only out of reach and the loss is
+//! dropped. All recent runs on a crashed worker are counted alike, so a task becomes suspect with
+//! its second loss in a row and then gets a worker of its own where one is free. With the third it
+//! fails its job; while it is not known whether the workers crashed, it waits. Losses are part of
+//! the job's record: the owner may be replaced between two of them.
+
+use std::time::Duration;
+
+use crate::Planner;
+use crate::job::JobState;
+use crate::job::Run;
+use crate::job::Stage;
+use crate::job::Step;
+use crate::job::Task;
+use crate::planner::task_mut;
+use crate::room::Slot;
+use crate::spec::JobId;
+use crate::spec::TaskKey;
+use crate::spec::WorkerId;
+use model::Time;
+
+/// Number of lost workers in a row with which a task is not started again.
+const MAX_LOSSES: usize = 3;
+/// Number of these that must have crashed for the job to be failed.
+const MIN_CRASHES: usize = 2;
+/// Number of lost workers in a row with which a task is suspect. A rack or an availability zone
+/// that goes away costs many tasks one worker each, and these need the remaining capacity.
+const MIN_SUSPECT_LOSSES: usize = 2;
+/// Time from the start of a run to the silence of its worker within which the run is suspected, up
+/// to three seconds of which pass before a silent worker is noticed. Workers crash for other reasons
+/// too, and a job that runs for hours must outlive that.
+const SUSPECT_TIME: Duration = Duration::from_secs(7);
+/// Time after which a worker that has not answered since is no longer counted as lost: it may have
+/// been removed.
+const LOSS_TIME: Duration = Duration::from_secs(30);
+
+/// A run whose worker went silent soon after the start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Loss {
+    /// The worker and its incarnation; `None` once it is known to have crashed.
+    pub silent: Option<(WorkerId, u64)>,
+    /// When the loss was recorded, or restored by this owner.
+    pub at: Time,
+}
+
+impl Run {
+    /// Whether a worker that went silent at `silent` did so soon after this run was started there.
+    fn started_before(&self, silent: Time) -> bool {
+        self.first_sent.is_some_and(|at| at <= silent && silent <= at + SUSPECT_TIME)
+    }
+
+    /// Whether the run has gone on for long enough not to be suspected of a crash.
+    fn outlived_suspicion(&self, now: Time) -> bool {
+        self.first_sent.is_some_and(|at| at + SUSPECT_TIME < now)
+    }
+}
+
+impl Task {
+    /// Whether the task may be the cause of crashes.
+    pub fn is_suspect(&self) -> bool {
+        !self.done && self.losses.len() >= MIN_SUSPECT_LOSSES
+    }
+}
+
+impl Step {
+    /// Whether a task has lost so many workers that it waits until it is known what became of them.
+    pub fn is_held(&self) -> bool {
+        self.tasks.iter().any(|task| !task.done && task.losses.len() >= MAX_LOSSES)
+    }
+}
+
+impl Planner {
+    /// Records the current run of a task as a loss if its worker went silent soon after the start.
+    ///
+    /// `seen` is the incarnation of the worker that has answered since; `None` if none has.
+    pub(crate) fn record_loss(&mut self, now: Time, key: &TaskKey, seen: Option<u64>) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(task) = task_mut(job, key) else { return };
+        let Stage::Placed(run) = &task.stage else { return };
+        let Some(worker) = self.workers.get(&run.worker) else { return };
+        let unknown = run.incarnation == 0;
+        let survived = seen.is_some_and(|seen| unknown || seen <= run.incarnation);
+        if task.done || survived || !run.started_before(worker.silent_since) {
+            return;
+        }
+        // A draining worker goes away without a crash.
+        if worker.drain_end.is_some() {
+            return;
+        }
+        let id = run.worker.clone();
+        let silent = seen.is_none().then(|| (id.clone(), run.incarnation));
+        if silent.is_some() {
+            self.silent_workers.entry(id).or_default().insert(key.clone());
+        }
+        task.losses.insert(task.run, Loss { silent, at: now });
+        if task.is_suspect() {
+            self.suspects.insert(key.clone());
+        }
+        self.dirty.insert(key.job.clone());
+        self.check_crashes(now, key);
+    }
+
+    /// Confirms or drops the losses of a worker, one of whose incarnations has answered.
+    pub(crate) fn settle_losses(&mut self, now: Time, id: &WorkerId, seen: u64) {
+        let Some(keys) = self.silent_workers.remove(id) else { return };
+        for key in keys {
+            let Some(job) = self.jobs.get_mut(&key.job) else { continue };
+            let Some(task) = task_mut(job, &key) else { continue };
+            task.losses.retain(|_, loss| match &loss.silent {
+                Some((worker, incarnation)) if worker == id => seen > *incarnation,
+                _ => true,
+            });
+            for loss in task.losses.values_mut() {
+                loss.silent.take_if(|(worker, _)| worker == id);
+            }
+            self.dirty.insert(key.job.clone());
+            self.replan = true;
+            self.check_crashes(now, &key);
+        }
+    }
+
+    /// Silent workers that the directory no longer lists and whose address another one has.
+    pub(crate) fn taken_addresses(&self) -> Vec<WorkerId> {
+        let taken = |id: &&WorkerId| {
+            let Some(silent) = self.workers.get(*id).filter(|silent| !silent.listed) else {
+                return false;
+            };
+            let mut listed = self.workers.values().filter(|worker| worker.listed);
+            listed.any(|worker| worker.info.address == silent.info.address)
+        };
+        self.silent_workers.keys().filter(taken).cloned().collect()
+    }
+
+    /// Clears the losses of a task whose run has gone on for a while.
+    pub(crate) fn clear_losses(&mut self, now: Time, key: &TaskKey) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(task) = task_mut(job, key) else { return };
+        let Stage::Placed(run) = &task.stage else { return };
+        if !task.losses.is_empty() && run.outlived_suspicion(now) {
+            task.losses.clear();
+            self.suspects.remove(key);
+            self.dirty.insert(key.job.clone());
+            self.replan = true;
+        }
+    }
+
+    /// Restores the bookkeeping of the losses in a job's record.
+    pub(crate) fn restore_losses(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id).filter(|job| !job.state.ended()) else { return };
+        for (occurrence, steps) in (0u32..).zip(&job.occurrences) {
+            for (step, tasks) in (0u32..).zip(steps) {
+                for (index, task) in (0u32..).zip(&tasks.tasks) {
+                    let key = TaskKey { job: id.clone(), occurrence, step, index };
+                    for (worker, _) in task.losses.values().filter_map(|loss| loss.silent.as_ref())
+                    {
+                        let keys = self.silent_workers.entry(worker.clone()).or_default();
+                        keys.insert(key.clone());
+                    }
+                    if task.is_suspect() {
+                        self.suspects.insert(key);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Drops losses of workers that have not answered for a long time.
+    pub(crate) fn expire_losses(&mut self, now: Time) {
+        let Planner { silent_workers, jobs, dirty, replan, .. } = self;
+        silent_workers.retain(|_, keys| {
+            keys.retain(|key| {
+                let task = jobs.get_mut(&key.job).and_then(|job| task_mut(job, key));
+                let Some(task) = task else { return false };
+                let before = task.losses.len();
+                task.losses.retain(|_, loss| loss.silent.is_none() || now < loss.at + LOSS_TIME);
+                if task.losses.len() < before {
+                    dirty.insert(key.job.clone());
+                    *replan = true;
+                }
+                task.losses.values().any(|loss| loss.silent.is_some())
+            });
+            !keys.is_empty()
+        });
+    }
+
+    /// Fails the job of a task that keeps crashing its workers.
+    fn check_crashes(&mut self, now: Time, key: &TaskKey) {
+        let Some(losses) = self.task(key).map(|task| &task.losses) else { return };
+        let crashes = losses.values().filter(|loss| loss.silent.is_none()).count();
+        let ended = self.jobs.get(&key.job).is_none_or(|job| job.state.ended());
+        if losses.len() >= MAX_LOSSES && crashes >= MIN_CRASHES && !ended {
+            self.end_job(now, &key.job, JobState::Failed);
+        }
+    }
+
+    /// Marks the slots that run any tasks, and those that run a suspect one, which get no others.
+    pub(crate) fn mark_suspects(&mut self, slots: &mut [Slot]) {
+        let jobs = &self.jobs;
+        self.suspects.retain(|key| {
+            let Some(job) = jobs.get(&key.job).filter(|job| !job.state.ended()) else {
+                return false;
+            };
+            job.task(key).is_some_and(Task::is_suspect)
+        });
+        if self.suspects.is_empty() {
+            return;
+        }
+        for slot in slots.iter_mut() {
+            slot.occupied = self.runs.get(&slot.worker).is_some_and(|keys| !keys.is_empty());
+        }
+        for key in &self.suspects {
+            let Some(Stage::Placed(run)) = self.task(key).map(|task| &task.stage) else { continue };
+            if let Ok(at) = slots.binary_search_by(|slot| slot.worker.cmp(&run.worker)) {
+                slots[at].withheld = true;
+            }
+        }
+    }
+}
--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -54,6 +54,9 @@
     pub reachable: bool,
     /// Number of renewals in a row without an answer.
     pub missed_calls: u32,
+    /// When it last went silent: the first of the last renewals in a row that failed, or the answer
+    /// of another incarnation.
+    pub silent_since: Time,
     /// Whether a renewal is in flight.
     pub renewing: bool,
     /// When the last renewal was sent.
@@ -118,6 +121,7 @@
             inherited_end,
             reachable: false,
             missed_calls: 0,
+            silent_since: Time::ZERO,
             renewing: false,
             renewal_sent: Time::ZERO,
             stored_end: 0,
@@ -144,6 +148,13 @@
         self.unanswered_orders >= MAX_UNANSWERED_ORDERS
     }
 
+    /// Records that it does not answer, or that another incarnation does.
+    pub fn note_silence(&mut self, now: Time) {
+        if self.missed_calls == 0 {
+            self.silent_since = now;
+        }
+    }
+
     /// Whether it accepts new runs.
     pub fn usable(&self, now: Time) -> bool {
         self.listed
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -12,6 +12,7 @@
 use strum::EnumString;
 
 use crate::advice::Ticket;
+use crate::crash::Loss;
 use crate::pace::RunPace;
 use crate::record::Record;
 use crate::record::TaskRecord;
@@ -52,8 +53,12 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Run {
     pub worker: WorkerId,
+    /// Incarnation of the worker that the run was placed on or reported by; zero if not known.
+    pub incarnation: u64,
     /// Whether the run has been stored.
     pub stored: bool,
+    /// When a start was first sent, or the run was restored; `None` before.
+    pub first_sent: Option<Time>,
     /// When a start was last sent; `None` before the first.
     pub start_sent: Option<Time>,
     /// Latest lease end that a start carried, in ms of the worker's clock.
@@ -78,10 +83,12 @@
 
 impl Run {
     /// Creates a run that is neither stored nor sent to its worker.
-    pub fn new(worker: WorkerId) -> Run {
+    pub fn new(worker: WorkerId, incarnation: u64) -> Run {
         Run {
             worker,
+            incarnation,
             stored: false,
+            first_sent: None,
             start_sent: None,
             deadline: 0,
             confirmed: None,
@@ -117,6 +124,8 @@
     /// Numbers of the runs that failed. A set rather than a count, since an end may be reported to
     /// several owners.
     pub failures: BTreeSet<u32>,
+    /// Workers lost soon after they started the task, by run; see [`crate::crash`].
+    pub losses: BTreeMap<u32, Loss>,
     /// Last checkpoint; empty for none.
     pub saved: String,
     /// Worker on which it last failed.
@@ -229,6 +238,7 @@
             done: false,
             run: 0,
             failures: BTreeSet::new(),
+            losses: BTreeMap::new(),
             saved: String::new(),
             failed_on: None,
             broken_run: 0,
@@ -253,14 +263,15 @@
         self.spec.steps[step].after.iter().all(|&before| steps[before as usize].done())
     }
 
+    /// Returns the task of `key`, if it exists.
+    pub fn task(&self, key: &TaskKey) -> Option<&Task> {
+        let step = self.occurrences.get(key.occurrence as usize)?.get(key.step as usize)?;
+        step.tasks.get(key.index as usize)
+    }
+
     /// Whether run `number` of a task is the current one and is on `worker`, as far as is known.
     pub fn has_run(&self, key: &TaskKey, number: u32, worker: &WorkerId) -> bool {
-        let step = self
-            .occurrences
-            .get(key.occurrence as usize)
-            .and_then(|steps| steps.get(key.step as usize));
-        let task = step.and_then(|step| step.tasks.get(key.index as usize));
-        task.is_some_and(|task| {
+        self.task(key).is_some_and(|task| {
             task.run == number && matches!(&task.stage, Stage::Placed(run) if run.worker == *worker)
         })
     }
@@ -294,9 +305,10 @@
         None => Stage::Idle,
         Some(worker) => Stage::Placed(Run {
             stored: true,
+            first_sent: Some(now),
             start_sent: Some(now),
             confirmed: Some(now),
-            ..Run::new(worker.clone())
+            ..Run::new(worker.clone(), record.incarnation)
         }),
     };
     Task {
@@ -304,6 +316,11 @@
         done: record.done,
         run: record.run,
         failures: record.failures.clone(),
+        losses: record
+            .losses
+            .iter()
+            .map(|(run, silent)| (*run, Loss { silent: silent.clone(), at: now }))
+            .collect(),
         saved: record.saved.clone(),
         failed_on: None,
         broken_run: 0,
@@ -311,15 +328,17 @@
 }
 
 fn task_record(task: &Task) -> TaskRecord {
-    let place = match &task.stage {
-        Stage::Placed(run) => Some(run.worker.clone()),
-        _ => None,
+    let (place, incarnation) = match &task.stage {
+        Stage::Placed(run) => (Some(run.worker.clone()), run.incarnation),
+        _ => (None, 0),
     };
     TaskRecord {
         run: task.run,
         failures: task.failures.clone(),
+        losses: task.losses.iter().map(|(run, loss)| (*run, loss.silent.clone())).collect(),
         done: task.done,
         place,
+        incarnation,
         saved: task.saved.clone(),
     }
 }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -12,6 +12,7 @@
 mod action;
 mod advice;
 mod calls;
+mod crash;
 mod directory;
 mod event;
 mod headroom;
--- a/crates/batch/src/lost.rs
+++ b/crates/batch/src/lost.rs
@@ -37,6 +37,9 @@
                 draining.extend(keys.iter().cloned());
             }
         }
+        for key in expired.iter().chain(&broken) {
+            self.record_loss(now, key, None);
+        }
         for key in expired {
             self.give_up(now, &key, "all leases sent to the worker have expired");
         }
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -12,6 +12,7 @@
 use crate::job::Run;
 use crate::job::Stage;
 use crate::job::Step;
+use crate::job::Task;
 use crate::order::PendingStep;
 use crate::order::Rank;
 use crate::planner::task_mut;
@@ -68,7 +69,7 @@
             let spec = Arc::clone(&job.spec);
             let step = &spec.steps[pending.step];
             let step_state = &job.occurrences[pending.occurrence][pending.step];
-            if step.gang && !step_state.idle() || !step_state.waiting() {
+            if step.gang && !step_state.idle() || !step_state.waiting() || step_state.is_held() {
                 waiting |= !step_state.done();
                 continue;
             }
@@ -180,7 +181,7 @@
             worker.used.add(&step.need);
             let Some(task) = task_mut(job, &key) else { continue };
             task.run = if step.gang { highest + 1 } else { task.run + 1 };
-            task.stage = Stage::Placed(Run::new(id.clone()));
+            task.stage = Stage::Placed(Run::new(id.clone(), worker.incarnation));
             self.runs.entry(id).or_default().insert(key);
         }
         job.begun = true;
@@ -268,12 +269,13 @@
 }
 
 /// Placement score of a slot; the lowest is best. It prefers workers without recent failures of
-/// this or other tasks, then workers that are not slow, then workers near the data, then the
+/// this or other tasks, and without any runs for a task that may crash its worker, then workers that are not slow, then workers near the data, then the
 /// tightest fit.
 type Score = (bool, bool, bool, u64, u64, u64);
 
-fn placement_score(slot: &Slot, step: &StepSpec, failed_on: Option<&WorkerId>) -> Score {
-    let suspect = slot.suspect || failed_on == Some(&slot.worker);
+fn placement_score(slot: &Slot, step: &StepSpec, task: &Task) -> Score {
+    let shared = slot.occupied && task.is_suspect();
+    let suspect = shared || slot.suspect || task.failed_on.as_ref() == Some(&slot.worker);
     let far = step.rack.as_ref().is_some_and(|rack| *rack != slot.info.rack);
     let left = slot.free.less(&step.need);
     (suspect, slot.slow, far, left.gpu, left.memory, left.cpu)
@@ -283,15 +285,16 @@
 fn best_slot(
     slots: &[Slot],
     step: &StepSpec,
-    failed_on: Option<&WorkerId>,
+    task: &Task,
     last: Option<usize>,
     suits: impl Fn(&Slot) -> bool,
 ) -> Option<usize> {
-    let again = last.filter(|&at| slots[at].fits_task(step) && failed_on.is_none());
+    let picky = task.failed_on.is_some() || task.is_suspect();
+    let again = last.filter(|&at| slots[at].fits_task(step) && !picky);
     again.or_else(|| {
         (0..slots.len())
             .filter(|&at| slots[at].fits_task(step) && suits(&slots[at]))
-            .min_by_key(|&at| placement_score(&slots[at], step, failed_on))
+            .min_by_key(|&at| placement_score(&slots[at], step, task))
     })
 }
 
@@ -311,12 +314,13 @@
             continue;
         }
         let suits = |slot: &Slot| slot.suits(step, service) && !(avoid_suspects && slot.suspect);
-        let best = best_slot(slots, step, task.failed_on.as_ref(), last, suits);
+        let best = best_slot(slots, step, task, last, suits);
         let Some(at) = best else { break };
         if prefer_near && step.rack.as_ref().is_some_and(|rack| *rack != slots[at].info.rack) {
             break;
         }
         slots[at].add_task(step);
+        slots[at].withheld |= task.is_suspect();
         found.push((index, at));
         last = Some(at);
     }
@@ -367,8 +371,9 @@
         best = pack(slots, &all, step_state, step).map(|places| ((true, 0), places));
     }
     let Some((_, places)) = best else { return Places::new() };
-    for (_, at) in &places {
+    for (index, at) in &places {
         slots[*at].add_task(step);
+        slots[*at].withheld |= step_state.tasks[*index as usize].is_suspect();
     }
     places
 }
@@ -379,7 +384,7 @@
     let mut places = Places::new();
     let mut last: Option<usize> = None;
     for (index, task) in (0u32..).zip(&step_state.tasks) {
-        let best = best_slot(&trial_slots, step, task.failed_on.as_ref(), last, |_| true)?;
+        let best = best_slot(&trial_slots, step, task, last, |_| true)?;
         trial_slots[best].free.remove(&step.need);
         trial_slots[best].step_tasks += 1;
         places.push((index, group[best]));
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -69,6 +69,10 @@
     pub(crate) needs_isolation: bool,
     /// Recent capacity use of urgent steps.
     pub(crate) urgent_peaks: UrgentUse,
+    /// Tasks that may be the cause of crashes.
+    pub(crate) suspects: BTreeSet<TaskKey>,
+    /// Tasks with a loss on a worker that has not answered since, by worker.
+    pub(crate) silent_workers: BTreeMap<WorkerId, BTreeSet<TaskKey>>,
     /// Whether a placement pass is due.
     pub(crate) replan: bool,
     /// Latest time of the next placement pass.
@@ -134,6 +138,8 @@
             removed: VecDeque::new(),
             needs_isolation: false,
             urgent_peaks: UrgentUse::default(),
+            suspects: BTreeSet::new(),
+            silent_workers: BTreeMap::new(),
             replan: false,
             replan_at: Time::NEVER,
             restored: false,
@@ -158,6 +164,7 @@
         if self.restored {
             self.open_occurrences(now, wall);
             self.check_workers(now);
+            self.expire_losses(now);
             if self.replan || self.replan_at <= now {
                 self.replan = false;
                 self.replan_at = Time::NEVER;
@@ -228,7 +235,7 @@
             }
             Event::Cancelled(id) => self.cancelled(now, &id),
             Event::Renewed(worker, report) => self.renewal_answered(now, &worker, &report),
-            Event::RenewalFailed(worker) => self.renewal_failed(&worker),
+            Event::RenewalFailed(worker) => self.renewal_failed(now, &worker),
             Event::Deposed => self.out.push(Action::Resign),
             Event::Replaced(worker) => self.replaced(now, &worker),
             Event::Started(worker, task, run, result) => {
@@ -267,11 +274,14 @@
                 worker.info = Arc::new(info);
             }
         }
+        for id in self.taken_addresses() {
+            self.replaced(now, &id);
+        }
         for id in unseen {
             let idle = self.runs.get(&id).is_none_or(BTreeSet::is_empty);
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.listed = false;
-                if idle && !worker.renewing {
+                if idle && !worker.renewing && !self.silent_workers.contains_key(&id) {
                     self.workers.remove(&id);
                 }
             }
@@ -315,6 +325,10 @@
                 worker
             });
             worker.used.add(&need);
+            if run.incarnation != 0 && run.incarnation < worker.incarnation {
+                // It has restarted, and this owner learns of that only now.
+                worker.note_silence(now);
+            }
             self.runs.entry(run.worker.clone()).or_default().insert(key);
         }
         let ended = job.state.ended() && !job.has_runs();
@@ -324,6 +338,7 @@
             self.ended.push_back((now, id));
         } else {
             self.live.insert(id.clone());
+            self.restore_losses(&id);
             self.stop_obsolete_runs(now, &id);
             if submission.cancelled {
                 self.cancelled(now, &id);
@@ -538,6 +553,7 @@
         let (id, incarnation) = (run.worker.clone(), worker.incarnation);
         worker.deadline = worker.deadline.max(deadline);
         run.deadline = run.deadline.max(deadline);
+        run.first_sent.get_or_insert(now);
         run.start_sent = Some(now);
         let ticket = step_mut(job, key).ticket(&id, incarnation, now).map(str::to_owned);
         self.out.push(Action::Start {
@@ -556,17 +572,13 @@
     }
 
     pub(crate) fn task(&self, key: &TaskKey) -> Option<&Task> {
-        let job = self.jobs.get(&key.job)?;
-        job.occurrences
-            .get(key.occurrence as usize)?
-            .get(key.step as usize)?
-            .tasks
-            .get(key.index as usize)
+        self.jobs.get(&key.job)?.task(key)
     }
 
-    fn renewal_failed(&mut self, id: &WorkerId) {
+    fn renewal_failed(&mut self, now: Time, id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.renewing = false;
+        worker.note_silence(now);
         worker.missed_calls += 1;
         if worker.missed_calls >= MAX_MISSED_CALLS {
             worker.reachable = false;
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -3,7 +3,8 @@
 //! Each change of a wide job stores hundreds of tasks, over links of a few Mbit/s, so the
 //! serialized form is kept short. Worker ids appear once in a table, and a task is a string such
 //! as `3d`, `2@4` or `2@4!1=checkpoint`: highest run number, `d` if done, `@` and the worker's
-//! index in the table, `!` and the failed runs, `=` and the checkpoint.
+//! index in the table, `!` and the failed runs, `=` and the checkpoint. Losses are rare and stand in
+//! a list of their own, which entry VMs of earlier versions ignore.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -25,6 +26,11 @@
     pub done: bool,
     /// Worker that may have the current run; `None` if there is no run.
     pub place: Option<WorkerId>,
+    /// Incarnation of that worker; zero if there is no run or it is not known.
+    pub incarnation: u64,
+    /// Runs whose worker went silent soon after the start, with the worker and its incarnation;
+    /// `None` if it is known to have crashed.
+    pub losses: BTreeMap<u32, Option<(WorkerId, u64)>>,
     /// Checkpoint to resume from; empty for none.
     pub saved: String,
 }
@@ -50,30 +56,63 @@
     begun: bool,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     workers: Vec<WorkerId>,
+    /// Incarnations of `workers`; empty if none is known.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    incarnations: Vec<u64>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    losses: Vec<CompactLoss>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "turns")]
     occurrences: Vec<Vec<Vec<String>>>,
 }
 
+/// A loss of a task.
+#[derive(Serialize, Deserialize)]
+struct CompactLoss {
+    /// Occurrence, step and index of the task.
+    task: (usize, usize, usize),
+    run: u32,
+    /// The worker and its incarnation, unless it is known to have crashed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    silent: Option<(WorkerId, u64)>,
+}
+
 impl From<Record> for Compact {
     fn from(record: Record) -> Compact {
-        let mut workers: Vec<WorkerId> = Vec::new();
-        let mut known: BTreeMap<WorkerId, usize> = BTreeMap::new();
-        let mut text = |task: TaskRecord| {
-            let place = task.place.clone().map(|worker| {
-                *known.entry(worker.clone()).or_insert_with(|| {
-                    workers.push(worker);
-                    workers.len() - 1
-                })
-            });
-            write_task(&task, place)
-        };
+        let mut workers: Vec<(WorkerId, u64)> = Vec::new();
+        let mut known: BTreeMap<(WorkerId, u64), usize> = BTreeMap::new();
+        let mut losses = Vec::new();
         let mut occurrences = Vec::with_capacity(record.occurrences.len());
-        for steps in record.occurrences {
-            let steps = steps.into_iter().map(|tasks| tasks.into_iter().map(&mut text).collect());
-            occurrences.push(steps.collect());
+        for (occurrence, steps) in record.occurrences.into_iter().enumerate() {
+            let mut texts = Vec::with_capacity(steps.len());
+            for (step, tasks) in steps.into_iter().enumerate() {
+                let text = |(index, task): (usize, TaskRecord)| {
+                    let place = task.place.clone().map(|worker| {
+                        let worker = (worker, task.incarnation);
+                        *known.entry(worker.clone()).or_insert_with(|| {
+                            workers.push(worker);
+                            workers.len() - 1
+                        })
+                    });
+                    let text = write_task(&task, place);
+                    let task_losses = task.losses.into_iter();
+                    losses.extend(task_losses.map(|(run, silent)| CompactLoss {
+                        task: (occurrence, step, index),
+                        run,
+                        silent,
+                    }));
+                    text
+                };
+                texts.push(tasks.into_iter().enumerate().map(text).collect());
+            }
+            occurrences.push(texts);
         }
-        Compact { state: record.state, begun: record.begun, workers, occurrences }
+        let (workers, mut incarnations): (Vec<WorkerId>, Vec<u64>) = workers.into_iter().unzip();
+        if incarnations.iter().all(|&incarnation| incarnation == 0) {
+            incarnations.clear();
+        }
+        let (state, begun) = (record.state, record.begun);
+        Compact { state, begun, workers, incarnations, losses, occurrences }
     }
 }
 
@@ -81,19 +120,27 @@
     type Error = String;
 
     fn try_from(compact: Compact) -> Result<Record, String> {
+        let incarnations = compact.incarnations.into_iter().chain(std::iter::repeat(0));
+        let workers: Vec<(WorkerId, u64)> = compact.workers.into_iter().zip(incarnations).collect();
         let mut occurrences = Vec::with_capacity(compact.occurrences.len());
         for steps in &compact.occurrences {
             let mut occurrence = Vec::with_capacity(steps.len());
             for tasks in steps {
                 let task = |text: &String| {
-                    read_task(text, &compact.workers)
-                        .ok_or_else(|| format!("task {text:?} cannot be read"))
+                    read_task(text, &workers).ok_or_else(|| format!("task {text:?} cannot be read"))
                 };
                 occurrence
                     .push(tasks.iter().map(task).collect::<Result<Vec<TaskRecord>, String>>()?);
             }
             occurrences.push(occurrence);
         }
+        for CompactLoss { task: (occurrence, step, index), run, silent } in compact.losses {
+            let steps = occurrences.get_mut(occurrence);
+            let tasks = steps.and_then(|steps| steps.get_mut(step));
+            let task = tasks.and_then(|tasks| tasks.get_mut(index));
+            let task = task.ok_or_else(|| format!("loss of run {run} names no task"))?;
+            task.losses.insert(run, silent);
+        }
         Ok(Record { state: compact.state, begun: compact.begun, occurrences })
     }
 }
@@ -122,7 +169,7 @@
     text
 }
 
-fn read_task(text: &str, workers: &[WorkerId]) -> Option<TaskRecord> {
+fn read_task(text: &str, workers: &[(WorkerId, u64)]) -> Option<TaskRecord> {
     let (rest, saved) = text.split_once('=').unwrap_or((text, ""));
     let (rest, failures) = rest.split_once('!').unwrap_or((rest, ""));
     let (rest, place) = match rest.split_once('@') {
@@ -133,8 +180,18 @@
         Some(rest) => (rest, true),
         None => (rest, false),
     };
+    let (place, incarnation) = place.unzip();
+    let incarnation = incarnation.unwrap_or(0);
     let run = if rest.is_empty() { 0 } else { rest.parse().ok()? };
     let failures = failures.split(',').filter(|run| !run.is_empty());
     let failures = failures.map(|run| run.parse().ok()).collect::<Option<BTreeSet<u32>>>()?;
-    Some(TaskRecord { run, failures, done, place, saved: saved.to_owned() })
+    Some(TaskRecord {
+        run,
+        failures,
+        done,
+        place,
+        incarnation,
+        saved: saved.to_owned(),
+        ..TaskRecord::default()
+    })
 }
--- a/crates/batch/src/room.rs
+++ b/crates/batch/src/room.rs
@@ -30,7 +30,10 @@
     pub incarnation: u64,
     /// Whether the current step lacks a ticket of the advice service for this worker.
     pub barred: bool,
-    /// Whether it is kept free for urgent steps, which are placed before it is marked.
+    /// Whether any run is placed here; only known while there are suspect tasks.
+    pub occupied: bool,
+    /// Whether it is kept free for urgent steps, which are placed before it is marked, or runs a
+    /// suspect task.
     pub withheld: bool,
     /// Whether tasks with a latency target run here.
     pub has_target: bool,
@@ -51,6 +54,7 @@
             slow: now < worker.slow_until || worker.missed_calls > 0,
             incarnation: worker.incarnation,
             barred: false,
+            occupied: false,
             withheld: false,
             has_target: false,
             has_fillers: false,
@@ -76,6 +80,7 @@
     pub fn add_task(&mut self, step: &StepSpec) {
         self.free.remove(&step.need);
         self.step_tasks += 1;
+        self.occupied = true;
         self.has_target |= step.target_ms > 0;
         self.has_fillers |= step.fills;
     }
@@ -120,6 +125,7 @@
                 slot.has_fillers |= step.fills;
             }
         }
+        self.mark_suspects(&mut slots);
         self.reserving.retain(|id| {
             let Some(job) = self.jobs.get(id) else { return false };
             let mut any = false;
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -39,6 +39,7 @@
             return;
         }
         if report.incarnation > worker.incarnation {
+            worker.note_silence(now);
             // A worker from the store that was not listed has no known incarnation.
             let known = worker.incarnation > 0;
             worker.start_incarnation(report.incarnation);
@@ -56,6 +57,8 @@
         worker.inherited_end = Time::ZERO;
         worker.clock = Some((now, report.clock));
         worker.acked_end = worker.acked_end.max(worker.acking_end);
+        self.settle_losses(now, id, report.incarnation);
+        let Some(worker) = self.workers.get_mut(id) else { return };
         let ended: Vec<&End> =
             report.ended.iter().filter(|end| end.number > worker.heard_end).collect();
         worker.heard_end = ended.iter().map(|end| end.number).fold(worker.heard_end, u64::max);
@@ -65,6 +68,7 @@
         let mut foreign_runs = 0;
         for listed in &report.running {
             if self.record_progress(now, id, listed) {
+                self.clear_losses(now, &listed.task);
                 continue;
             }
             foreign_runs += 1;
@@ -105,6 +109,7 @@
         report: &crate::event::RunReport,
     ) -> bool {
         let begun = self.work_begun(&report.task);
+        let incarnation = self.workers.get(id).map_or(0, |worker| worker.incarnation);
         let Some(job) = self.jobs.get_mut(&report.task.job) else { return false };
         let Some(task) = task_mut(job, &report.task) else { return false };
         if task.run != report.run {
@@ -114,6 +119,7 @@
         if run.worker != *id {
             return false;
         }
+        run.incarnation = incarnation;
         run.confirmed.get_or_insert(now);
         run.pace.record(now, report.percent, begun);
         run.percent = run.percent.max(report.percent);
@@ -147,6 +153,7 @@
             }
         }
         for key in missing {
+            self.record_loss(now, &key, Some(report.incarnation));
             self.give_up(now, &key, "the worker does not have the run");
         }
     }
@@ -221,6 +228,7 @@
                 continue;
             }
             task.done = true;
+            task.losses.clear();
             match &mut task.stage {
                 Stage::Placed(_) if current => {
                     freed.push(TaskKey { index: index as u32, ..key.clone() });
@@ -343,9 +351,12 @@
         worker.listed = false;
         worker.clock = None;
         worker.reachable = false;
+        worker.note_silence(now);
+        self.settle_losses(now, id, u64::MAX);
         self.note_crash(id);
         let gone = self.runs.get(id).cloned().unwrap_or_default();
         for key in gone {
+            self.record_loss(now, &key, Some(u64::MAX));
             self.give_up(now, &key, "another incarnation of the worker answers");
         }
     }
--- a/crates/batch/tests/records.rs
+++ b/crates/batch/tests/records.rs
@@ -1,5 +1,6 @@
 //! Serialized form of job records.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use batch::JobState;
@@ -15,9 +16,12 @@
         done,
         place,
         saved: saved.to_owned(),
+        ..TaskRecord::default()
     };
     let mut failed = task(3, false, worker("i-2"), "a;b=c!d@e");
     failed.failures = BTreeSet::from([1, 2]);
+    failed.incarnation = 1_781_234_567_890;
+    failed.losses = BTreeMap::from([(1, None), (3, Some((WorkerId("i-9".into()), 17)))]);
     let step = vec![
         TaskRecord::default(),
         task(1, true, None, ""),
