--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -154,6 +154,13 @@
         /// How many of these are being stopped.
         stopping: usize,
     },
+    /// A worker has started again as another incarnation, and the runs placed on it are lost.
+    Crashed {
+        /// The worker.
+        worker: WorkerId,
+        /// Tasks whose runs may have been there.
+        tasks: Vec<TaskKey>,
+    },
     /// A run is given up as lost; its task is scheduled again unless its job has ended.
     GivesUp {
         /// The task.
