Read a list in which one item cannot be decoded

Operators of similar systems saw: one odd entry among those of the workers, and the machines that read the list stopped following it.

Cause: a read of a list or a watch failed as a whole if the value of a single item was not Base64. The owner then kept the last listing and used no worker that joined later. A new owner read the directory again and again, renewed its ownership meanwhile, and never finished its takeover; jobs stood still.

Change: an item carries its value or why it cannot be decoded, and each reader decides about that item. A worker entry names no worker, a job or record is logged and left out as any malformed one, a configuration leaves the last one in force, and the owner key still counts as present. The stand-in for a worker refuses calls that are meant for another one, as workers do.

--- a/crates/entry/tests/hosted/main.rs
+++ b/crates/entry/tests/hosted/main.rs
@@ -1,6 +1,7 @@
 //! Tests of entry VM processes in host mode, which keep their state in the platform's store.
 
 mod cluster;
+mod odd_entries;
 mod soak;
 
 use std::cell::Cell;
--- a/crates/fake/src/hosted/store.rs
+++ b/crates/fake/src/hosted/store.rs
@@ -133,6 +133,12 @@
         lock(&self.state).write(key, STANDARD.encode(value), 0);
     }
 
+    /// Writes an item whose value the store returns unchanged instead of in Base64, as another
+    /// writer may.
+    pub fn put_raw(&self, key: &str, value: &str) {
+        lock(&self.state).write(key, value.to_owned(), 0);
+    }
+
     /// Removes an item, as the platform does.
     pub fn remove(&self, key: &str) {
         let mut state = lock(&self.state);
--- a/crates/fake/src/hosted/worker.rs
+++ b/crates/fake/src/hosted/worker.rs
@@ -30,6 +30,8 @@
 
 /// Interval at which a waiting `hold` call checks for ended tasks.
 const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Request header with the id of the worker that a call is meant for.
+const EXPECTED_INSTANCE: &str = "x-basilrack-expect-instance";
 /// Maximum lease time, in ms.
 const MAX_LEASE_MS: u64 = 6_000;
 
@@ -94,7 +96,8 @@
             highest_runs: BTreeMap::new(),
             starts: Vec::new(),
         }));
-        let server = Server::start(WorkerHandler { state: Arc::clone(&state) }, None)?;
+        let handler = WorkerHandler { state: Arc::clone(&state), id: id.to_owned() };
+        let server = Server::start(handler, None)?;
         Ok(HostedWorker { server, state, id: id.to_owned() })
     }
 
@@ -232,11 +235,16 @@
 #[derive(Clone)]
 struct WorkerHandler {
     state: Arc<Mutex<State>>,
+    id: String,
 }
 
 impl Handler for WorkerHandler {
     async fn handle(&self, request: Request<Incoming>) -> Result<Response<Body>, CloseConnection> {
         let path = request.uri().path().to_owned();
+        let expected = request.headers().get(EXPECTED_INSTANCE);
+        if expected.is_some_and(|expected| *expected != *self.id) {
+            return Ok(status(StatusCode::MISDIRECTED_REQUEST));
+        }
         let body = read(request.into_body()).await?;
         let body: Value = serde_json::from_slice(&body).unwrap_or_default();
         {
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -134,7 +134,7 @@
                     // An earlier attempt at this transaction may have taken effect unanswered.
                     let stored = items.iter().find(|item| item.key == SEQUENCE_KEY);
                     return match stored {
-                        Some(item) if item.value == sequence => {
+                        Some(item) if item.value.as_deref() == Ok(sequence) => {
                             self.sequence = item.revision;
                             Ok(())
                         }
--- a/crates/node/src/confirm.rs
+++ b/crates/node/src/confirm.rs
@@ -48,7 +48,8 @@
     if active.as_ref().is_some_and(|active| active.revision >= item.revision) {
         return;
     }
-    match configuration::decode(&item.value) {
+    let decoded = item.value.as_deref().map_err(String::clone).and_then(configuration::decode);
+    match decoded {
         Ok(policy) => {
             if active.is_some_and(|active| active.policy.version > policy.version) {
                 warn!(version = policy.version, revision = item.revision;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -180,12 +180,12 @@
         self.update_directory(workers)?;
         let mut states: BTreeMap<JobId, Record> = BTreeMap::new();
         for item in &records {
-            match serde_json::from_slice(&item.value) {
+            match item.json() {
                 Ok(record) => {
                     states.insert(parse_job_id(&item.key), record);
                 }
                 Err(error) => {
-                    warn!(key = item.key.as_str(), error = error.to_string().as_str();
+                    warn!(key = item.key.as_str(), error = error.as_str();
                         "record: cannot be decoded");
                 }
             }
@@ -389,10 +389,10 @@
 }
 
 fn parse_submission(item: &Item) -> Option<(JobId, Submission)> {
-    match serde_json::from_slice(&item.value) {
+    match item.json() {
         Ok(submission) => Some((parse_job_id(&item.key), submission)),
         Err(error) => {
-            warn!(key = item.key.as_str(), error = error.to_string().as_str();
+            warn!(key = item.key.as_str(), error = error.as_str();
                 "job: cannot be decoded");
             None
         }
@@ -400,11 +400,15 @@
 }
 
 fn parse_workers(entries: &[Item]) -> Vec<WorkerInfo> {
-    let entry = |item: &Item| match directory::decode_entry(&item.key, &item.value) {
-        Ok(worker) => Some(worker),
-        Err(error) => {
-            warn!(error = error.as_str(); "directory: malformed worker entry; ignored");
-            None
+    let entry = |item: &Item| {
+        let value = item.value.as_deref().map_err(String::clone);
+        match value.and_then(|value| directory::decode_entry(&item.key, value)) {
+            Ok(worker) => Some(worker),
+            Err(error) => {
+                warn!(key = item.key.as_str(), error = error.as_str();
+                    "directory: malformed worker entry; ignored");
+                None
+            }
         }
     };
     entries.iter().filter_map(entry).collect()
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -22,6 +22,7 @@
 use model::Time;
 use net::Reply;
 use net::call::Call;
+use platform::store::Item;
 use platform::store::StoreError;
 use platform::store::Txn;
 use platform::store::TxnOutcome;
@@ -92,9 +93,7 @@
 async fn read_peers(state: &State) {
     match state.store.range(PEER_PREFIX, STORE_TIMEOUT).await {
         Ok((items, _)) => {
-            let address = |value: &[u8]| std::str::from_utf8(value).ok()?.parse().ok();
-            let peers: Vec<SocketAddr> =
-                items.iter().filter_map(|item| address(&item.value)).collect();
+            let peers: Vec<SocketAddr> = items.iter().filter_map(parse_address).collect();
             let own = state.settings.peers;
             *state.peers.borrow_mut() = peers.into_iter().filter(|peer| *peer != own).collect();
         }
@@ -102,6 +101,15 @@
     }
 }
 
+fn parse_address(item: &Item) -> Option<SocketAddr> {
+    let text = item.value.as_deref().map(String::from_utf8_lossy);
+    let address = text.ok().and_then(|text| text.parse().ok());
+    if address.is_none() {
+        warn!(key = item.key.as_str(); "peers: malformed address; ignored");
+    }
+    address
+}
+
 /// A request that can be forwarded.
 #[derive(Clone, Debug)]
 pub struct Request {
--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -502,7 +502,7 @@
 /// Answers a submission whose id is already stored: accepted if the job is the same, otherwise a
 /// conflict.
 fn answer_duplicate(item: &Item, submission: &Submission) -> Answer {
-    match serde_json::from_slice::<Submission>(&item.value) {
+    match item.json::<Submission>() {
         Ok(stored) if stored.spec == submission.spec && stored.account == submission.account => {
             accepted_answer()
         }
@@ -539,7 +539,7 @@
     let record = read_with_retry(state, &format!("{RECORD_PREFIX}{}", admitted.suffix)).await?;
     let unreadable = || Answer::new(StatusCode::INTERNAL_SERVER_ERROR, "record is unreadable");
     if let Some(item) = record {
-        let stored: StoredState = serde_json::from_slice(&item.value).map_err(|_| unreadable())?;
+        let stored: StoredState = item.json().map_err(|_| unreadable())?;
         let body = callers::encode_state(stored.state);
         return Ok(Answer::ok(body, "record"));
     }
@@ -558,7 +558,7 @@
         Ok(item) => item,
         Err(answer) => return answer,
     };
-    let sequence = item.and_then(|item| serde_json::from_slice::<Sequence>(&item.value).ok());
+    let sequence = item.and_then(|item| item.json::<Sequence>().ok());
     let waiting = sequence.and_then(|sequence| sequence.waiting.get(&admitted.queue).copied());
     let body = callers::encode_queue_length(waiting.unwrap_or(0));
     Answer::ok(body, "length")
@@ -574,7 +574,7 @@
         Err(answer) => return answer,
     };
     loop {
-        let Ok(mut submission) = serde_json::from_slice::<Submission>(&item.value) else {
+        let Ok(mut submission) = item.json::<Submission>() else {
             return Answer::new(StatusCode::INTERNAL_SERVER_ERROR, "stored job is unreadable");
         };
         if submission.cancelled {
