--- a/crates/fake/src/hosted/store.rs
+++ b/crates/fake/src/hosted/store.rs
@@ -313,7 +313,7 @@
         }
         let query_field = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.filter(|(key, _)| *key == name).map(|(_, value)| value.to_owned()).next()
+            pairs.filter(|(key, _)| *key == name).map(|(_, value)| percent_decode(value)).next()
         };
         let query_number =
             |name: &str| query_field(name).and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -399,6 +399,26 @@
     }
 }
 
+/// Decodes a value of a query; `+` stands for a space.
+fn percent_decode(text: &str) -> String {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((&first, tail)) = rest.split_first() {
+        rest = tail;
+        let digits = tail.first_chunk::<2>().and_then(|pair| std::str::from_utf8(pair).ok());
+        let coded = digits.and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        match (first, coded) {
+            (b'%', Some(byte)) => {
+                bytes.push(byte);
+                rest = &tail[2..];
+            }
+            (b'+', _) => bytes.push(b' '),
+            _ => bytes.push(first),
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
