Keep the planner's sums from overflowing

Operators of similar systems saw: an entry of a worker with a number too large, and the machines that read the list ended again and again.

Cause: the planner multiplied and added capacities, and added a lease to a worker's clock, without regard to overflow. A build with overflow checks stops the process; another one computes with wrapped numbers.

Change: products are computed in 128 bits, and sums saturate. The schedules can replace entries of the directory by those of another writer.

--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -182,15 +182,16 @@
     pub fn renewed_deadline(&self, now: Time, lease: Duration) -> Option<u64> {
         let (heard, clock) = self.clock?;
         let passed = millis(now.since(heard));
-        Some(clock + passed + millis(lease))
+        Some(clock.saturating_add(passed).saturating_add(millis(lease)))
     }
 
     /// When all leases sent to the worker have expired, even if its clock runs slow.
     pub fn leases_end(&self) -> Time {
         let Some((heard, clock)) = self.clock else { return self.inherited_end };
         let left = self.deadline.saturating_sub(clock);
-        let slow = left * CLOCK_SLOW_PERMILLE / (1_000 - CLOCK_SLOW_PERMILLE) + 1;
-        (heard + Duration::from_millis(left + slow + CLOCK_MARGIN_MS)).max(self.inherited_end)
+        let slow = left.saturating_mul(CLOCK_SLOW_PERMILLE) / (1_000 - CLOCK_SLOW_PERMILLE) + 1;
+        let left = left.saturating_add(slow).saturating_add(CLOCK_MARGIN_MS);
+        (heard + Duration::from_millis(left)).max(self.inherited_end)
     }
 
     /// Resets the state that belonged to the last incarnation, since another one answers.
--- a/crates/batch/src/headroom.rs
+++ b/crates/batch/src/headroom.rs
@@ -102,14 +102,20 @@
 
 /// The largest part of a worker's resources that a task needs.
 fn used_share(need: &Need, capacity: &Need) -> Share {
-    let part = |need: u64, all: u64| (need * WORKER_SHARE).checked_div(all).unwrap_or(0);
+    let part = |need: u64, all: u64| share(need, all).unwrap_or(0);
     let cores = part(need.cpu, capacity.cpu).max(part(need.memory, capacity.memory));
     cores.max(part(need.gpu, capacity.gpu)).min(WORKER_SHARE)
 }
 
 /// The smallest part of a worker's resources that is free.
 fn free_share(free: &Need, capacity: &Need) -> Share {
-    let part = |free: u64, all: u64| (free * WORKER_SHARE).checked_div(all).unwrap_or(WORKER_SHARE);
+    let part = |free: u64, all: u64| share(free, all).unwrap_or(WORKER_SHARE);
     let cores = part(free.cpu, capacity.cpu).min(part(free.memory, capacity.memory));
     cores.min(part(free.gpu, capacity.gpu))
 }
+
+/// Share that `part` is of `whole`; `None` of nothing.
+fn share(part: u64, whole: u64) -> Option<Share> {
+    let share = (u128::from(part) * u128::from(WORKER_SHARE)).checked_div(u128::from(whole))?;
+    Some(Share::try_from(share).unwrap_or(Share::MAX))
+}
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -151,7 +151,7 @@
         if tasks > 0 {
             self.out.push(Action::Note(Note::Placed { job, step, tasks, missing, rank, age }));
         } else if !std::mem::replace(&mut step_state.wait_noted, true) {
-            let (usable, free) = (slots.len(), slots.iter().map(|slot| slot.free.gpu).sum());
+            let (usable, free) = (slots.len(), free_accelerators(slots));
             self.out.push(Action::Note(Note::Waits { job, step, missing, rank, usable, free }));
         }
     }
@@ -247,6 +247,11 @@
     }
 }
 
+/// Free accelerators of some slots together.
+fn free_accelerators<'s>(slots: impl IntoIterator<Item = &'s Slot>) -> u64 {
+    slots.into_iter().fold(0, |sum, slot| sum.saturating_add(slot.free.gpu))
+}
+
 /// Counts the tasks of a step on each slot, if its spread is limited.
 fn count_step_tasks(slots: &mut [Slot], step_state: &Step, step: &StepSpec) {
     if step.spread.is_none() {
@@ -358,7 +363,7 @@
         let group = all.iter().copied().filter(|&at| slots[at].info.rack == *rack);
         let group: Vec<usize> = group.collect();
         let Some(places) = pack(slots, &group, step_state, step) else { continue };
-        let left: u64 = group.iter().map(|&at| slots[at].free.gpu).sum();
+        let left = free_accelerators(group.iter().map(|&at| &slots[at]));
         if best.as_ref().is_none_or(|best| (far, left) < best.0) {
             best = Some(((far, left), places));
         }
--- a/crates/batch/src/spec.rs
+++ b/crates/batch/src/spec.rs
@@ -90,11 +90,11 @@
         cores.min(times(self.gpu, need.gpu))
     }
 
-    /// Adds `other`.
+    /// Adds `other`, saturating at the largest number.
     pub fn add(&mut self, other: &Need) {
-        self.cpu += other.cpu;
-        self.memory += other.memory;
-        self.gpu += other.gpu;
+        self.cpu = self.cpu.saturating_add(other.cpu);
+        self.memory = self.memory.saturating_add(other.memory);
+        self.gpu = self.gpu.saturating_add(other.gpu);
     }
 
     /// Subtracts `other`, saturating at zero.
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -4,6 +4,7 @@
 mod large_fleet;
 mod lasting;
 mod load;
+mod odd_workers;
 mod regressions;
 mod worker;
 mod world;
--- /dev/null
+++ b/crates/batch/tests/schedules/odd_workers.rs
@@ -0,0 +1,124 @@
+//! Entries of the directory that another writer left or replaced.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::load::step;
+use crate::world::Faults;
+use crate::world::World;
+use crate::world::policy;
+use crate::world::settings;
+use crate::world::worker_id;
+use batch::Action;
+use batch::Event;
+use batch::JobId;
+use batch::JobState;
+use batch::Need;
+use batch::Planner;
+use batch::RenewalReport;
+use batch::Spec;
+use batch::Submission;
+use batch::WorkerId;
+use model::Stamp;
+use model::Time;
+
+const MAX_CAPACITY: Need = Need { cpu: u64::MAX, memory: u64::MAX, gpu: u64::MAX };
+
+/// Guards against sums and products of capacities that overflow: more urgent, usual and wide work
+/// than the workers hold, while two of them are listed with the largest numbers.
+#[test]
+fn largest_capacity() {
+    let mut world = World::new(1, 8, Faults::default(), policy(48));
+    for number in 0..2 {
+        world.workers.get_mut(&worker_id(number)).expect("there").capacity = MAX_CAPACITY;
+    }
+    let mut ids = Vec::new();
+    for number in 0..24 {
+        let queue = ["urgent", "usual", "patient"][number % 3];
+        let mut wide = step(2, [1, 4, 8][number % 3], 1_000);
+        wide.gang = number % 2 == 0;
+        wide.label = (number % 3 == 2 && number % 4 == 0).then(|| "b".to_owned());
+        let fits = wide.label.is_none();
+        let id = world.submit(&format!("{number:016x}"), queue, "a", vec![wide]);
+        ids.extend(fits.then_some(id));
+        world.run(300);
+    }
+    world.run(60_000);
+    for id in ids {
+        assert_eq!(world.stored_state(&id), JobState::Completed, "{id}");
+    }
+}
+
+/// Guards against clocks of workers that overflow when the end of a lease is computed.
+#[test]
+fn largest_clock() {
+    let world = World::new(4, 1, Faults::default(), policy(0));
+    let entry = world.entry(&worker_id(0));
+    let mut planner = Planner::new(settings(), Time::from_millis(1), Duration::ZERO);
+    let report = |sent, clock| RenewalReport {
+        sent: Time::from_millis(sent),
+        clock,
+        incarnation: world.workers[&worker_id(0)].incarnation,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
+    let spec = Spec { steps: vec![step(1, 1, 500)], ..Spec::default() };
+    let submission = Submission {
+        queue: "usual".to_owned(),
+        account: None,
+        taken: Stamp(1),
+        cancelled: false,
+        spec: Arc::new(spec),
+    };
+    let events = [
+        Event::Configured(Arc::new(policy(0))),
+        Event::Listed(vec![entry]),
+        Event::RestoreComplete,
+        Event::Renewed(worker_id(0), report(3, u64::MAX)),
+        Event::Accepted(JobId("00000000000000aa".into()), submission),
+        Event::Tick,
+        Event::Committed,
+        Event::Renewed(worker_id(0), report(7, 1)),
+        Event::RenewalFailed(worker_id(0)),
+        Event::RenewalFailed(worker_id(0)),
+        Event::Tick,
+    ];
+    let mut deadlines = Vec::new();
+    for (number, event) in (1u64..).zip(events) {
+        let now = number * 100;
+        let actions = planner.handle(Time::from_millis(now), Stamp(now), event);
+        deadlines.extend(actions.into_iter().filter_map(|action| match action {
+            Action::Start { deadline, .. } => Some(deadline),
+            _ => None,
+        }));
+    }
+    assert_eq!(deadlines, [u64::MAX]);
+}
+
+/// Entries of workers that do not exist, with the largest or smallest value in each field, change
+/// nothing for the others.
+#[test]
+fn absent_workers() {
+    let mut world = World::new(3, 4, Faults::default(), policy(0));
+    let names = ["", "i-0000 ", "a&b=%41", "\u{e9}\n", &"k".repeat(192)];
+    for (number, name) in names.into_iter().enumerate() {
+        let mut entry = world.entry(&worker_id(number % 4));
+        entry.id = WorkerId(name.into());
+        entry.capacity = if number % 2 == 0 { MAX_CAPACITY } else { Need::default() };
+        entry.incarnation = [None, Some(0), Some(u64::MAX)][number % 3];
+        entry.drain_left = (number == 1).then_some(Duration::MAX);
+        entry.labels.clear();
+        entry.rack.clear();
+        if number == 2 {
+            entry.address.set_port(0);
+        }
+        world.odd_entries.insert(entry.id.clone(), entry);
+    }
+    let id = world.submit("00000000000000aa", "usual", "a", vec![step(40, 1, 2_000)]);
+    world.run(3_000);
+    world.take_over(false);
+    world.run(20_000);
+    assert_eq!(world.stored_state(&id), JobState::Completed);
+    assert_eq!(world.usable(), 4);
+    assert_eq!(world.undelivered_starts, 0);
+}
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -155,6 +155,8 @@
     faults: Faults,
     pub calm_from: u64,
     pub workers: BTreeMap<WorkerId, FakeWorker>,
+    /// Entries of another writer, which replace those of the workers with the same id.
+    pub odd_entries: BTreeMap<WorkerId, WorkerInfo>,
     owners: BTreeMap<u64, Planner>,
     owner: u64,
     pub jobs: BTreeMap<JobId, SubmittedJob>,
@@ -236,6 +238,7 @@
             faults,
             calm_from: 0,
             workers,
+            odd_entries: BTreeMap::new(),
             owners: BTreeMap::new(),
             owner: 0,
             jobs: BTreeMap::new(),
@@ -303,29 +306,35 @@
     /// Passes the workers in the directory to the owner.
     pub fn list_workers(&mut self) {
         let now = self.now;
-        let infos = self
-            .workers
-            .iter()
-            .enumerate()
-            .filter(|(_, (_, worker))| worker.up && worker.cut_until <= now)
-            .map(|(number, (id, worker))| WorkerInfo {
-                id: id.clone(),
-                service: "service".to_owned(),
-                address: SocketAddr::from(([10, 0, 0, 1], 8_000 + number as u16)),
-                zone: "north-a".to_owned(),
-                rack: format!("r{}", number / 8),
-                labels: vec!["a".to_owned(), format!("r{}", number / 8)],
-                capacity: worker.capacity,
-                incarnation: Some(worker.incarnation),
-                drain_left: worker
-                    .leaves_at
-                    .map(|at| Duration::from_millis(at.saturating_sub(now))),
-            })
-            .collect();
+        let present = |id: &&WorkerId| {
+            let worker = &self.workers[*id];
+            worker.up && worker.cut_until <= now && !self.odd_entries.contains_key(*id)
+        };
+        let entries = self.workers.keys().filter(present).map(|id| self.entry(id));
+        let infos = entries.chain(self.odd_entries.values().cloned()).collect();
         let owner = self.owner;
         self.handle_event(owner, Event::Listed(infos));
     }
 
+    /// Entry by which a worker registers itself.
+    pub fn entry(&self, id: &WorkerId) -> WorkerInfo {
+        let worker = &self.workers[id];
+        let number = self.workers.range(..id.clone()).count();
+        WorkerInfo {
+            id: id.clone(),
+            service: "service".to_owned(),
+            address: SocketAddr::from(([10, 0, 0, 1], 8_000 + number as u16)),
+            zone: "north-a".to_owned(),
+            rack: format!("r{}", number / 8),
+            labels: vec!["a".to_owned(), format!("r{}", number / 8)],
+            capacity: worker.capacity,
+            incarnation: Some(worker.incarnation),
+            drain_left: worker
+                .leaves_at
+                .map(|at| Duration::from_millis(at.saturating_sub(self.now))),
+        }
+    }
+
     pub fn submit(&mut self, id: &str, queue: &str, account: &str, steps: Vec<StepSpec>) -> JobId {
         let id = JobId(id.into());
         let off = self.rng.random_range(5..=19);
