Take a worker's start from its answers alone

Operators of similar systems saw: one odd entry among those of the workers, and machines that stopped using what it touched.

Cause: the planner took the start in the first entry that it saw of a worker for the last one that answered, and ignores answers of an earlier start. An entry of another writer under that id with a later start hid all answers of the worker until the next takeover, though the entry was soon correct again.

Change: only the worker's own answers set its incarnation. No answer of an earlier incarnation can come before the first one, because no call was sent before.

--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -41,7 +41,8 @@
     pub info: Arc<WorkerInfo>,
     /// Whether the directory currently lists it.
     pub listed: bool,
-    /// Incarnation that last answered, by its start in ms of Unix time.
+    /// Incarnation that last answered, by its start in ms of Unix time; zero before the first
+    /// answer. An entry of another writer may state a later start, so entries do not set it.
     pub incarnation: u64,
     /// When it last answered, with the worker's clock at that time in ms.
     pub clock: Option<(Time, u64)>,
@@ -110,7 +111,7 @@
 impl Worker {
     pub fn new(info: Arc<WorkerInfo>, inherited_end: Time) -> Worker {
         Worker {
-            incarnation: info.incarnation.unwrap_or(0),
+            incarnation: 0,
             info,
             listed: true,
             clock: None,
--- a/crates/batch/tests/schedules/odd_workers.rs
+++ b/crates/batch/tests/schedules/odd_workers.rs
@@ -95,6 +95,21 @@
     assert_eq!(deadlines, [u64::MAX]);
 }
 
+/// Guards against a worker that is ignored until the next takeover, because an entry under its id
+/// gave a later start than its own answers do.
+#[test]
+fn later_start() {
+    let mut world = World::new(2, 2, Faults::default(), policy(0));
+    let mut entry = world.entry(&worker_id(0));
+    entry.incarnation = Some(u64::MAX);
+    world.odd_entries.insert(worker_id(0), entry);
+    world.take_over(false);
+    world.run(2_000);
+    world.odd_entries.clear();
+    world.run(5_000);
+    assert_eq!(world.usable(), 2, "a worker is not used though its entry is correct again");
+}
+
 /// Entries of workers that do not exist, with the largest or smallest value in each field, change
 /// nothing for the others.
 #[test]
