--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -41,7 +41,8 @@
     pub info: Arc<WorkerInfo>,
     /// Whether the directory currently lists it.
     pub listed: bool,
-    /// Incarnation that last answered, by its start in ms of Unix time.
+    /// Incarnation that last answered, by its start in ms of Unix time; zero before the first
+    /// answer. An entry of another writer may state a later start, so entries do not set it.
     pub incarnation: u64,
     /// When it last answered, with the worker's clock at that time in ms.
     pub clock: Option<(Time, u64)>,
@@ -113,7 +114,7 @@
 impl Worker {
     pub fn new(info: Arc<WorkerInfo>, inherited_end: Time) -> Worker {
         Worker {
-            incarnation: info.incarnation.unwrap_or(0),
+            incarnation: 0,
             info,
             listed: true,
             clock: None,
@@ -193,15 +194,16 @@
     pub fn renewed_deadline(&self, now: Time, lease: Duration) -> Option<u64> {
         let (heard, clock) = self.clock?;
         let passed = millis(now.since(heard));
-        Some(clock + passed + millis(lease))
+        Some(clock.saturating_add(passed).saturating_add(millis(lease)))
     }
 
     /// When all leases sent to the worker have expired, even if its clock runs slow.
     pub fn leases_end(&self) -> Time {
         let Some((heard, clock)) = self.clock else { return self.inherited_end };
         let left = self.deadline.saturating_sub(clock);
-        let slow = left * CLOCK_SLOW_PERMILLE / (1_000 - CLOCK_SLOW_PERMILLE) + 1;
-        (heard + Duration::from_millis(left + slow + CLOCK_MARGIN_MS)).max(self.inherited_end)
+        let slow = left.saturating_mul(CLOCK_SLOW_PERMILLE) / (1_000 - CLOCK_SLOW_PERMILLE) + 1;
+        let left = left.saturating_add(slow).saturating_add(CLOCK_MARGIN_MS);
+        (heard + Duration::from_millis(left)).max(self.inherited_end)
     }
 
     /// Resets the state that belonged to the last incarnation, since another one answers.
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -5,6 +5,7 @@
 mod large_fleet;
 mod lasting;
 mod load;
+mod odd_workers;
 mod regressions;
 mod worker;
 mod world;
