Stop a run again that outlives the answer to its stop

Cause: an answered stop was never repeated. A worker that restarts right after the stop knows neither the stop nor the owner's fencing token; a start of the former owner that was in flight is carried out, and the owner took the run for one that is about to end and renewed its lease. Change: a run that its worker still lists two stop times after it answered the stop is stopped again.

--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -68,6 +68,7 @@
         let mut foreign_runs = 0;
         for listed in &report.running {
             if self.record_progress(now, id, listed) {
+                self.repeat_stop(&listed.task, report.sent);
                 self.clear_losses(now, &listed.task);
                 continue;
             }
@@ -129,6 +130,19 @@
         true
     }
 
+    /// Prepares another stop of a run that its worker lists in the answer to a renewal sent at
+    /// `sent`, long after it has answered a stop: it may have restarted since, and then have carried
+    /// out a start that was in flight.
+    fn repeat_stop(&mut self, key: &TaskKey, sent: Time) {
+        let stop = self.settings.stop;
+        let task = self.jobs.get_mut(&key.job).and_then(|job| task_mut(job, key));
+        let Some(Stage::Placed(run)) = task.map(|task| &mut task.stage) else { return };
+        if run.stop_acked.is_some_and(|at| at + stop * 2 < sent) {
+            run.stop_acked = None;
+            run.stop_sent = None;
+        }
+    }
+
     /// Gives up runs that the worker provably does not have: it had confirmed the run or its stop
     /// before this renewal was sent and no longer reports it, or the last start's lease has expired
     /// on its clock.
--- a/crates/batch/tests/schedules/regressions.rs
+++ b/crates/batch/tests/schedules/regressions.rs
@@ -7,6 +7,7 @@
 use crate::world::policy;
 use crate::world::worker_id;
 use batch::JobState;
+use batch::StartResult;
 
 /// Guards against runs that are never given up when a worker goes away for good: each unanswered
 /// renewal used to extend the time at which the worker's leases count as expired.
@@ -176,3 +177,35 @@
     let running = |fake: &FakeWorker| fake.running.keys().any(|task| task.job == id);
     assert!(!world.workers.values().any(running), "a task still runs");
 }
+
+/// Guards against a run that goes on although its worker has answered the stop: the worker restarts
+/// and then carries out the former owner's start, which was in flight.
+#[test]
+fn restart_after_stop() {
+    let mut world = World::new(7, 2, Faults::default(), policy(0));
+    let id = world.submit("00000000000000df", "patient", "a", vec![step(1, 1, 60_000)]);
+    world.run(1_000);
+    let worker_of_job = |world: &World| {
+        let runs = |fake: &FakeWorker| fake.running.keys().any(|task| task.job == id);
+        world.workers.iter().find(|(_, fake)| runs(fake)).map(|(worker, _)| worker.clone())
+    };
+    let worker = worker_of_job(&world).expect("the task runs");
+    let running = &world.workers[&worker].running;
+    let (task, work) = running.first_key_value().expect("a run");
+    let (task, mut work) = (task.clone(), work.clone());
+    world.workers.get_mut(&worker).expect("there").idle_until = world.now + 500;
+    world.cancel(&id);
+    world.run(200);
+    world.take_over(false);
+    while worker_of_job(&world).is_some() {
+        world.run(1);
+    }
+    // The end of the run has not been reported yet.
+    let now = world.now;
+    let fake = world.workers.get_mut(&worker).expect("there");
+    fake.restart(now);
+    work.since = now;
+    assert_eq!(fake.start(now, 1, &task, 3_000, work), StartResult::Taken);
+    world.run(2_500);
+    assert_eq!(worker_of_job(&world), None, "the task still runs");
+}
