Count orphaned runs directly, and name what a takeover adopts

The note `adopts` says `ended_runs`, and the tests name what the store says instead of passing bare booleans. No decision changes.

--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -149,9 +149,9 @@
         jobs: usize,
         /// Number of runs that workers may have.
         runs: usize,
-        /// How many of these belong to jobs that have ended.
-        ended: usize,
-        /// How many of these are being stopped.
+        /// Number of these runs whose jobs have ended.
+        ended_runs: usize,
+        /// Number of runs that are being stopped, whether or not their jobs have ended.
         stopping: usize,
     },
     /// A worker has started again as another incarnation, and the runs placed on it are lost.
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -109,10 +109,8 @@
     pub waiting: BTreeMap<String, u64>,
     /// Number of runs placed on workers.
     pub runs: usize,
-    /// Number of these runs whose jobs have ended.
-    pub ended_runs: usize,
-    /// Number of these runs that are being stopped.
-    pub stopping_runs: usize,
+    /// Number of these runs whose jobs have ended and that are not being stopped.
+    pub orphaned_runs: usize,
     /// Number of workers that accept new runs.
     pub usable: usize,
 }
@@ -199,8 +197,7 @@
             live: self.live.len(),
             waiting,
             runs: self.placed_runs(),
-            ended_runs: self.ended_runs(),
-            stopping_runs: self.stopping.len(),
+            orphaned_runs: self.ended_runs().filter(|run| run.stopping.is_none()).count(),
             usable: self.workers.values().filter(|worker| worker.usable(now)).count(),
         }
     }
@@ -210,10 +207,11 @@
         self.runs.values().map(BTreeSet::len).sum()
     }
 
-    /// Number of runs whose jobs have ended.
-    fn ended_runs(&self) -> usize {
+    /// Runs whose jobs have ended.
+    fn ended_runs(&self) -> impl Iterator<Item = &Run> {
         let jobs = self.live.iter().filter_map(|id| Some((id, self.jobs.get(id)?)));
-        jobs.filter(|(_, job)| job.state.ended()).map(|(id, job)| job_runs(id, job).count()).sum()
+        let ended = jobs.filter(|(_, job)| job.state.ended());
+        ended.flat_map(|(id, job)| job_runs(id, job).map(|(_, run)| run))
     }
 
     /// Applies one event to the state; [`Planner::decide`] acts on it.
@@ -356,11 +354,13 @@
         let Some(job) = self.jobs.get_mut(id) else { return };
         let (ended, spec) = (job.state.ended(), Arc::clone(&job.spec));
         for steps in &mut job.occurrences {
-            for (step, spec) in steps.iter_mut().zip(&spec.steps) {
+            for (step, step_spec) in steps.iter_mut().zip(&spec.steps) {
                 let lost = |task: &Task| !task.done && task.stage == Stage::Idle;
-                let all = ended || spec.gang && step.tasks.iter().any(lost);
-                for task in step.tasks.iter_mut().filter(|task| all || task.done) {
-                    if let Stage::Placed(run) = &mut task.stage {
+                let broken = step_spec.gang && step.tasks.iter().any(lost);
+                for task in &mut step.tasks {
+                    if let Stage::Placed(run) = &mut task.stage
+                        && (ended || broken || task.done)
+                    {
                         run.stopping.get_or_insert(now);
                     }
                 }
@@ -372,8 +372,8 @@
 
     fn note_adopted(&mut self) {
         let (jobs, runs) = (self.live.len(), self.placed_runs());
-        let (ended, stopping) = (self.ended_runs(), self.stopping.len());
-        self.out.push(Action::Note(Note::Adopts { jobs, runs, ended, stopping }));
+        let (ended_runs, stopping) = (self.ended_runs().count(), self.stopping.len());
+        self.out.push(Action::Note(Note::Adopts { jobs, runs, ended_runs, stopping }));
     }
 
     fn cancelled(&mut self, now: Time, id: &JobId) {
--- a/crates/batch/tests/takeover.rs
+++ b/crates/batch/tests/takeover.rs
@@ -43,8 +43,18 @@
     TaskRecord { run: 1, place: Some(worker().id), ..TaskRecord::default() }
 }
 
-/// Indexes of the tasks of a one-step job that a new owner stops.
-fn stopped(state: JobState, cancelled: bool, gang: bool, tasks: Vec<TaskRecord>) -> BTreeSet<u32> {
+/// What the store says of a one-step job.
+struct Stored {
+    state: JobState,
+    cancelled: bool,
+    gang: bool,
+}
+
+const RUNNING: Stored = Stored { state: JobState::Running, cancelled: false, gang: false };
+
+/// Indexes of the tasks that a new owner stops.
+fn stopped(stored: Stored, tasks: Vec<TaskRecord>) -> BTreeSet<u32> {
+    let Stored { state, cancelled, gang } = stored;
     let settings = Settings {
         lease: Duration::from_secs(6),
         stop: Duration::from_millis(200),
@@ -84,27 +94,32 @@
 fn ended_jobs() {
     let tasks = || vec![placed(), TaskRecord::default(), placed()];
     let both = BTreeSet::from([0, 2]);
-    assert_eq!(stopped(JobState::Cancelled, true, false, tasks()), both);
-    assert_eq!(stopped(JobState::Failed, false, false, tasks()), both);
-    assert_eq!(stopped(JobState::Completed, false, false, tasks()), both);
-    assert_eq!(stopped(JobState::Running, true, false, tasks()), both, "end not stored yet");
-    assert_eq!(stopped(JobState::Running, false, false, tasks()), BTreeSet::new());
+    assert_eq!(
+        stopped(Stored { state: JobState::Cancelled, cancelled: true, ..RUNNING }, tasks()),
+        both
+    );
+    assert_eq!(stopped(Stored { state: JobState::Failed, ..RUNNING }, tasks()), both);
+    assert_eq!(stopped(Stored { state: JobState::Completed, ..RUNNING }, tasks()), both);
+    // Cancelled, and the end is not stored yet.
+    assert_eq!(stopped(Stored { cancelled: true, ..RUNNING }, tasks()), both);
+    assert_eq!(stopped(RUNNING, tasks()), BTreeSet::new());
 }
 
-/// Guards against the same for a task that an earlier run has completed.
+/// Guards against a run that goes on after a takeover although an earlier one has completed its task.
 #[test]
 fn superseded_run() {
     let done = TaskRecord { done: true, ..placed() };
     let tasks = vec![done, placed()];
-    assert_eq!(stopped(JobState::Running, false, false, tasks), BTreeSet::from([0]));
+    assert_eq!(stopped(RUNNING, tasks), BTreeSet::from([0]));
 }
 
-/// Guards against the same for a gang that has lost a member, and so cannot complete its run.
+/// Guards against members of a gang that go on after a takeover although the gang has lost one, and
+/// so cannot complete its run.
 #[test]
 fn broken_gang() {
     let lost = TaskRecord { run: 1, ..TaskRecord::default() };
     let tasks = vec![placed(), lost, placed()];
-    assert_eq!(stopped(JobState::Running, false, true, tasks), BTreeSet::from([0, 2]));
+    assert_eq!(stopped(Stored { gang: true, ..RUNNING }, tasks), BTreeSet::from([0, 2]));
     let whole = vec![placed(), placed()];
-    assert_eq!(stopped(JobState::Running, false, true, whole), BTreeSet::new());
+    assert_eq!(stopped(Stored { gang: true, ..RUNNING }, whole), BTreeSet::new());
 }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -293,8 +293,7 @@
         metrics.set_gauge("jobs", summary.live as u64);
         metrics.set_gauge("jobs_waiting", summary.waiting.values().sum());
         metrics.set_gauge("runs", summary.runs as u64);
-        metrics.set_gauge("runs_of_ended_jobs", summary.ended_runs as u64);
-        metrics.set_gauge("runs_stopping", summary.stopping_runs as u64);
+        metrics.set_gauge("runs_orphaned", summary.orphaned_runs as u64);
         metrics.set_gauge("workers", summary.usable as u64);
         self.stored_lengths = summary.waiting;
         self.lengths_checked = self.state.clock.now();
@@ -361,8 +360,8 @@
         Note::AnswersOrders { worker, heeds } => {
             info!(worker = &*worker.0, heeds = heeds; "{what}");
         }
-        Note::Adopts { jobs, runs, ended, stopping } => {
-            info!(jobs = jobs, runs = runs, ended = ended, stopping = stopping; "{what}");
+        Note::Adopts { jobs, runs, ended_runs, stopping } => {
+            info!(jobs = jobs, runs = runs, ended_runs = ended_runs, stopping = stopping; "{what}");
         }
         Note::Crashed { worker, tasks } => {
             let names: Vec<String> = tasks.iter().map(ToString::to_string).collect();
