Acknowledge no ends until a silent worker has answered

Callers saw: a task is started although its maxAttempts runs have failed (BUDGET). Cause: Planner::send_renewals sent an acknowledgement again after an unanswered renewal. If the worker had restarted under its id meanwhile, it numbered its ends from one again and discarded those that it had not reported yet. give_up_missing then gave their runs up, as they were neither active nor ended. A lost `done` makes a task run again in the same way (TWICE). Change: after an unanswered renewal nothing is acknowledged until the worker has answered. If another incarnation answers, nothing of the former one is left to be acknowledged. Left: a restart between an answer and the next renewal, or an acknowledgement that is carried out late, cannot be told from here, since the calls name the worker and not its incarnation.

--- a/crates/batch/src/calls.rs
+++ b/crates/batch/src/calls.rs
@@ -117,9 +117,11 @@
             let silent = worker.missed_calls >= MAX_MISSED_CALLS;
             let deadline = worker.renewed_deadline(now, lease).filter(|_| !silent);
             worker.deadline = worker.deadline.max(deadline.unwrap_or(0));
-            // Each acknowledgement is sent only once: the next incarnation under this id numbers
-            // its ends from one again, and would discard ends that have not been reported.
-            worker.acking_end = if unacked { worker.stored_end } else { 0 };
+            // The next incarnation under this id numbers its ends from one again, and would discard
+            // ends that have not been reported. So nothing is acknowledged after an unanswered call
+            // until the next answer tells whether the worker has restarted.
+            let acknowledges = unacked && worker.missed_calls == 0;
+            worker.acking_end = if acknowledges { worker.stored_end } else { 0 };
             worker.renewing = true;
             worker.renewal_sent = now;
             self.out.push(Action::Renew {
