Take restored runs for started only once their worker has answered

Callers saw: two runs of a task at the same time (TWICE) after an owner left on SIGTERM while a start was unanswered. Cause: a new owner restores every run as confirmed at the takeover, because a worker carries out no start of a former owner after a call with the new fencing token. gang_has_ended (lost.rs) used that before the worker had answered any such call. Two members of a gang were on one silent worker, the start of one still in flight; the other members were reported as broken, so both were given up and the gang was started again, and the late start was then carried out beside the new run. The other uses of the time are sound: a run that is missing is given up because of an answer, which proves that the worker has seen the token, and preemption uses it only as a cost. Change: until a worker has answered this owner, starts on it are in doubt and its members of a gang are not given up early. Without any answer they are given up once all leases have expired, as before.

--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -172,6 +172,11 @@
         self.suspicions = 0;
     }
 
+    /// Whether it has answered this owner, and so refuses orders of former owners.
+    pub fn has_answered(&self) -> bool {
+        self.inherited_end == Time::ZERO
+    }
+
     /// Free capacity.
     pub fn free_capacity(&self) -> Need {
         self.info.capacity.less(&self.used)
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -60,7 +60,7 @@
     pub deadline: u64,
     /// When the worker confirmed that it has the run. For a run of a former owner this is the
     /// takeover, since a worker carries out no start of that owner after a call with a higher
-    /// fencing token.
+    /// fencing token; until it has answered one, such a start is still in doubt.
     pub confirmed: Option<Time>,
     /// Number of starts without an answer.
     pub unanswered_starts: u32,
--- a/crates/batch/src/lost.rs
+++ b/crates/batch/src/lost.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::Planner;
+use crate::directory::Worker;
 use crate::job::Stage;
 use crate::spec::TaskKey;
 use crate::spec::WorkerId;
@@ -64,20 +65,22 @@
         if !job.spec.steps[key.step as usize].gang || step.tasks.len() < 2 {
             return false;
         }
+        let answered = self.workers.get(worker).is_some_and(Worker::has_answered);
         let mut here = 0;
         let mut unconfirmed = 0;
         for task in &step.tasks {
             match &task.stage {
                 Stage::Placed(run) if task.run == number && run.worker == *worker => {
                     here += 1;
-                    unconfirmed += usize::from(run.confirmed.is_none());
+                    unconfirmed += usize::from(!answered || run.confirmed.is_none());
                 }
                 _ if task.broken_run == number => {}
                 _ => return false,
             }
         }
-        // A member whose start is in doubt may start after the gang's run has ended. With a single
-        // member here that member must have started, as its end broke the others.
+        // A member whose start is in doubt may start after the gang's run has ended; so may one
+        // that a former owner started, until the worker has seen this owner's fencing token. With a
+        // single member here that member must have started, as its end broke the others.
         let all_started = here == 1 || unconfirmed == 0;
         let queue = self.policy.queues.get(&job.queue);
         let attempts = queue.map_or(u32::MAX, |queue| queue.attempts) as usize;
--- a/crates/batch/tests/takeover.rs
+++ b/crates/batch/tests/takeover.rs
@@ -1,4 +1,4 @@
-//! Runs that a new owner finds in the store and has to stop.
+//! Runs that a new owner finds in the store.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -6,16 +6,21 @@
 use std::time::Duration;
 
 use batch::Action;
+use batch::End;
 use batch::Event;
 use batch::JobId;
 use batch::JobState;
 use batch::Need;
+use batch::Note;
+use batch::Outcome;
 use batch::Planner;
 use batch::Record;
+use batch::RenewalReport;
 use batch::Settings;
 use batch::Spec;
 use batch::StepSpec;
 use batch::Submission;
+use batch::TaskKey;
 use batch::TaskRecord;
 use batch::WorkerId;
 use batch::WorkerInfo;
@@ -23,12 +28,13 @@
 use model::Time;
 
 const NOW: Time = Time::from_millis(1_000);
+const QUIET: Duration = Duration::from_secs(2);
 
-fn worker() -> WorkerInfo {
+fn worker(number: u8) -> WorkerInfo {
     WorkerInfo {
-        id: WorkerId("i-1".into()),
+        id: WorkerId(format!("i-{number}").into()),
         service: "service".to_owned(),
-        address: SocketAddr::from(([10, 0, 0, 1], 8_000)),
+        address: SocketAddr::from(([10, 0, 0, number], 8_000)),
         zone: "north-a".to_owned(),
         rack: "r0".to_owned(),
         labels: Vec::new(),
@@ -38,18 +44,34 @@
     }
 }
 
-/// A task whose first run is on the worker.
+/// A task whose first run is on a worker.
+fn placed_on(number: u8) -> TaskRecord {
+    TaskRecord { run: 1, place: Some(worker(number).id), ..TaskRecord::default() }
+}
+
 fn placed() -> TaskRecord {
-    TaskRecord { run: 1, place: Some(worker().id), ..TaskRecord::default() }
+    placed_on(1)
 }
 
-/// Indexes of the tasks of a one-step job that a new owner stops.
-fn stopped(state: JobState, cancelled: bool, gang: bool, tasks: Vec<TaskRecord>) -> BTreeSet<u32> {
-    let settings = Settings {
+fn job() -> JobId {
+    JobId("00000000000000aa".into())
+}
+
+fn settings() -> Settings {
+    Settings {
         lease: Duration::from_secs(6),
         stop: Duration::from_millis(200),
         retention: Duration::from_secs(120),
-    };
+    }
+}
+
+/// A new owner of a one-step job, with the actions of its takeover.
+fn take_over(
+    state: JobState,
+    cancelled: bool,
+    gang: bool,
+    tasks: Vec<TaskRecord>,
+) -> (Planner, Vec<Action>) {
     let need = Need { cpu: 100, memory: 100, gpu: 1 };
     let step = StepSpec { count: tasks.len() as u32, need, gang, ..StepSpec::default() };
     let submission = Submission {
@@ -60,24 +82,37 @@
         spec: Arc::new(Spec { steps: vec![step], ..Spec::default() }),
     };
     let record = Record { state, begun: true, occurrences: vec![vec![tasks]] };
-    let mut planner = Planner::new(settings, NOW, Duration::from_secs(2));
-    let mut stopped = BTreeSet::new();
+    let mut planner = Planner::new(settings(), NOW, QUIET);
     let events = [
-        Event::Listed(vec![worker()]),
-        Event::Restored(JobId("00000000000000aa".into()), submission, Some(record)),
+        Event::Listed(vec![worker(1), worker(2)]),
+        Event::Restored(job(), submission, Some(record)),
         Event::RestoreComplete,
     ];
+    let mut actions = Vec::new();
     for event in events {
-        for action in planner.handle(NOW, Stamp(0), event) {
-            if let Action::Stop { task, run, .. } = action {
-                assert_eq!(run, 1);
-                stopped.insert(task.index);
-            }
+        actions.extend(planner.handle(NOW, Stamp(0), event));
+    }
+    (planner, actions)
+}
+
+/// Indexes of the tasks of a one-step job that a new owner stops.
+fn stopped(state: JobState, cancelled: bool, gang: bool, tasks: Vec<TaskRecord>) -> BTreeSet<u32> {
+    let mut stopped = BTreeSet::new();
+    for action in take_over(state, cancelled, gang, tasks).1 {
+        if let Action::Stop { task, run, .. } = action {
+            assert_eq!(run, 1);
+            stopped.insert(task.index);
         }
     }
     stopped
 }
 
+/// Number of runs that the actions give up.
+fn given_up(actions: &[Action]) -> usize {
+    let gives_up = |action: &&Action| matches!(action, Action::Note(Note::GivesUp { .. }));
+    actions.iter().filter(gives_up).count()
+}
+
 /// Guards against runs that go on after their job has ended: an owner that had stored the end was
 /// replaced before its stops reached the worker, and the next one did not send them again.
 #[test]
@@ -108,3 +143,32 @@
     let whole = vec![placed(), placed()];
     assert_eq!(stopped(JobState::Running, false, true, whole), BTreeSet::new());
 }
+
+/// Guards against two runs of a task at once: a new owner gave up a gang's run on a silent worker
+/// where a start by the former owner could still arrive, and started the next run elsewhere.
+#[test]
+fn start_in_doubt() {
+    let tasks = vec![placed_on(1), placed_on(1), placed_on(2)];
+    let (mut planner, mut actions) = take_over(JobState::Running, false, true, tasks);
+    let mut handle = |at, event| {
+        actions.extend(planner.handle(at, Stamp(0), event));
+        given_up(&actions)
+    };
+    let soon = NOW + Duration::from_millis(200);
+    let task = TaskKey { job: job(), occurrence: 0, step: 0, index: 2 };
+    let end = End { number: 1, task, run: 1, outcome: Outcome::Broken, saved: String::new() };
+    let report = RenewalReport {
+        sent: NOW + Duration::from_millis(100),
+        clock: 50_000,
+        incarnation: 1,
+        running: Vec::new(),
+        ended: vec![end],
+    };
+    for _ in 0..2 {
+        assert_eq!(handle(soon, Event::RenewalFailed(worker(1).id)), 0);
+    }
+    assert_eq!(handle(soon, Event::Renewed(worker(2).id, report)), 0, "the start may still arrive");
+    let expired = NOW + QUIET + settings().lease;
+    assert_eq!(handle(expired, Event::Tick), 0, "its clock may be slow");
+    assert_eq!(handle(expired + settings().lease / 40, Event::Tick), 2, "all leases have expired");
+}
