Keep no headroom from waiting steps while most of the fleet is free

Callers saw: a gang whose tasks need whole workers isn't started although most of the fleet is free (LOST), seconds after urgent jobs have ended. Cause: keep_headroom (headroom.rs) withholds the emptiest workers, as many as urgent steps have used beyond their present use within 6 s, at most a fifth of the fleet. Tasks of few accelerators were spread over the others, so the ten workers withheld were all whole workers that were free. A trial with details in the log: 48 workers, five whole ones needed, "whole 10 withheld 10" at 46.5 to 49.2 s, where the last urgent job had ended at 46.6 s. Waiting for data wasn't involved: the step has no rack. Change: while at most half of each resource of the usable workers is in use, no headroom is kept once a less urgent step has waited for 1.5 s.

--- a/crates/batch/src/headroom.rs
+++ b/crates/batch/src/headroom.rs
@@ -3,13 +3,17 @@
 //! Urgent jobs come and go within seconds. If less urgent tasks took all of the capacity that they
 //! leave, the next urgent jobs would have to preempt these tasks again: each would wait for the
 //! stops, and the preempted work would be lost. So the capacity that urgent jobs have used at a time
-//! within the last seconds stays free for the next ones.
+//! within the last seconds stays free for the next ones. While most of the fleet is free, that is not
+//! kept from steps which have waited for a while: they may need whole workers, and headroom takes
+//! those first.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::Planner;
 use crate::job::Stage;
+use crate::order::PendingStep;
+use crate::order::Rank;
 use crate::room::Slot;
 use crate::spec::Need;
 use model::Time;
@@ -21,6 +25,8 @@
 /// Maximum headroom, in percent of the fleet. More than half of an idle fleet always stays open to
 /// less urgent work.
 const MAX_FLEET_PERCENT: u64 = 20;
+/// For how long headroom may keep a step waiting while most of the fleet is free.
+const MAX_HEADROOM_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Capacity in thousandths of a worker, by the resource that is scarcest.
 type Share = u64;
@@ -52,9 +58,17 @@
 impl Planner {
     /// Withholds the emptiest slots from less urgent steps, as many as urgent steps used beyond
     /// their present use within the last seconds.
-    pub(crate) fn keep_headroom(&mut self, now: Time, slots: &mut [Slot]) {
+    pub(crate) fn keep_headroom(
+        &mut self,
+        now: Time,
+        pending_steps: &[PendingStep],
+        slots: &mut [Slot],
+    ) {
         let used = self.urgent_use();
         let peak = self.urgent_peaks.record(now, used);
+        if mostly_free(slots) && pending_steps.iter().any(|pending| self.waits_long(now, pending)) {
+            return;
+        }
         let most = slots.len() as Share * WORKER_SHARE * MAX_FLEET_PERCENT / 100;
         let mut missing = peak.saturating_sub(used).min(most);
         // Whole workers are kept, since an urgent task may need one.
@@ -74,6 +88,16 @@
         }
     }
 
+    /// Whether a less urgent step has waited for longer than headroom may keep it waiting.
+    fn waits_long(&self, now: Time, pending: &PendingStep) -> bool {
+        if matches!(pending.rank, Rank::Guaranteed | Rank::Priority(0)) {
+            return false;
+        }
+        let Some(job) = self.jobs.get(&pending.job) else { return false };
+        let step = &job.occurrences[pending.occurrence][pending.step];
+        step.waiting() && step.ready_at.is_some_and(|since| since + MAX_HEADROOM_WAIT <= now)
+    }
+
     /// Capacity in use by or reserved for steps of the highest priority.
     fn urgent_use(&self) -> Share {
         let mut used = 0;
@@ -100,6 +124,19 @@
     }
 }
 
+/// Whether at most half of each resource is in use.
+fn mostly_free(slots: &[Slot]) -> bool {
+    let mut capacity = Need::default();
+    let mut used_twice = Need::default();
+    for slot in slots {
+        let used = slot.info.capacity.less(&slot.free);
+        capacity.add(&slot.info.capacity);
+        used_twice.add(&used);
+        used_twice.add(&used);
+    }
+    used_twice.fits(&capacity)
+}
+
 /// The largest part of a worker's resources that a task needs.
 fn used_share(need: &Need, capacity: &Need) -> Share {
     let part = |need: u64, all: u64| (need * WORKER_SHARE).checked_div(all).unwrap_or(0);
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -58,7 +58,7 @@
             let urgent = matches!(pending.rank, Rank::Guaranteed | Rank::Priority(0));
             if all_urgent && !urgent {
                 all_urgent = false;
-                self.keep_headroom(now, &mut slots);
+                self.keep_headroom(now, &pending_steps, &mut slots);
             }
             if self.finish_reserved(now, pending) {
                 waiting = true;
--- a/crates/batch/tests/schedules/regressions.rs
+++ b/crates/batch/tests/schedules/regressions.rs
@@ -176,3 +176,26 @@
     let running = |fake: &FakeWorker| fake.running.keys().any(|task| task.job == id);
     assert!(!world.workers.values().any(running), "a task still runs");
 }
+
+/// Guards against a gang that waits on a mostly free fleet: it needed whole workers, and all of those
+/// were kept free for urgent jobs.
+#[test]
+fn whole_workers_withheld() {
+    let mut world = World::new(8, 24, Faults::default(), policy(0));
+    world.run(500);
+    let mut urgent = step(5, 8, 3_000);
+    urgent.gang = true;
+    let first = world.submit("00000000000000e0", "urgent", "a", vec![urgent]);
+    world.run(500);
+    let mut apart = step(19, 1, 60_000);
+    apart.spread = Some(1);
+    world.submit("00000000000000e1", "patient", "a", vec![apart]);
+    world.run(500);
+    let mut wide = step(2, 8, 1_000);
+    wide.gang = true;
+    let second = world.submit("00000000000000e2", "usual", "a", vec![wide]);
+    world.run(3_000);
+    assert_eq!(world.stored_state(&first), JobState::Completed);
+    world.run(3_000);
+    assert_eq!(world.stored_state(&second), JobState::Completed);
+}
