Count only workers that had the task as crashed by it

Review of the fix for tasks that crash their workers, before any release: a job failed although no worker had ever run its task, when starts went unanswered on a worker that restarted three times; a worker that was only cut off counted as crashed if the record was an earlier version's; a crash was not counted if the worker had missed a renewal before the start; and urgent tasks kept away from the workers of suspect ones. Change: a loss is `crashed` only if the worker had confirmed the run, `silent` until it answers and `doubtful` if it never confirmed; doubtful losses count towards waiting but not towards failing. An unknown incarnation is not compared. Workers of suspect tasks are withheld from steps that are not urgent only. Each loss is logged as `loses`, and expiry looks at unsettled losses alone.

--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::job::JobState;
+use crate::record::Fate;
 use crate::record::Record;
 use crate::spec::JobId;
 use crate::spec::Spec;
@@ -161,6 +162,18 @@
         /// Tasks whose runs may have been there.
         tasks: Vec<TaskKey>,
     },
+    /// The worker of a run went silent or crashed soon after the start.
+    Loses {
+        /// The task.
+        task: TaskKey,
+        /// The worker.
+        worker: WorkerId,
+        /// What is known of the run.
+        fate: Fate,
+        /// Number of workers that the task has lost in a row; the job fails or the step waits with
+        /// the third.
+        losses: usize,
+    },
     /// A run is given up as lost; its task is scheduled again unless its job has ended.
     GivesUp {
         /// The task.
--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -11,12 +11,15 @@
 use std::time::Duration;
 
 use crate::Planner;
+use crate::action::Action;
+use crate::action::Note;
 use crate::job::JobState;
 use crate::job::Run;
 use crate::job::Stage;
 use crate::job::Step;
 use crate::job::Task;
 use crate::planner::task_mut;
+use crate::record::Fate;
 use crate::room::Slot;
 use crate::spec::JobId;
 use crate::spec::TaskKey;
@@ -41,16 +44,18 @@
 /// A run whose worker went silent soon after the start.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Loss {
-    /// The worker and its incarnation; `None` once it is known to have crashed.
-    pub silent: Option<(WorkerId, u64)>,
+    pub fate: Fate,
     /// When the loss was recorded, or restored by this owner.
     pub at: Time,
 }
 
 impl Run {
     /// Whether a worker that went silent at `silent` did so soon after this run was started there.
+    /// A worker that confirmed the run started it even if it had missed a renewal before.
     fn started_before(&self, silent: Time) -> bool {
-        self.first_sent.is_some_and(|at| at <= silent && silent <= at + SUSPECT_TIME)
+        self.first_sent.is_some_and(|at| {
+            (at <= silent || self.confirmed.is_some()) && silent <= at + SUSPECT_TIME
+        })
     }
 
     /// Whether the run has gone on for long enough not to be suspected of a crash.
@@ -82,8 +87,9 @@
         let Some(task) = task_mut(job, key) else { return };
         let Stage::Placed(run) = &task.stage else { return };
         let Some(worker) = self.workers.get(&run.worker) else { return };
-        let unknown = run.incarnation == 0;
-        let survived = seen.is_some_and(|seen| unknown || seen <= run.incarnation);
+        // An earlier version's record does not name the incarnation.
+        let incarnation = if run.incarnation > 0 { run.incarnation } else { worker.incarnation };
+        let survived = incarnation == 0 || seen.is_some_and(|seen| seen <= incarnation);
         if task.done || survived || !run.started_before(worker.silent_since) {
             return;
         }
@@ -92,11 +98,22 @@
             return;
         }
         let id = run.worker.clone();
-        let silent = seen.is_none().then(|| (id.clone(), run.incarnation));
-        if silent.is_some() {
+        let fate = match (run.confirmed, seen) {
+            (None, _) => Fate::Doubtful,
+            (Some(_), None) => Fate::Silent(id.clone(), incarnation),
+            (Some(_), Some(_)) => Fate::Crashed,
+        };
+        self.out.push(Action::Note(Note::Loses {
+            task: key.clone(),
+            worker: id.clone(),
+            fate: fate.clone(),
+            losses: task.losses.len() + 1,
+        }));
+        if fate != Fate::Crashed {
+            self.unsettled.insert(key.clone());
             self.silent_workers.entry(id).or_default().insert(key.clone());
         }
-        task.losses.insert(task.run, Loss { silent, at: now });
+        task.losses.insert(task.run, Loss { fate, at: now });
         if task.is_suspect() {
             self.suspects.insert(key.clone());
         }
@@ -110,13 +127,14 @@
         for key in keys {
             let Some(job) = self.jobs.get_mut(&key.job) else { continue };
             let Some(task) = task_mut(job, &key) else { continue };
-            task.losses.retain(|_, loss| match &loss.silent {
-                Some((worker, incarnation)) if worker == id => seen > *incarnation,
+            task.losses.retain(|_, loss| match &loss.fate {
+                Fate::Silent(worker, incarnation) if worker == id => {
+                    let crashed = seen > *incarnation;
+                    loss.fate = Fate::Crashed;
+                    crashed
+                }
                 _ => true,
             });
-            for loss in task.losses.values_mut() {
-                loss.silent.take_if(|(worker, _)| worker == id);
-            }
             self.dirty.insert(key.job.clone());
             self.replan = true;
             self.check_crashes(now, &key);
@@ -155,10 +173,14 @@
             for (step, tasks) in (0u32..).zip(steps) {
                 for (index, task) in (0u32..).zip(&tasks.tasks) {
                     let key = TaskKey { job: id.clone(), occurrence, step, index };
-                    for (worker, _) in task.losses.values().filter_map(|loss| loss.silent.as_ref())
-                    {
-                        let keys = self.silent_workers.entry(worker.clone()).or_default();
-                        keys.insert(key.clone());
+                    for loss in task.losses.values() {
+                        if loss.fate != Fate::Crashed {
+                            self.unsettled.insert(key.clone());
+                        }
+                        if let Fate::Silent(worker, _) = &loss.fate {
+                            let keys = self.silent_workers.entry(worker.clone()).or_default();
+                            keys.insert(key.clone());
+                        }
                     }
                     if task.is_suspect() {
                         self.suspects.insert(key);
@@ -168,21 +190,23 @@
         }
     }
 
-    /// Drops losses of workers that have not answered for a long time.
+    /// Drops losses after a while if it is still not known whether the worker crashed.
     pub(crate) fn expire_losses(&mut self, now: Time) {
-        let Planner { silent_workers, jobs, dirty, replan, .. } = self;
+        let Planner { silent_workers, unsettled, jobs, dirty, replan, .. } = self;
+        unsettled.retain(|key| {
+            let task = jobs.get_mut(&key.job).and_then(|job| task_mut(job, key));
+            let Some(task) = task else { return false };
+            let before = task.losses.len();
+            let settled = |loss: &Loss| loss.fate == Fate::Crashed;
+            task.losses.retain(|_, loss| settled(loss) || now < loss.at + LOSS_TIME);
+            if task.losses.len() < before {
+                dirty.insert(key.job.clone());
+                *replan = true;
+            }
+            !task.losses.values().all(settled)
+        });
         silent_workers.retain(|_, keys| {
-            keys.retain(|key| {
-                let task = jobs.get_mut(&key.job).and_then(|job| task_mut(job, key));
-                let Some(task) = task else { return false };
-                let before = task.losses.len();
-                task.losses.retain(|_, loss| loss.silent.is_none() || now < loss.at + LOSS_TIME);
-                if task.losses.len() < before {
-                    dirty.insert(key.job.clone());
-                    *replan = true;
-                }
-                task.losses.values().any(|loss| loss.silent.is_some())
-            });
+            keys.retain(|key| unsettled.contains(key));
             !keys.is_empty()
         });
     }
@@ -190,15 +214,15 @@
     /// Fails the job of a task that keeps crashing its workers.
     fn check_crashes(&mut self, now: Time, key: &TaskKey) {
         let Some(losses) = self.task(key).map(|task| &task.losses) else { return };
-        let crashes = losses.values().filter(|loss| loss.silent.is_none()).count();
+        let crashes = losses.values().filter(|loss| loss.fate == Fate::Crashed).count();
         let ended = self.jobs.get(&key.job).is_none_or(|job| job.state.ended());
         if losses.len() >= MAX_LOSSES && crashes >= MIN_CRASHES && !ended {
             self.end_job(now, &key.job, JobState::Failed);
         }
     }
 
-    /// Marks the slots that run any tasks, and those that run a suspect one, which get no others.
-    pub(crate) fn mark_suspects(&mut self, slots: &mut [Slot]) {
+    /// Marks the slots that run any tasks, for suspect tasks to avoid.
+    pub(crate) fn mark_occupied(&mut self, slots: &mut [Slot]) {
         let jobs = &self.jobs;
         self.suspects.retain(|key| {
             let Some(job) = jobs.get(&key.job).filter(|job| !job.state.ended()) else {
@@ -212,6 +236,10 @@
         for slot in slots.iter_mut() {
             slot.occupied = self.runs.get(&slot.worker).is_some_and(|keys| !keys.is_empty());
         }
+    }
+
+    /// Withholds the slots that run a suspect task from all others.
+    pub(crate) fn withhold_suspected(&self, slots: &mut [Slot]) {
         for key in &self.suspects {
             let Some(Stage::Placed(run)) = self.task(key).map(|task| &task.stage) else { continue };
             if let Ok(at) = slots.binary_search_by(|slot| slot.worker.cmp(&run.worker)) {
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -36,7 +36,7 @@
     Running,
     /// All tasks have completed.
     Completed,
-    /// A task used up its attempts.
+    /// A task used up its attempts, or kept crashing its workers.
     Failed,
     /// The caller cancelled the job.
     Cancelled,
@@ -319,7 +319,7 @@
         losses: record
             .losses
             .iter()
-            .map(|(run, silent)| (*run, Loss { silent: silent.clone(), at: now }))
+            .map(|(run, fate)| (*run, Loss { fate: fate.clone(), at: now }))
             .collect(),
         saved: record.saved.clone(),
         failed_on: None,
@@ -335,7 +335,7 @@
     TaskRecord {
         run: task.run,
         failures: task.failures.clone(),
-        losses: task.losses.iter().map(|(run, loss)| (*run, loss.silent.clone())).collect(),
+        losses: task.losses.iter().map(|(run, loss)| (*run, loss.fate.clone())).collect(),
         done: task.done,
         place,
         incarnation,
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -48,6 +48,7 @@
 pub use policy::Policy;
 pub use policy::Queue;
 pub use policy::Service;
+pub use record::Fate;
 pub use record::Record;
 pub use record::TaskRecord;
 pub use settings::Settings;
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -59,6 +59,7 @@
             let urgent = matches!(pending.rank, Rank::Guaranteed | Rank::Priority(0));
             if all_urgent && !urgent {
                 all_urgent = false;
+                self.withhold_suspected(&mut slots);
                 self.keep_headroom(now, &pending_steps, &mut slots);
             }
             if self.finish_reserved(now, pending) {
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -71,7 +71,9 @@
     pub(crate) urgent_peaks: UrgentUse,
     /// Tasks that may be the cause of crashes.
     pub(crate) suspects: BTreeSet<TaskKey>,
-    /// Tasks with a loss on a worker that has not answered since, by worker.
+    /// Tasks with a loss of which it is not known whether the worker crashed.
+    pub(crate) unsettled: BTreeSet<TaskKey>,
+    /// These tasks by the worker that was lost.
     pub(crate) silent_workers: BTreeMap<WorkerId, BTreeSet<TaskKey>>,
     /// Whether a placement pass is due.
     pub(crate) replan: bool,
@@ -137,6 +139,7 @@
             needs_isolation: false,
             urgent_peaks: UrgentUse::default(),
             suspects: BTreeSet::new(),
+            unsettled: BTreeSet::new(),
             silent_workers: BTreeMap::new(),
             replan: false,
             replan_at: Time::NEVER,
@@ -272,9 +275,6 @@
                 worker.info = Arc::new(info);
             }
         }
-        for id in self.taken_addresses() {
-            self.replaced(now, &id);
-        }
         for id in unseen {
             let idle = self.runs.get(&id).is_none_or(BTreeSet::is_empty);
             if let Some(worker) = self.workers.get_mut(&id) {
@@ -284,6 +284,9 @@
                 }
             }
         }
+        for id in self.taken_addresses() {
+            self.replaced(now, &id);
+        }
     }
 
     fn accepted(&mut self, now: Time, id: JobId, submission: &Submission) {
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -15,6 +15,18 @@
 use crate::job::JobState;
 use crate::spec::WorkerId;
 
+/// What is known of a run whose worker went silent soon after the start.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fate {
+    /// The worker had the run, and has crashed.
+    Crashed,
+    /// This incarnation of the worker had the run, and has not answered since.
+    Silent(WorkerId, u64),
+    /// The worker has not confirmed that it had the run.
+    Doubtful,
+}
+
 /// Stored state of one task.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TaskRecord {
@@ -28,9 +40,8 @@
     pub place: Option<WorkerId>,
     /// Incarnation of that worker; zero if there is no run or it is not known.
     pub incarnation: u64,
-    /// Runs whose worker went silent soon after the start, with the worker and its incarnation;
-    /// `None` if it is known to have crashed.
-    pub losses: BTreeMap<u32, Option<(WorkerId, u64)>>,
+    /// Runs whose worker went silent soon after the start.
+    pub losses: BTreeMap<u32, Fate>,
     /// Checkpoint to resume from; empty for none.
     pub saved: String,
 }
@@ -72,9 +83,7 @@
     /// Occurrence, step and index of the task.
     task: (usize, usize, usize),
     run: u32,
-    /// The worker and its incarnation, unless it is known to have crashed.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    silent: Option<(WorkerId, u64)>,
+    fate: Fate,
 }
 
 impl From<Record> for Compact {
@@ -96,10 +105,10 @@
                     });
                     let text = write_task(&task, place);
                     let task_losses = task.losses.into_iter();
-                    losses.extend(task_losses.map(|(run, silent)| CompactLoss {
+                    losses.extend(task_losses.map(|(run, fate)| CompactLoss {
                         task: (occurrence, step, index),
                         run,
-                        silent,
+                        fate,
                     }));
                     text
                 };
@@ -134,12 +143,12 @@
             }
             occurrences.push(occurrence);
         }
-        for CompactLoss { task: (occurrence, step, index), run, silent } in compact.losses {
+        for CompactLoss { task: (occurrence, step, index), run, fate } in compact.losses {
             let steps = occurrences.get_mut(occurrence);
             let tasks = steps.and_then(|steps| steps.get_mut(step));
             let task = tasks.and_then(|tasks| tasks.get_mut(index));
             let task = task.ok_or_else(|| format!("loss of run {run} names no task"))?;
-            task.losses.insert(run, silent);
+            task.losses.insert(run, fate);
         }
         Ok(Record { state: compact.state, begun: compact.begun, occurrences })
     }
--- a/crates/batch/src/room.rs
+++ b/crates/batch/src/room.rs
@@ -125,7 +125,7 @@
                 slot.has_fillers |= step.fills;
             }
         }
-        self.mark_suspects(&mut slots);
+        self.mark_occupied(&mut slots);
         self.reserving.retain(|id| {
             let Some(job) = self.jobs.get(id) else { return false };
             let mut any = false;
--- a/crates/batch/tests/records.rs
+++ b/crates/batch/tests/records.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use batch::Fate;
 use batch::JobState;
 use batch::Record;
 use batch::TaskRecord;
@@ -21,7 +22,8 @@
     let mut failed = task(3, false, worker("i-2"), "a;b=c!d@e");
     failed.failures = BTreeSet::from([1, 2]);
     failed.incarnation = 1_781_234_567_890;
-    failed.losses = BTreeMap::from([(1, None), (3, Some((WorkerId("i-9".into()), 17)))]);
+    failed.losses =
+        BTreeMap::from([(1, Fate::Crashed), (3, Fate::Silent(WorkerId("i-9".into()), 17))]);
     let step = vec![
         TaskRecord::default(),
         task(1, true, None, ""),
@@ -47,6 +49,7 @@
     let tasks = (0..100).map(|run| TaskRecord {
         run: 1,
         place: Some(WorkerId(format!("i-{:010}", run / 8).into())),
+        incarnation: 1_781_234_567_890,
         ..TaskRecord::default()
     });
     let record =
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -368,6 +368,10 @@
             info!(worker = &*worker.0, count = tasks.len(), tasks = names.join(" ").as_str();
                 "{what}");
         }
+        Note::Loses { task, worker, fate, losses } => {
+            info!(task = task.to_string().as_str(), worker = &*worker.0,
+                fate = format!("{fate:?}").as_str(), losses = losses; "{what}");
+        }
         Note::GivesUp { task, worker, why } => {
             info!(task = task.to_string().as_str(), worker = &*worker.0, why = why; "{what}");
         }
