--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -1,12 +1,12 @@
 //! Tasks that may crash the workers that start them.
 //!
 //! A worker that goes silent soon after a start may have been crashed by that run. Such a run is
-//! recorded as a loss of its task, and the loss is confirmed once another incarnation of the worker
-//! answers; if the same incarnation answers, the worker was only out of reach and the loss is
-//! dropped. All recent runs on a crashed worker are counted alike, so a task becomes suspect with
-//! its second loss in a row and then gets a worker of its own where one is free. With the third it
-//! fails its job; while it is not known whether the workers crashed, it waits. Losses are part of
-//! the job's record: the owner may be replaced between two of them.
+//! recorded as a loss of its task. If another incarnation of the worker answers next, it has
+//! crashed; if the same one answers, it was only out of reach, and the loss is dropped. All runs
+//! that were started shortly before a crash are counted alike, so a task becomes suspect with its
+//! second loss in a row and then gets a worker of its own where one is free. With the third loss
+//! its job fails, or its step waits while it is not known whether the workers crashed. Losses are
+//! part of the job's record, since the owner may be replaced between two of them.
 
 use std::time::Duration;
 
@@ -28,39 +28,42 @@
 
 /// Number of lost workers in a row with which a task is not started again.
 const MAX_LOSSES: usize = 3;
-/// Number of these that must have crashed for the job to be failed.
+/// How many of these must have crashed for the job to fail.
 const MIN_CRASHES: usize = 2;
 /// Number of lost workers in a row with which a task is suspect. A rack or an availability zone
 /// that goes away costs many tasks one worker each, and these need the remaining capacity.
 const MIN_SUSPECT_LOSSES: usize = 2;
-/// Time from the start of a run to the silence of its worker within which the run is suspected, up
-/// to three seconds of which pass before a silent worker is noticed. Workers crash for other reasons
-/// too, and a job that runs for hours must outlive that.
-const SUSPECT_TIME: Duration = Duration::from_secs(7);
-/// Time after which a worker that has not answered since is no longer counted as lost: it may have
-/// been removed.
-const LOSS_TIME: Duration = Duration::from_secs(30);
+/// Time from the start of a run within which its worker's silence is a loss. Up to three seconds
+/// pass before a silent worker is noticed. Workers crash for other reasons too, and a job that runs
+/// for hours must outlive that.
+const EARLY_LOSS_TIME: Duration = Duration::from_secs(7);
+/// Time after which a loss is dropped if it is still not known whether the worker crashed: it may
+/// have been removed.
+const UNSETTLED_TIME: Duration = Duration::from_secs(30);
 
 /// A run whose worker went silent soon after the start.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Loss {
+    /// What is known of it.
     pub fate: Fate,
     /// When the loss was recorded, or restored by this owner.
     pub at: Time,
 }
 
 impl Run {
-    /// Whether a worker that went silent at `silent` did so soon after this run was started there.
-    /// A worker that confirmed the run started it even if it had missed a renewal before.
-    fn started_before(&self, silent: Time) -> bool {
+    /// Whether the run was started shortly before its worker went silent at `silent`.
+    ///
+    /// A worker that had missed a renewal before the start still started the run if it confirmed
+    /// it.
+    fn started_shortly_before(&self, silent: Time) -> bool {
         self.first_sent.is_some_and(|at| {
-            (at <= silent || self.confirmed.is_some()) && silent <= at + SUSPECT_TIME
+            (at <= silent || self.confirmed.is_some()) && silent <= at + EARLY_LOSS_TIME
         })
     }
 
-    /// Whether the run has gone on for long enough not to be suspected of a crash.
-    fn outlived_suspicion(&self, now: Time) -> bool {
-        self.first_sent.is_some_and(|at| at + SUSPECT_TIME < now)
+    /// Whether the silence of its worker would no longer be a loss.
+    fn is_established(&self, now: Time) -> bool {
+        self.first_sent.is_some_and(|at| at + EARLY_LOSS_TIME < now)
     }
 }
 
@@ -90,7 +93,7 @@
         // An earlier version's record does not name the incarnation.
         let incarnation = if run.incarnation > 0 { run.incarnation } else { worker.incarnation };
         let survived = incarnation == 0 || seen.is_some_and(|seen| seen <= incarnation);
-        if task.done || survived || !run.started_before(worker.silent_since) {
+        if task.done || survived || !run.started_shortly_before(worker.silent_since) {
             return;
         }
         // A draining worker goes away without a crash.
@@ -118,26 +121,27 @@
             self.suspects.insert(key.clone());
         }
         self.dirty.insert(key.job.clone());
-        self.check_crashes(now, key);
+        self.fail_crashing_job(now, key);
     }
 
-    /// Confirms or drops the losses of a worker, one of whose incarnations has answered.
+    /// Settles the losses on a worker whose incarnation `seen` has answered.
     pub(crate) fn settle_losses(&mut self, now: Time, id: &WorkerId, seen: u64) {
         let Some(keys) = self.silent_workers.remove(id) else { return };
         for key in keys {
             let Some(job) = self.jobs.get_mut(&key.job) else { continue };
             let Some(task) = task_mut(job, &key) else { continue };
             task.losses.retain(|_, loss| match &loss.fate {
-                Fate::Silent(worker, incarnation) if worker == id => {
-                    let crashed = seen > *incarnation;
-                    loss.fate = Fate::Crashed;
-                    crashed
-                }
+                Fate::Silent(worker, incarnation) if worker == id => seen > *incarnation,
                 _ => true,
             });
+            for loss in task.losses.values_mut() {
+                if matches!(&loss.fate, Fate::Silent(worker, _) if worker == id) {
+                    loss.fate = Fate::Crashed;
+                }
+            }
             self.dirty.insert(key.job.clone());
             self.replan = true;
-            self.check_crashes(now, &key);
+            self.fail_crashing_job(now, &key);
         }
     }
 
@@ -158,7 +162,7 @@
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let Some(task) = task_mut(job, key) else { return };
         let Stage::Placed(run) = &task.stage else { return };
-        if !task.losses.is_empty() && run.outlived_suspicion(now) {
+        if !task.losses.is_empty() && run.is_established(now) {
             task.losses.clear();
             self.suspects.remove(key);
             self.dirty.insert(key.job.clone());
@@ -190,7 +194,7 @@
         }
     }
 
-    /// Drops losses after a while if it is still not known whether the worker crashed.
+    /// Drops losses that have not been settled in time.
     pub(crate) fn expire_losses(&mut self, now: Time) {
         let Planner { silent_workers, unsettled, jobs, dirty, replan, .. } = self;
         unsettled.retain(|key| {
@@ -198,7 +202,7 @@
             let Some(task) = task else { return false };
             let before = task.losses.len();
             let settled = |loss: &Loss| loss.fate == Fate::Crashed;
-            task.losses.retain(|_, loss| settled(loss) || now < loss.at + LOSS_TIME);
+            task.losses.retain(|_, loss| settled(loss) || now < loss.at + UNSETTLED_TIME);
             if task.losses.len() < before {
                 dirty.insert(key.job.clone());
                 *replan = true;
@@ -211,8 +215,8 @@
         });
     }
 
-    /// Fails the job of a task that keeps crashing its workers.
-    fn check_crashes(&mut self, now: Time, key: &TaskKey) {
+    /// Fails the job of a task if it keeps crashing its workers.
+    fn fail_crashing_job(&mut self, now: Time, key: &TaskKey) {
         let Some(losses) = self.task(key).map(|task| &task.losses) else { return };
         let crashes = losses.values().filter(|loss| loss.fate == Fate::Crashed).count();
         let ended = self.jobs.get(&key.job).is_none_or(|job| job.state.ended());
--- a/crates/batch/src/headroom.rs
+++ b/crates/batch/src/headroom.rs
@@ -2,10 +2,10 @@
 //!
 //! Urgent jobs come and go within seconds. If less urgent tasks took all of the capacity that they
 //! leave, the next urgent jobs would have to preempt these tasks again: each would wait for the
-//! stops, and the preempted work would be lost. So the capacity that urgent jobs have used at a time
-//! within the last seconds stays free for the next ones. While most of the fleet is free, that is not
-//! kept from steps which have waited for a while: they may need whole workers, and headroom takes
-//! those first.
+//! stops, and the preempted work would be lost. So the capacity that urgent jobs have used at a
+//! time within the last seconds stays free for the next ones. While most of the fleet is free, that
+//! is not kept from steps which have waited for a while: they may need whole workers, and headroom
+//! takes those first.
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -275,8 +275,8 @@
 }
 
 /// Placement score of a slot; the lowest is best. It prefers workers without recent failures of
-/// this or other tasks, and without any runs for a task that may crash its worker, then workers that are not slow, then workers near the data, then the
-/// tightest fit.
+/// this or other tasks, and without any runs for a task that may crash its worker, then workers
+/// that are not slow, then workers near the data, then the tightest fit.
 type Score = (bool, bool, bool, u64, u64, u64);
 
 fn placement_score(slot: &Slot, step: &StepSpec, task: &Task) -> Score {
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -73,7 +73,7 @@
     pub(crate) suspects: BTreeSet<TaskKey>,
     /// Tasks with a loss of which it is not known whether the worker crashed.
     pub(crate) unsettled: BTreeSet<TaskKey>,
-    /// These tasks by the worker that was lost.
+    /// The same tasks by the silent worker.
     pub(crate) silent_workers: BTreeMap<WorkerId, BTreeSet<TaskKey>>,
     /// Whether a placement pass is due.
     pub(crate) replan: bool,
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -1,10 +1,10 @@
 //! Stored state of a job and its compact serialized form.
 //!
 //! Each change of a wide job stores hundreds of tasks, over links of a few Mbit/s, so the
-//! serialized form is kept short. Worker ids appear once in a table, and a task is a string such
-//! as `3d`, `2@4` or `2@4!1=checkpoint`: highest run number, `d` if done, `@` and the worker's
-//! index in the table, `!` and the failed runs, `=` and the checkpoint. Losses are rare and stand in
-//! a list of their own, which entry VMs of earlier versions ignore.
+//! serialized form is kept short. Worker ids appear once in a table, and a task is a string such as
+//! `3d`, `2@4` or `2@4!1=checkpoint`: highest run number, `d` if done, `@` and the worker's index
+//! in the table, `!` and the failed runs, `=` and the checkpoint. Losses are rare and stand in a
+//! list of their own, which entry VMs of earlier versions ignore.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -40,7 +40,7 @@
         }
         if report.incarnation > worker.incarnation {
             worker.note_silence(now);
-            // A worker from the store that was not listed has no known incarnation.
+            // Before its first answer to this owner, its incarnation is not known.
             let known = worker.incarnation > 0;
             worker.start_incarnation(report.incarnation);
             if known {
@@ -131,8 +131,8 @@
     }
 
     /// Prepares another stop of a run that its worker lists in the answer to a renewal sent at
-    /// `sent`, long after it has answered a stop: it may have restarted since, and then have carried
-    /// out a start that was in flight.
+    /// `sent`, long after it has answered a stop: it may have restarted since, and then have
+    /// carried out a start that was in flight.
     fn repeat_stop(&mut self, key: &TaskKey, sent: Time) {
         let stop = self.settings.stop;
         let task = self.jobs.get_mut(&key.job).and_then(|job| task_mut(job, key));
--- a/crates/batch/tests/losses.rs
+++ b/crates/batch/tests/losses.rs
@@ -156,8 +156,8 @@
     TaskRecord { run: 1, place: Some(id()), incarnation, ..TaskRecord::default() }
 }
 
-/// Guards workers that were only cut off against being counted as crashed, where the record is one of
-/// an earlier version, without incarnations.
+/// Guards workers that were only cut off against being counted as crashed, where the record is one
+/// of an earlier version, without incarnations.
 #[test]
 fn unknown_incarnation() {
     let mut world = World::new(Some(placed(0)));
@@ -185,7 +185,8 @@
     assert_eq!(world.losses(), BTreeMap::from([(1, Fate::Crashed)]));
 }
 
-/// Guards tasks that wait for lost workers against starting too early, and against waiting for ever.
+/// Guards tasks that wait for lost workers against starting too early, and against waiting for
+/// ever.
 #[test]
 fn hold_expiry() {
     let silent = |name: &str| Fate::Silent(WorkerId(name.into()), 5);
--- a/crates/batch/tests/schedules/regressions.rs
+++ b/crates/batch/tests/schedules/regressions.rs
@@ -210,8 +210,8 @@
     assert_eq!(worker_of_job(&world), None, "the task still runs");
 }
 
-/// Guards against a gang that waits on a mostly free fleet: it needed whole workers, and all of those
-/// were kept free for urgent jobs.
+/// Guards against a gang that waits on a mostly free fleet: it needed whole workers, and all of
+/// those were kept free for urgent jobs.
 #[test]
 fn whole_workers_withheld() {
     let mut world = World::new(8, 24, Faults::default(), policy(0));
--- a/crates/batch/tests/takeover.rs
+++ b/crates/batch/tests/takeover.rs
@@ -135,7 +135,8 @@
     assert_eq!(stopped(RUNNING, tasks()), BTreeSet::new());
 }
 
-/// Guards against a run that goes on after a takeover although an earlier one has completed its task.
+/// Guards against a run that goes on after a takeover although an earlier one has completed its
+/// task.
 #[test]
 fn superseded_run() {
     let done = TaskRecord { done: true, ..placed() };
