--- a/crates/entry/tests/hosted/odd_entries.rs
+++ b/crates/entry/tests/hosted/odd_entries.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use crate::cluster::Cluster;
+use crate::log_lines;
 use fake::HostedWorker;
 use fake::hosted_job as job;
 
@@ -70,6 +71,10 @@
     assert_eq!(cluster.ask(0, Method::POST, "/work/00000000000000d0", &job(12)).await.0, 200);
     cluster.wait_completed(1, "00000000000000d0").await;
     assert_eq!((cluster.started_tasks().len(), late.starts().len()), (8, 4));
+    for key in ["servers/raw", "servers/deep", "servers/port"] {
+        let lines = log_lines(&cluster, &["malformed worker entry", &format!("\"{key}\"")]);
+        assert_eq!(lines.len(), 1, "{key} is logged once: {lines:?}");
+    }
 }
 
 /// Guards against takeovers that never finish because of one entry that the new owner cannot read.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -98,6 +98,8 @@
     planner: Planner,
     orders: OrderSender,
     addresses: BTreeMap<WorkerId, SocketAddr>,
+    /// Passed on once the directory is followed.
+    decoder: EntryDecoder,
     /// `None` while a commit is in progress.
     writer: Option<RecordWriter>,
     events: mpsc::UnboundedReceiver<Event>,
@@ -152,6 +154,7 @@
             planner,
             orders,
             addresses: BTreeMap::new(),
+            decoder: EntryDecoder::default(),
             writer: Some(writer),
             events,
             event_sender,
@@ -176,7 +179,7 @@
         if let Some(active) = state.active_configuration() {
             self.handle_event(Event::Configured(active.policy))?;
         }
-        let workers = parse_workers(&entries);
+        let workers = self.decoder.decode(&entries);
         self.update_directory(workers)?;
         let mut states: BTreeMap<JobId, Record> = BTreeMap::new();
         for item in &records {
@@ -208,7 +211,8 @@
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut changed = state.configuration_changed.subscribe();
         let (listing_sender, mut listings) = mpsc::unbounded_channel();
-        self.tasks.spawn_local(follow_directory(Rc::clone(&state), listing_sender));
+        let decoder = std::mem::take(&mut self.decoder);
+        self.tasks.spawn_local(follow_directory(Rc::clone(&state), decoder, listing_sender));
         loop {
             let handled = tokio::select! {
                 biased;
@@ -399,19 +403,32 @@
     }
 }
 
-fn parse_workers(entries: &[Item]) -> Vec<WorkerInfo> {
-    let entry = |item: &Item| {
-        let value = item.value.as_deref().map_err(String::clone);
-        match value.and_then(|value| directory::decode_entry(&item.key, value)) {
-            Ok(worker) => Some(worker),
-            Err(error) => {
-                warn!(key = item.key.as_str(), error = error.as_str();
-                    "directory: malformed worker entry; ignored");
-                None
+/// Decoder of the directory's entries, which logs each malformed one once per change.
+#[derive(Debug, Default)]
+struct EntryDecoder {
+    /// Store revisions of the malformed entries of the last read, by key.
+    malformed: BTreeMap<String, u64>,
+}
+
+impl EntryDecoder {
+    fn decode(&mut self, entries: &[Item]) -> Vec<WorkerInfo> {
+        let known = std::mem::take(&mut self.malformed);
+        let mut workers = Vec::with_capacity(entries.len());
+        for item in entries {
+            let value = item.value.as_deref().map_err(String::clone);
+            match value.and_then(|value| directory::decode_entry(&item.key, value)) {
+                Ok(worker) => workers.push(worker),
+                Err(error) => {
+                    if known.get(&item.key) != Some(&item.revision) {
+                        warn!(key = item.key.as_str(), error = error.as_str();
+                            "directory: malformed worker entry; ignored");
+                    }
+                    self.malformed.insert(item.key.clone(), item.revision);
+                }
             }
         }
-    };
-    entries.iter().filter_map(entry).collect()
+        workers
+    }
 }
 
 /// Sends new and cancelled jobs to the owner as events.
@@ -451,14 +468,18 @@
 }
 
 /// Reads the directory of workers periodically.
-async fn follow_directory(state: Rc<State>, listing_sender: UnboundedSender<Vec<WorkerInfo>>) {
+async fn follow_directory(
+    state: Rc<State>,
+    mut decoder: EntryDecoder,
+    listing_sender: UnboundedSender<Vec<WorkerInfo>>,
+) {
     loop {
         let mut pause = DIRECTORY_READ_PAUSE;
         match state.store.range(directory::PREFIX, SLOW_READ_TIMEOUT).await {
             Ok((entries, _)) => {
                 let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
                 pause = pause.max(Duration::from_secs(1) * count / DIRECTORY_ENTRIES_PER_SECOND);
-                if listing_sender.send(parse_workers(&entries)).is_err() {
+                if listing_sender.send(decoder.decode(&entries)).is_err() {
                     return;
                 }
             }
