--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -23,6 +23,8 @@
 #: Returned by a handler instead of an answer: the connection stays open and silent.
 SILENT = object()
 
+#: Largest value that the store takes.
+VALUE_BYTES = 1048576
 #: Bounds of the site gt-basilrack that the settings template uses.
 BOUNDS = {"configApplyMs": 3000, "graceS": 6, "holdMaxMs": 6000, "stopTimeoutMs": 200,
           "status_s": 120}
@@ -163,6 +165,8 @@
         deletes = body.get("deletes", [])
         if len(conditions) + len(writes) + len(deletes) > 32:
             return 400, None
+        if any(len(row["value"]) * 3 // 4 > VALUE_BYTES for row in writes):
+            return 400, None
         current = lambda key: self.items[key]["revision"] if key in self.items else 0
         if any(row["revision"] != current(row["key"]) for row in conditions):
             held = [self.items[row["key"]] for row in conditions if row["key"] in self.items]
@@ -307,6 +311,8 @@
         self.finished.append([self.ends_count, name, run["run"], how, ""])
         self.case.note("end", worker=self.id, task=name, run=run["run"], how=how)
         self.case.ends.append((name, how))
+        if how == "done":
+            self.case.ended_at[name] = self.case.now()
         event, self.ended = self.ended, asyncio.Event()
         event.set()
 
@@ -386,15 +392,22 @@
     """One entry VM: the project's own program as a separate process."""
 
     def __init__(self, case, number, store_address):
-        self.case, self.number = case, number
+        self.case, self.number, self.store_address = case, number, store_address
         self.name = f"front-zemgale-a-{number}"
+        self.process = None
+        self.configure()
+
+    def configure(self):
+        """Writes the settings, with ports that are free."""
+        case = self.case
         self.front, self.ready, self.peers, self.metrics = (free_port() for _ in range(4))
         fields = {
             "nodeName": self.name, "zone": "zemgale-a", "region": "zemgale", "ip": "127.0.0.1",
             "listenAddrs.front": f"127.0.0.1:{self.front}",
             "listenAddrs.ready": f"127.0.0.1:{self.ready}",
             "internalPorts.0": self.peers, "internalPorts.1": self.metrics,
-            "platform.address": store_address, "limits.cpuShare": 0.25, "limits.linkMbps": 1000.0,
+            "platform.address": self.store_address, "limits.cpuShare": 0.25,
+            "limits.linkMbps": 1000.0,
         }
         fields.update({f"bounds.{name}": value for name, value in case.bounds.items()})
         with open(TEMPLATE) as file:
@@ -403,7 +416,6 @@
         self.settings = os.path.join(case.folder, f"{self.name}.jsonc")
         with open(self.settings, "w") as file:
             file.write(text)
-        self.process = None
 
     def start(self):
         log = open(os.path.join(self.case.folder, f"{self.name}.log"), "ab")
@@ -448,6 +460,8 @@
         self.noted = {}
         #: All ends: task, how; and the runs that were lost with their worker: task, run, worker.
         self.ends, self.lost = [], []
+        #: When a task ended `done`.
+        self.ended_at = {}
         #: Called with the worker, the task and the run of each start.
         self.check_start = None
         #: Runs per task: worker, run, time.
@@ -478,16 +492,17 @@
 
     # Parts of a scenario.
 
-    def configuration(self, **service):
+    def configuration(self, version=7, routes=("r-lot", "r-sort")):
+        prefixes = {"r-lot": PREFIX, "r-sort": "/sort418/"}
         return {
-            "version": 7,
-            "routes": [{"name": "r-lot", "host": HOST, "prefix": PREFIX, "type": "non_idempotent",
-                        "timeoutMs": 3000, "targetDurationMs": 1500, "priority": 1,
-                        "service": "ticket-hub", "maxAttempts": 4, "stretch": 3.0,
-                        "public": False}],
-            "services": [dict({"name": "ticket-hub", "healthPath": "/health",
-                               "maxConnections": 64, "protocol": "h1", "tls": False,
-                               "enforcesCapacity": False, "spare": False}, **service)],
+            "version": version,
+            "routes": [{"name": name, "host": HOST, "prefix": prefixes[name],
+                        "type": "non_idempotent", "timeoutMs": 3000, "targetDurationMs": 1500,
+                        "priority": 1, "service": "ticket-hub", "maxAttempts": 4, "stretch": 3.0,
+                        "public": False} for name in routes],
+            "services": [{"name": "ticket-hub", "healthPath": "/health", "maxConnections": 64,
+                          "protocol": "h1", "tls": False, "enforcesCapacity": False,
+                          "spare": False}],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": 15000},
             "tenants": [{"name": "kaje80", "apiKeys": [KEY], "priority": 1,
@@ -508,6 +523,11 @@
             vm.start()
         end = time.monotonic() + 15
         while True:
+            for vm in self.vms:
+                if vm.process.poll() is not None:
+                    # Another program has taken one of its ports in the meantime.
+                    vm.configure()
+                    vm.start()
             states = [await self.http(vm.ready, "GET", "/-/readiness") for vm in self.vms]
             if all(status == 200 for status, _ in states) and self.owner():
                 break
