Review: one job that can never be done ends every owner in turn

Cause: the number of tasks of a step is not limited when a job is accepted, and the owner creates all of them at once. The job is in the store by then, so each owner that takes over ends in the same way.

Nothing is fixed.

--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -7,6 +7,7 @@
 import os
 import random
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -25,6 +26,8 @@
 
 #: Largest value that the store takes.
 VALUE_BYTES = 1048576
+#: Memory of a process of the system; one that exceeds it does not go on.
+MEMORY_BYTES = 260 << 20
 #: Bounds of the site gt-basilrack that the settings template uses.
 BOUNDS = {"configApplyMs": 3000, "graceS": 6, "holdMaxMs": 6000, "stopTimeoutMs": 200,
           "status_s": 120}
@@ -106,6 +109,8 @@
         self.leases = {}
         self.last_lease = 1000
         self.changed = asyncio.Event()
+        #: While it is down, it answers each call with 503, and leases pause.
+        self.down = False
         #: Called with the body of each transaction; returns None, or the seconds after which the
         #: transaction is carried out without an answer.
         self.lose_write = None
@@ -154,8 +159,13 @@
 
     async def expire(self):
         """Ends the leases that have run out, for as long as the store runs."""
+        last = time.monotonic()
         while True:
             now = time.monotonic()
+            if self.down:
+                self.leases = {lease: (ttl, end + now - last)
+                               for lease, (ttl, end) in self.leases.items()}
+            last = now
             for lease in [l for l, (_, end) in self.leases.items() if end <= now]:
                 self._end_lease(lease)
             await asyncio.sleep(0.01)
@@ -194,6 +204,9 @@
         url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         path = url.path
+        if self.down:
+            await asyncio.sleep(self.answer_s)
+            return 503, None
         if path == "/-/kv-txn":
             parsed = json.loads(body)
             delay = self.lose_write(parsed) if self.lose_write else None
@@ -219,6 +232,8 @@
             prefix, after = query["prefix"], int(query["after"])
             end = time.monotonic() + int(query["waitMs"]) / 1000
             while True:
+                if self.down:
+                    return 503, None
                 events = [event for revision, key, event in self.history
                           if revision > after and key.startswith(prefix)]
                 left = end - time.monotonic()
@@ -423,7 +438,9 @@
             [PROGRAM, "host", "--settings", self.settings], cwd=ROOT, stdin=subprocess.DEVNULL,
             stdout=log, stderr=log, env={"PATH": os.environ.get("PATH", ""),
                                          "HOME": self.case.folder,
-                                         "BASILRACK_SETTINGS": self.settings})
+                                         "BASILRACK_SETTINGS": self.settings},
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_DATA,
+                                                  (MEMORY_BYTES, MEMORY_BYTES)))
         self.case.note("vm started", vm=self.name, pid=self.process.pid)
 
     def kill(self):
@@ -460,6 +477,8 @@
         self.noted = {}
         #: All ends: task, how; and the runs that were lost with their worker: task, run, worker.
         self.ends, self.lost = [], []
+        #: Number of processes of the system that ended by themselves, if supervised.
+        self.exits = 0
         #: When a task ended `done`.
         self.ended_at = {}
         #: Called with the worker, the task and the run of each start.
@@ -594,6 +613,17 @@
         status, answer = await self.call(vm, "GET", id, quiet=True)
         return json.loads(answer)["state"] if status == 200 else status
 
+    async def supervise(self):
+        """Starts processes again that end by themselves, as the platform does."""
+        while True:
+            for vm in self.vms:
+                code = vm.process.poll()
+                if code is not None:
+                    self.exits += 1
+                    self.note("vm ended by itself", vm=vm.name, code=code)
+                    vm.start()
+            await asyncio.sleep(0.5)
+
     async def end_all(self):
         for vm in self.vms:
             if vm.process and vm.process.poll() is None:
@@ -608,6 +638,9 @@
         for task in self.background:
             task.cancel()
         await self.store.close()
+        for worker in self.workers:
+            for run in worker.running.values():
+                run["timer"].cancel()
         if os.environ.get("KEEP"):
             print(self.folder)
         else:
