--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -293,7 +293,6 @@
         for name, run in self.running.items():
             run["timer"].cancel()
             self.case.note("run lost", worker=self.id, task=name, run=run["run"])
-            self.case.lost.append((name, run["run"], self.id))
         self.running = {}
         await self.close()
         return port
@@ -475,14 +474,12 @@
         self.broken = []
         #: Ends `done` that were acknowledged, by task: time.
         self.noted = {}
-        #: All ends: task, how; and the runs that were lost with their worker: task, run, worker.
-        self.ends, self.lost = [], []
+        #: All ends: task, how.
+        self.ends = []
         #: Number of processes of the system that ended by themselves, if supervised.
         self.exits = 0
         #: When a task ended `done`.
         self.ended_at = {}
-        #: Called with the worker, the task and the run of each start.
-        self.check_start = None
         #: Runs per task: worker, run, time.
         self.starts = {}
 
@@ -506,8 +503,6 @@
     def started(self, worker, task, run):
         self.note("start", worker=worker.id, task=task, run=run)
         self.starts.setdefault(task, []).append((worker.id, run, self.now()))
-        if self.check_start:
-            self.check_start(worker, task, run)
 
     # Parts of a scenario.
 
@@ -656,12 +651,15 @@
 def play(where, scenario, **settings):
     """Plays a scenario; exits with 1 if a rule was broken, 0 if all held, 2 if it could not run."""
     async def run():
+        # An interrupted case ends its processes as well.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM,
+                                                      asyncio.current_task().cancel)
         case = Case(os.path.dirname(os.path.abspath(where)), **settings)
         case.note("trouble" if case.trouble else "no trouble")
         try:
             await asyncio.wait_for(scenario(case), 112)
             code = 1 if case.broken else 0
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             case.note(f"could not run: {error!r}")
             code = 2
         finally:
