Let reports decide about starts that are refused as old

Cause: if a start went unanswered and its repetition was refused as old, the run had been carried out and had ended in between. The planner dropped the run and placed the task again, although its end may be done and not reported yet.

Change: such a run counts as confirmed. The next complete report either names its end or shows that the worker does not have it.

Before the fix ended_run fails (starts [1, 1, 2] instead of [1, 1]). With it the tests of batch pass.

--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -477,15 +477,26 @@
                     (Refusal::Reborn, Some(worker)) => worker.listed = false,
                     _ => self.back_off(now, &worker, WORKER_BACKOFF, "the worker refused a start"),
                 }
-                if unanswered == 0 || reason == Refusal::Old {
-                    self.clear_run(now, key);
-                } else {
-                    self.stop_run(now, key);
+                match (unanswered, reason) {
+                    (0, _) => self.clear_run(now, key),
+                    // An unanswered start was carried out, and the run has ended there since. Its
+                    // end may still have to be reported.
+                    (_, Refusal::Old) => self.confirm_run(now, key),
+                    _ => self.stop_run(now, key),
                 }
             }
         }
     }
 
+    /// Records that the worker has had the current run of a task, so that its reports decide about
+    /// the run.
+    fn confirm_run(&mut self, now: Time, key: &TaskKey) {
+        let task = self.jobs.get_mut(&key.job).and_then(|job| task_mut(job, key));
+        if let Some(Stage::Placed(run)) = task.map(|task| &mut task.stage) {
+            run.confirmed.get_or_insert(now);
+        }
+    }
+
     /// Processes the result of a stop.
     pub(crate) fn stop_answered(
         &mut self,
