Remove a job's record and submission in one transaction

Cause: a commit's changes were cut into transactions after 30 of them, so a cut could separate the removal of a job's record from that of its submission.

Change: transactions hold all changes of a job. The division is a module of its own, node::transactions, which a test calls.

--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -11,13 +11,13 @@
 use log::warn;
 use tokio::time::sleep;
 
-use crate::state::JOB_PREFIX;
-use crate::state::RECORD_PREFIX;
 use crate::state::SEQUENCE_KEY;
 use crate::state::State;
+use crate::transactions::Write;
+use crate::transactions::encode_json;
+use crate::transactions::split;
 use batch::JobId;
 use batch::Record;
-use platform::store::MAX_ENTRIES;
 use platform::store::StoreError;
 use platform::store::Txn;
 use platform::store::TxnOutcome;
@@ -34,16 +34,6 @@
 /// Maximum timeout of a transaction, which doubles while the outcome is unknown: a slow link may
 /// need more time.
 const COMMIT_TIMEOUT_MAX: Duration = Duration::from_millis(4_000);
-/// Maximum number of changes in a transaction, beside the condition and the write of the sequence
-/// key.
-const MAX_TXN_WRITES: usize = MAX_ENTRIES - 2;
-/// Maximum size of the changes in a transaction, in bytes, unless a single record is larger. A link
-/// of 10 Mbit/s transfers it in about 50 ms.
-const MAX_TXN_BYTES: usize = 48 << 10;
-
-/// A key with its new value; `None` removes the key.
-type Write = (String, Option<Vec<u8>>);
-
 /// Another entry VM owns the jobs, or this one's lease has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OwnershipLost;
@@ -83,27 +73,18 @@
         records: &[(JobId, Option<Record>)],
         waiting: &std::collections::BTreeMap<String, u64>,
     ) -> Result<(), OwnershipLost> {
-        let mut writes: Vec<Write> = Vec::new();
-        for (id, record) in records {
-            let key = format!("{RECORD_PREFIX}{id}");
-            match record {
-                Some(record) => writes.push((key, Some(encode_json(record)))),
-                None => writes.extend([(key, None), (format!("{JOB_PREFIX}{id}"), None)]),
-            }
+        let mut transactions = split(records);
+        if transactions.is_empty() {
+            // Queue lengths are stored even without records.
+            transactions.push(Vec::new());
         }
-        let mut remaining = writes.as_slice();
-        // Runs at least once, since queue lengths are stored even without records.
-        loop {
-            let (chunk, after) = remaining.split_at(chunk_len(remaining));
-            remaining = after;
+        for changes in transactions {
             self.number += 1;
             let sequence =
                 Sequence { token: self.token, number: self.number, waiting: waiting.clone() };
-            self.commit_chunk(chunk, &encode_json(&sequence)).await?;
-            if remaining.is_empty() {
-                return Ok(());
-            }
+            self.commit_chunk(&changes, &encode_json(&sequence)).await?;
         }
+        Ok(())
     }
 
     /// Commits `changes` together with the sequence key, and retries until the outcome is known.
@@ -160,19 +141,3 @@
         }
     }
 }
-
-/// Number of leading writes that fit into one transaction; at least one unless there are none.
-fn chunk_len(writes: &[Write]) -> usize {
-    let mut bytes = 0;
-    let fits = |(key, value): &&Write| {
-        bytes += key.len() + value.as_ref().map_or(0, Vec::len);
-        bytes <= MAX_TXN_BYTES
-    };
-    let fitting_count = writes.iter().take(MAX_TXN_WRITES).take_while(fits).count();
-    fitting_count.max(1).min(writes.len())
-}
-
-fn encode_json<T: serde::Serialize>(value: &T) -> Vec<u8> {
-    // Cannot fail: JSON rejects only maps with keys other than strings, which records lack.
-    serde_json::to_vec(value).unwrap_or_default()
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod owner;
 pub mod run;
 pub mod state;
+pub mod transactions;
 pub mod web;
 
 mod claim;
