Limit the number of tasks of a job

Cause: an owner creates all tasks of a stored job in memory, and no size that a caller chooses was limited. Evidence: with 4,000,000,000 tasks the owner's log ends with "memory allocation of bytes failed", 320 bytes for each task; no commit had been refused and the ownership was not lost before.

Change: admission answers 413 at once for more than 20,000 tasks over all steps and occurrences, and for a submission larger than a value of the store. Times and resources near 2^64 saturate.

The regression tests with these checks disabled: refused_jobs fails (200 instead of 413 and the allocation above), stored_job fails (the next job is never completed), oversized_jobs aborts ("memory allocation of bytes failed"), oversized_record fails (1,320,046 bytes).

--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -183,6 +183,13 @@
         /// Reason.
         why: &'static str,
     },
+    /// A job has more tasks than an owner can handle, and fails.
+    Oversized {
+        /// The job.
+        job: JobId,
+        /// Number of its tasks.
+        tasks: u64,
+    },
     /// A job has ended.
     Ends {
         /// The job.
--- a/crates/batch/src/order.rs
+++ b/crates/batch/src/order.rs
@@ -94,7 +94,7 @@
             let limit = self.policy.accounts.get(account).map_or(0, |account| account.guaranteed);
             let need = job.spec.steps.iter().map(accelerators).max().unwrap_or(0);
             let used = used.entry(account).or_default();
-            if *used + need <= limit {
+            if used.saturating_add(need) <= limit {
                 *used += need;
                 inside.insert(id.clone(), need);
             }
@@ -105,7 +105,7 @@
 
 /// Accelerators that all tasks of a step need together.
 fn accelerators(step: &StepSpec) -> u64 {
-    step.need.gpu * u64::from(step.count)
+    step.need.gpu.saturating_mul(u64::from(step.count))
 }
 
 /// Latency objective of a job: its critical path times the queue's stretch factor, plus the queue's
@@ -113,7 +113,7 @@
 pub(crate) fn objective(job: &Job, policy: &crate::Policy) -> Duration {
     let Some(queue) = policy.queues.get(&job.queue) else { return Duration::ZERO };
     let stretched = critical_path_ms(&job.spec.steps) as f64 * queue.stretch;
-    Duration::from_millis(stretched as u64 + queue.objective_ms)
+    Duration::from_millis((stretched as u64).saturating_add(queue.objective_ms))
 }
 
 /// Longest chain of dependent steps by their estimates, in ms.
@@ -121,7 +121,7 @@
     let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
     for step in steps {
         let start = step.after.iter().map(|&before| ends[before as usize]).max().unwrap_or(0);
-        ends.push(start + step.estimate_ms);
+        ends.push(start.saturating_add(step.estimate_ms));
     }
     ends.into_iter().max().unwrap_or(0)
 }
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -160,7 +160,8 @@
 
     /// Whether a step is still held back to wait for workers near its data.
     fn prefers_near(&self, now: Time, step_state: &Step, step: &StepSpec) -> bool {
-        let patience = Duration::from_millis(step.estimate_ms * LOCALITY_WAIT_PERCENT / 100);
+        let patience =
+            Duration::from_millis(step.estimate_ms.saturating_mul(LOCALITY_WAIT_PERCENT) / 100);
         step_state.ready_at.is_none_or(|since| now < since + patience)
     }
 
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -115,6 +115,8 @@
     pub orphaned_runs: usize,
     /// Number of workers that accept new runs.
     pub usable: usize,
+    /// Number of jobs without due times whose tasks are not in memory yet, since they have many.
+    pub deferred: usize,
 }
 
 impl Planner {
@@ -191,7 +193,10 @@
     pub fn summary(&self, now: Time) -> Summary {
         let mut waiting: BTreeMap<String, u64> =
             self.policy.queues.keys().map(|name| (name.clone(), 0)).collect();
+        let mut deferred = 0;
         for job in self.live.iter().filter_map(|id| self.jobs.get(id)) {
+            let undated = !job.state.ended() && job.spec.first.is_none();
+            deferred += usize::from(undated && job.occurrences.is_empty());
             if !job.begun && !job.cancelled && job.spec.first.is_none() {
                 *waiting.entry(job.queue.clone()).or_default() += 1;
             }
@@ -202,6 +207,7 @@
             runs: self.placed_runs(),
             orphaned_runs: self.ended_runs().filter(|run| run.stopping.is_none()).count(),
             usable: self.workers.values().filter(|worker| worker.usable(now)).count(),
+            deferred,
         }
     }
 
@@ -411,26 +417,6 @@
         self.replan = true;
     }
 
-    fn open_occurrences(&mut self, now: Time, wall: Stamp) {
-        for id in &self.live {
-            let Some(job) = self.jobs.get_mut(id) else { continue };
-            if job.state.ended() {
-                continue;
-            }
-            while (job.occurrences.len() as u32) < job.spec.occurrences() {
-                let occurrence = job.occurrences.len() as u32;
-                if job.spec.due(occurrence).is_some_and(|due| due > wall) {
-                    break;
-                }
-                job.open_occurrence();
-                if job.spec.first.is_some() {
-                    job.since = now;
-                }
-                self.replan = true;
-            }
-        }
-    }
-
     /// Marks the run of `key` to be stopped, together with the rest of its gang.
     pub(crate) fn stop_run(&mut self, now: Time, key: &TaskKey) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
@@ -529,6 +515,7 @@
             let Some(job) = self.jobs.get_mut(id) else { continue };
             if job.state.ended() && !job.has_runs() {
                 self.live.remove(id);
+                job.occurrences = Vec::new();
                 if !std::mem::replace(&mut job.end_stored, true) {
                     self.ended.push_back((now, id.clone()));
                 }
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -201,8 +201,10 @@
         if end.outcome == Outcome::Broken {
             task.broken_run = task.broken_run.max(end.run);
         }
-        // A failure also counts if the run was given up before its end was reported.
-        let failed = end.outcome == Outcome::Failed && task.failures.insert(end.run);
+        // A failure also counts if the run was given up before its end was reported. Lasting tasks
+        // have no limit of failures, and their records would grow with each one.
+        let failed = end.outcome == Outcome::Failed
+            && if lasting { current } else { task.failures.insert(end.run) };
         if failed {
             task.failed_on = Some(id.clone());
             step_mut(job, key).failed_at = now;
--- a/crates/batch/src/spec.rs
+++ b/crates/batch/src/spec.rs
@@ -8,6 +8,12 @@
 
 use model::Stamp;
 
+/// Maximum number of tasks of a job, over all steps and occurrences.
+///
+/// An owner keeps them in memory, and a record of them has to fit into a value of the store and
+/// through a link of 10 Mbit/s in half a second.
+pub const MAX_JOB_TASKS: u64 = 20_000;
+
 /// Job id, chosen by the caller.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -113,7 +119,8 @@
 
     /// CPU equivalent in thousandths of a core; an accelerator counts as eight cores.
     pub fn weight(&self) -> u64 {
-        self.cpu + self.gpu * CORES_PER_ACCELERATOR * 1_000
+        let accelerators = self.gpu.saturating_mul(CORES_PER_ACCELERATOR * 1_000);
+        self.cpu.saturating_add(accelerators)
     }
 }
 
@@ -184,7 +191,18 @@
     /// When `occurrence` is due; `None` for a job that runs once.
     pub fn due(&self, occurrence: u32) -> Option<Stamp> {
         let first = self.first?;
-        (self.repeats > 0).then(|| Stamp(first.0 + u64::from(occurrence) * self.interval_ms))
+        let since_first = u64::from(occurrence).saturating_mul(self.interval_ms);
+        (self.repeats > 0).then(|| Stamp(first.0.saturating_add(since_first)))
+    }
+
+    /// Number of tasks in one occurrence.
+    pub fn occurrence_size(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
+    /// Number of tasks over all steps and occurrences.
+    pub fn task_count(&self) -> u64 {
+        self.occurrence_size().saturating_mul(u64::from(self.occurrences()))
     }
 }
 
--- a/crates/entry/tests/hosted/cluster.rs
+++ b/crates/entry/tests/hosted/cluster.rs
@@ -30,6 +30,8 @@
 use net::call::Limits;
 
 pub const KEY: &str = "key-of-a";
+/// Maximum size of a request body.
+pub const BODY_BYTES: usize = 4_096;
 /// Timeout for an awaited condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -140,8 +142,9 @@
         advice: Option<SocketAddr>,
     ) -> Cluster {
         let store = HostedStore::start().expect("a store");
-        let configured =
-            HostedConfiguration { version: 1, key: KEY, requires_advice: advice.is_some() };
+        let requires_advice = advice.is_some();
+        let body_bytes = BODY_BYTES;
+        let configured = HostedConfiguration { version: 1, key: KEY, requires_advice, body_bytes };
         store.configure(&configured);
         let folder = std::env::temp_dir().join(format!("basilrack-{}-{name}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder");
--- a/crates/entry/tests/hosted/main.rs
+++ b/crates/entry/tests/hosted/main.rs
@@ -1,6 +1,7 @@
 //! Tests of entry VM processes in host mode, which keep their state in the platform's store.
 
 mod cluster;
+mod large_jobs;
 mod odd_entries;
 mod soak;
 
@@ -15,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
+use crate::cluster::BODY_BYTES;
 use crate::cluster::Cluster;
 use crate::cluster::KEY;
 use fake::HostedAdvice;
@@ -29,7 +31,8 @@
 
 /// Newer configuration that replaces the API key of the caller.
 fn configuration_with_other_key() -> HostedConfiguration<'static> {
-    HostedConfiguration { version: 2, key: "another-key", requires_advice: false }
+    let (key, body_bytes) = ("another-key", BODY_BYTES);
+    HostedConfiguration { version: 2, key, requires_advice: false, body_bytes }
 }
 
 #[tokio::test]
--- a/crates/fake/src/hosted/bodies.rs
+++ b/crates/fake/src/hosted/bodies.rs
@@ -12,6 +12,8 @@
     pub key: &'k str,
     /// Whether jobs of the queue need the advice service.
     pub requires_advice: bool,
+    /// Maximum size of a request body, in bytes.
+    pub body_bytes: usize,
 }
 
 impl HostedConfiguration<'_> {
@@ -26,7 +28,7 @@
                 "public": false,
             }],
             "services": [{ "name": "service", "enforcesCapacity": false, "spare": false }],
-            "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 4096 },
+            "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": self.body_bytes },
             "tenants": [{
                 "name": "a", "apiKeys": [self.key], "priority": 1, "guaranteed": { "gpu": 8 },
             }],
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -294,6 +294,7 @@
         metrics.set_gauge("jobs_waiting", summary.waiting.values().sum());
         metrics.set_gauge("runs", summary.runs as u64);
         metrics.set_gauge("runs_orphaned", summary.orphaned_runs as u64);
+        metrics.set_gauge("jobs_deferred", summary.deferred as u64);
         metrics.set_gauge("workers", summary.usable as u64);
         self.stored_lengths = summary.waiting;
         self.lengths_checked = self.state.clock.now();
@@ -375,6 +376,7 @@
         Note::GivesUp { task, worker, why } => {
             info!(task = task.to_string().as_str(), worker = &*worker.0, why = why; "{what}");
         }
+        Note::Oversized { job, tasks } => info!(job = &*job.0, tasks = tasks; "{what}"),
         Note::Ends { job, state, age } => {
             info!(job = &*job.0, state = state.as_ref(), age_ms = age; "{what}");
         }
--- a/crates/node/src/transactions.rs
+++ b/crates/node/src/transactions.rs
@@ -4,11 +4,14 @@
 //! them. The changes of one job are therefore made together: a job whose record is gone while its
 //! submission is still stored would run again.
 
+use log::warn;
+
 use crate::state::JOB_PREFIX;
 use crate::state::RECORD_PREFIX;
 use batch::JobId;
 use batch::Record;
 use platform::store::MAX_ENTRIES;
+use platform::store::MAX_VALUE_BYTES;
 
 /// Maximum number of changes in a transaction, beside the condition and the write of the sequence
 /// key.
@@ -49,11 +52,27 @@
 fn job_changes(id: &JobId, record: Option<&Record>) -> Vec<Write> {
     let key = format!("{RECORD_PREFIX}{id}");
     match record {
-        Some(record) => vec![(key, Some(encode_json(record)))],
+        Some(record) => vec![(key, Some(encode_record(id, record)))],
         None => vec![(key, None), (format!("{JOB_PREFIX}{id}"), None)],
     }
 }
 
+/// Encodes a record, without what only saves time if the store would refuse it as too large: one
+/// refused record would block all further commits.
+fn encode_record(id: &JobId, record: &Record) -> Vec<u8> {
+    let value = encode_json(record);
+    if value.len() <= MAX_VALUE_BYTES {
+        return value;
+    }
+    warn!(job = &*id.0, bytes = value.len(); "record: too large; stored without checkpoints");
+    let mut reduced = record.clone();
+    for task in reduced.occurrences.iter_mut().flatten().flatten() {
+        task.saved.clear();
+        task.losses.clear();
+    }
+    encode_json(&reduced)
+}
+
 /// Size of a change in bytes.
 fn change_size((key, value): &Write) -> usize {
     key.len() + value.as_ref().map_or(0, Vec::len)
--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -46,11 +46,13 @@
 use crate::state::SEQUENCE_KEY;
 use crate::state::State;
 use batch::JobState;
+use batch::MAX_JOB_TASKS;
 use batch::Submission;
 use model::Time;
 use platform::callers;
 use platform::configuration;
 use platform::store::Item;
+use platform::store::MAX_VALUE_BYTES;
 use platform::store::StoreError;
 use platform::store::Txn;
 use platform::store::TxnOutcome;
@@ -442,6 +444,11 @@
             return Answer::new(StatusCode::BAD_REQUEST, "malformed job");
         }
     };
+    let tasks = spec.task_count();
+    if tasks > MAX_JOB_TASKS {
+        info!(path = head.path.as_str(), tasks = tasks; "job: too many tasks");
+        return Answer::new(StatusCode::PAYLOAD_TOO_LARGE, "job has too many tasks");
+    }
     let key = format!("{JOB_PREFIX}{}", admitted.suffix);
     let mut submission = Submission {
         queue: admitted.queue.clone(),
@@ -456,6 +463,10 @@
             Ok(value) => value,
             Err(_) => return Answer::new(StatusCode::BAD_REQUEST, "job cannot be stored"),
         };
+        if value.len() > MAX_VALUE_BYTES {
+            info!(path = head.path.as_str(), bytes = value.len(); "job: too large for the store");
+            return Answer::new(StatusCode::PAYLOAD_TOO_LARGE, "job is too large for the store");
+        }
         // Ensures that the admitting configuration is the latest when the job is stored.
         let txn = Txn {
             conditions: vec![(&key, 0), (configuration::KEY, admitted.active.revision)],
--- a/crates/node/tests/transactions.rs
+++ b/crates/node/tests/transactions.rs
@@ -56,3 +56,17 @@
     assert_eq!(sizes, [1, 1, 2]);
     assert!(split(&[]).is_empty());
 }
+
+/// Guards against commits that are refused for ever: a record grew larger than the store takes.
+#[test]
+fn oversized_record() {
+    let mut large = record(20_000);
+    for task in large.occurrences.iter_mut().flatten().flatten() {
+        task.saved = "x".repeat(60);
+    }
+    let transactions = split(&[(id(1), Some(large))]);
+    let value = transactions[0][0].1.as_ref().expect("a record");
+    assert!(value.len() <= 1 << 20, "{} bytes", value.len());
+    let stored: Record = serde_json::from_slice(value).expect("a record");
+    assert_eq!(stored, record(20_000));
+}
