Limit how long an owner without the store extends leases

What callers saw: two runs of a task at once, and starts after an end that was acknowledged: 36 cases in the users' runs with real processes. For 12 s the owner and half of the workers are on one side of a partition, the store and the rest on the other.

Cause: the next owner counts on the former one to stop extending leases 2 s after it has lost the store, and nothing in the owner did. Workers that the next owner does not reach went on, and their tasks were started elsewhere. An owner that runs again after a suspension did the same.

Evidence: partitioned_owner plays the partition without a network. Starts wait for the store, which the former owner lacks, and the next owner waits for the leases that it knows of.

Change: the planner extends leases to at most 3 s and their length after the last call by which the store confirmed the ownership, counted from when that call was sent, on a clock that runs through suspensions. SOLO_RENEWAL_TIME is 3 s instead of 2 s, so that the leases of the shortest kind outlast the users' outages of 6.3 s and a takeover; the leases of workers that the next owner cannot reach count as expired a second later. A worker's slow clock no longer makes a lease end later than meant.

Whether the users' processes were cut off in this way is not known: their record does not tell which workers each VM reached.

--- a/crates/batch/src/calls.rs
+++ b/crates/batch/src/calls.rs
@@ -86,6 +86,7 @@
     /// acknowledged; at most one renewal per worker is in flight.
     pub(crate) fn send_renewals(&mut self, now: Time) {
         let lease = self.settings.lease;
+        let extend_from = now.min(self.extend_until);
         for (id, worker) in &mut self.workers {
             if worker.renewing || worker.info.address.port() == 0 {
                 continue;
@@ -115,7 +116,7 @@
             // A renewal that goes unanswered may still arrive. A silent worker is therefore asked
             // without extending its leases, which have to expire for its runs to be given up.
             let silent = worker.missed_calls >= MAX_MISSED_CALLS;
-            let deadline = worker.renewed_deadline(now, lease).filter(|_| !silent);
+            let deadline = worker.lease_deadline(extend_from, lease).filter(|_| !silent);
             worker.deadline = worker.deadline.max(deadline.unwrap_or(0));
             // The next incarnation under this id numbers its ends from one again, and would discard
             // ends that have not been reported. So nothing is acknowledged after an unanswered call
--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -194,11 +194,13 @@
         self.info.capacity.less(&self.used)
     }
 
-    /// End of a lease of length `lease` from now, in ms of the worker's clock; `None` while its
-    /// clock is unknown.
-    pub fn renewed_deadline(&self, now: Time, lease: Duration) -> Option<u64> {
+    /// End of a lease of length `lease` from `at`, in ms of the worker's clock, which may run slow;
+    /// `None` while its clock is unknown.
+    pub fn lease_deadline(&self, at: Time, lease: Duration) -> Option<u64> {
         let (heard, clock) = self.clock?;
-        let passed = millis(now.since(heard));
+        let passed = millis(at.since(heard));
+        let passed = passed - passed.saturating_mul(CLOCK_SLOW_PERMILLE) / 1_000;
+        let clock = clock.saturating_sub(millis(heard.since(at)));
         Some(clock.saturating_add(passed).saturating_add(millis(lease)))
     }
 
--- a/crates/batch/src/event.rs
+++ b/crates/batch/src/event.rs
@@ -123,6 +123,8 @@
     RestoreComplete,
     /// A caller cancelled a job.
     Cancelled(JobId),
+    /// The store has confirmed the ownership, in answer to a call sent at this time.
+    Confirmed(Time),
     /// A worker answered a lease renewal.
     Renewed(WorkerId, RenewalReport),
     /// A worker did not answer a lease renewal.
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -90,6 +90,11 @@
     pub(crate) advisor: Advisor,
     /// When leases from former owners have expired on workers that have not answered this owner.
     inherited_end: Time,
+    /// How long leases are extended after the store has confirmed the ownership.
+    solo: Duration,
+    /// Time up to which leases are extended: another owner may have taken over since the store last
+    /// confirmed the ownership, and relies on this limit.
+    pub(crate) extend_until: Time,
 }
 
 /// A commit in flight.
@@ -124,10 +129,12 @@
 impl Planner {
     /// Creates a planner that takes over ownership at `now`.
     ///
-    /// A former owner may go on sending leases for up to `quiet` after the takeover. A worker that
-    /// cannot be reached is assumed to run what the store says until such a lease has expired.
-    pub fn new(settings: Settings, now: Time, quiet: Duration) -> Planner {
-        let inherited_end = now + quiet + settings.lease + settings.lease / 40;
+    /// Leases are extended only once [`Event::Confirmed`] tells when the store confirmed the ownership.
+    /// An owner extends leases for at most `solo` after the store has last confirmed its ownership,
+    /// so the former one does for at most `solo` after the takeover. A worker that cannot be reached
+    /// is assumed to run what the store says until such a lease has expired.
+    pub fn new(settings: Settings, now: Time, solo: Duration) -> Planner {
+        let inherited_end = now + solo + settings.lease + settings.lease / 40;
         Planner {
             settings,
             policy: Arc::default(),
@@ -154,6 +161,8 @@
             out: Vec::new(),
             advisor: Advisor::default(),
             inherited_end,
+            solo,
+            extend_until: Time::ZERO,
         }
     }
 
@@ -186,6 +195,11 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Whether leases are extended, or only kept until the store confirms the ownership again.
+    pub fn extends_leases(&self, now: Time) -> bool {
+        now <= self.extend_until
+    }
+
     /// Latest time of the next decision if no event arrives before.
     pub fn next_wakeup(&self) -> Time {
         let commit = self.commit.is_none() && !self.dirty.is_empty();
@@ -244,6 +258,9 @@
                 self.note_adopted();
             }
             Event::Cancelled(id) => self.cancelled(now, &id),
+            Event::Confirmed(at) => {
+                self.extend_until = self.extend_until.max(at + self.solo);
+            }
             Event::Renewed(worker, report) => self.renewal_answered(now, &worker, &report),
             Event::RenewalFailed(worker) => self.renewal_failed(now, &worker),
             Event::Deposed => self.out.push(Action::Resign),
@@ -546,6 +563,7 @@
     /// Sends a start for a run that has been stored.
     pub(crate) fn start(&mut self, now: Time, key: &TaskKey, number: u32) {
         let lease = self.settings.lease / START_LEASE_DIVISOR;
+        let extend_from = now.min(self.extend_until);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let spec = Arc::clone(&job.spec);
         let Some(task) = task_mut(job, key) else { return };
@@ -559,7 +577,7 @@
             return;
         }
         let Some(worker) = self.workers.get_mut(&run.worker) else { return };
-        let Some(deadline) = worker.renewed_deadline(now, lease) else { return };
+        let Some(deadline) = worker.lease_deadline(extend_from, lease) else { return };
         let (id, incarnation) = (run.worker.clone(), worker.incarnation);
         worker.deadline = worker.deadline.max(deadline);
         run.deadline = run.deadline.max(deadline);
--- a/crates/batch/tests/losses.rs
+++ b/crates/batch/tests/losses.rs
@@ -116,6 +116,7 @@
 
     fn event(&mut self, at: u64, event: Event) {
         let now = Time::from_millis(at);
+        self.planner.apply(now, Event::Confirmed(now));
         let mut actions = self.planner.handle(now, Stamp(0), event);
         while let Some(action) = (!actions.is_empty()).then(|| actions.remove(0)) {
             match action {
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -6,6 +6,7 @@
 mod lasting;
 mod load;
 mod odd_workers;
+mod partitions;
 mod regressions;
 mod worker;
 mod world;
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -71,9 +71,20 @@
 /// Time within which owners take note of a worker's shrunk capacity, in ms: `contactMs` and one
 /// heartbeat.
 const SHRINK_TIMEOUT_MS: u64 = 5_500;
-/// How long a former owner goes on sending renewals without access to the store, in ms.
+/// How long an owner goes on extending leases without access to the store, in ms.
 const STALE_OWNER_MS: u64 = 2_000;
 
+/// A partition between an owner that has lost the store and the next one.
+#[derive(Clone, Debug)]
+struct Partition {
+    /// The former owner.
+    owner: u64,
+    /// The workers that it reaches.
+    side: BTreeSet<WorkerId>,
+    /// When the partition ends, in ms.
+    until: u64,
+}
+
 /// Kinds of faults that a schedule injects.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
@@ -214,6 +225,8 @@
     owner_since: u64,
     /// When a new owner takes over, in ms.
     takeover_at: Option<u64>,
+    /// The last partition between two owners.
+    partition: Option<Partition>,
     /// When each job's end was first stored, in ms.
     ended_at: BTreeMap<JobId, u64>,
     /// Owners with a call to the advice service in flight.
@@ -300,6 +313,7 @@
             former_owners: BTreeSet::new(),
             owner_since: 0,
             takeover_at: None,
+            partition: None,
             ended_at: BTreeMap::new(),
             advising: BTreeSet::new(),
             advice_calls: 0,
@@ -336,6 +350,7 @@
         let planner = Planner::new(settings(), Time::from_millis(self.now), stale_time);
         self.owners.insert(self.owner, planner);
         let owner = self.owner;
+        self.confirm_ownership();
         self.handle_event(owner, Event::Configured(Arc::clone(&self.policy)));
         self.list_workers();
         for (id, job) in self.jobs.iter().filter(|(id, _)| !self.removed.contains(id)) {
@@ -352,6 +367,29 @@
         self.handle_event(owner, Event::RestoreComplete);
     }
 
+    /// Replaces the owner by another one, with a partition of `span` ms between the two: the last
+    /// owner reaches every second worker, and the next one the others and the store.
+    pub fn partition_owner(&mut self, span: u64) {
+        let side = self.workers.keys().step_by(2).cloned().collect();
+        self.partition = Some(Partition { owner: self.owner, side, until: self.now + span });
+        self.take_over(true);
+    }
+
+    /// Whether a call of an owner passes to a worker.
+    fn connects(&self, owner: u64, worker: &WorkerId) -> bool {
+        let partition = self.partition.as_ref().filter(|partition| self.now < partition.until);
+        partition
+            .is_none_or(|partition| partition.side.contains(worker) == (owner == partition.owner))
+    }
+
+    /// Tells the owner that the store confirms its ownership.
+    fn confirm_ownership(&mut self) {
+        let now = Time::from_millis(self.now);
+        if let Some(planner) = self.owners.get_mut(&self.owner) {
+            planner.apply(now, Event::Confirmed(now));
+        }
+    }
+
     /// Passes the workers in the directory to the owner.
     pub fn list_workers(&mut self) {
         let now = self.now;
@@ -517,7 +555,8 @@
             return;
         }
         let order = !matches!(action, Action::Renew { .. });
-        let heard = self.workers.get(&id).is_some_and(|worker| worker.accepts(now, order));
+        let heard = self.workers.get(&id).is_some_and(|worker| worker.accepts(now, order))
+            && self.connects(owner, &id);
         if !heard {
             self.undelivered_starts += u64::from(matches!(action, Action::Start { .. }));
             if answered {
@@ -591,9 +630,10 @@
             return;
         };
         let now = self.now;
+        let connected = self.connects(owner, &worker);
         let fake = self.workers.get_mut(&worker).expect("a known worker");
         // A waiting call fails when the worker process that holds it ends.
-        if !fake.reachable(now) || fake.incarnation != incarnation {
+        if !connected || !fake.reachable(now) || fake.incarnation != incarnation {
             self.send(600, Message::Event { owner, event: Event::RenewalFailed(worker) });
             return;
         }
@@ -643,6 +683,13 @@
 
     fn commit(&mut self, owner: u64, records: Vec<(JobId, Option<Record>)>) {
         if owner != self.owner {
+            let cut =
+                |partition: &Partition| partition.owner == owner && self.now < partition.until;
+            if self.partition.as_ref().is_some_and(cut) {
+                // It keeps trying, without an answer.
+                self.send(500, Message::Commit { owner, records });
+                return;
+            }
             self.owners.remove(&owner);
             self.former_owners.insert(owner);
             return;
@@ -711,6 +758,7 @@
             if self.now.is_multiple_of(100) {
                 self.check_guarantees();
                 self.check_ended_jobs();
+                self.confirm_ownership();
                 for owner in self.owners.keys().copied().collect::<Vec<_>>() {
                     self.handle_event(owner, Event::Tick);
                 }
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -18,6 +18,7 @@
 use crate::transactions::split;
 use batch::JobId;
 use batch::Record;
+use model::Time;
 use platform::store::StoreError;
 use platform::store::Txn;
 use platform::store::TxnOutcome;
@@ -49,6 +50,8 @@
     pub sequence: u64,
     /// Sequence number of the last transaction of this owner.
     pub number: u64,
+    /// When the last transaction that confirmed the ownership was sent.
+    pub confirmed_at: Time,
 }
 
 /// Value of the sequence key.
@@ -106,9 +109,11 @@
         let mut pause = REFUSED_PAUSE_MIN;
         let mut timeout = COMMIT_TIMEOUT;
         loop {
+            let sent = self.state.clock.now();
             match self.state.store.commit(&txn, timeout).await {
                 Ok(TxnOutcome::Done(revision)) => {
                     self.sequence = revision;
+                    self.confirmed_at = sent;
                     return Ok(());
                 }
                 Ok(TxnOutcome::Conflict(items)) => {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -63,8 +63,10 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of renewals in the duration of the ownership's lease.
 const RENEWALS_PER_LEASE: u32 = 3;
-/// Maximum time for which an owner that has lost the store goes on renewing the workers' leases.
-const SOLO_RENEWAL_TIME: Duration = Duration::from_millis(2_000);
+/// Maximum time for which an owner that has lost the store goes on extending the workers' leases.
+/// The leases then outlast outages of the store by this time, and a takeover waits as much longer
+/// for a worker that it cannot reach.
+const SOLO_RENEWAL_TIME: Duration = Duration::from_millis(3_000);
 /// Minimum pause between commits that store only the queue lengths.
 const QUEUE_LENGTHS_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -113,6 +115,8 @@
     lengths_checked: model::Time,
     /// Whether the commit in progress was issued by the planner.
     planner_commit: bool,
+    /// Whether the planner extended leases at the last decision.
+    extends_leases: bool,
     /// A commit of the planner that waits for the one in progress.
     pending_commit: Option<Vec<(JobId, Option<Record>)>>,
     tasks: JoinSet<()>,
@@ -143,6 +147,7 @@
             token: claim.token,
             sequence: claim.sequence,
             number: 0,
+            confirmed_at: claim.since,
         };
         let mut tasks = JoinSet::new();
         tasks.spawn_local(renew_lease(Rc::clone(state), claim.lease, event_sender.clone()));
@@ -165,9 +170,11 @@
             stored_lengths: BTreeMap::new(),
             lengths_checked: model::Time::ZERO,
             planner_commit: false,
+            extends_leases: true,
             pending_commit: None,
             tasks,
         };
+        owner.planner.apply(claim.since, Event::Confirmed(claim.since));
         owner.restore().await?;
         Ok(owner)
     }
@@ -263,6 +270,12 @@
 
     /// Lets the planner decide and carries out its actions.
     fn decide(&mut self, now: model::Time) -> Result<(), OwnershipLost> {
+        let extends = self.planner.extends_leases(now);
+        if std::mem::replace(&mut self.extends_leases, extends) != extends {
+            let change = if extends { "leases: extended again" } else { "leases: not extended" };
+            info!("{change}");
+            self.state.metrics.count_event(if extends { "extends" } else { "expires" });
+        }
         for action in self.planner.decide(now, self.state.clock.stamp()) {
             match action {
                 Action::Resign => return Err(OwnershipLost),
@@ -313,7 +326,9 @@
         &mut self,
         result: Result<RecordWriter, OwnershipLost>,
     ) -> Result<(), OwnershipLost> {
-        self.writer = Some(result?);
+        let writer = result?;
+        self.planner.apply(self.state.clock.now(), Event::Confirmed(writer.confirmed_at));
+        self.writer = Some(writer);
         if std::mem::take(&mut self.planner_commit) {
             self.handle_event(Event::Committed)?;
         }
@@ -513,8 +528,12 @@
     let pause = state.settings.ownership / RENEWALS_PER_LEASE;
     loop {
         sleep(pause).await;
+        let sent = state.clock.now();
         match state.store.renew(lease, pause * 2).await {
-            Ok(Some(_)) => {}
+            Ok(Some(_)) => {
+                // The receiver is gone if the ownership was given up in the meantime.
+                let _ = events.send(Event::Confirmed(sent));
+            }
             Ok(None) => {
                 warn!(lease = lease; "ownership: lease has ended");
                 // The receiver is gone if the ownership was given up in the meantime.
