Run jobs to their end after their queue has been removed

Cause: the planner took the service, priority and attempts of a job's queue from the present configuration only, and skipped steps of queues that it did not find there.

Change: a submission is stored with the definition of its queue at admission, which is used once the configuration lacks the queue.

--- a/crates/batch/src/advice.rs
+++ b/crates/batch/src/advice.rs
@@ -101,7 +101,7 @@
         }
         let Some(job) = self.jobs.get(&pending.job) else { return };
         let step_state = &job.occurrences[pending.occurrence][pending.step];
-        let service = self.policy.queues.get(&job.queue).map(|queue| queue.service.as_str());
+        let service = self.policy.queue(job).map(|queue| queue.service.as_str());
         let Some(service) = service else { return };
         let mut asked: Vec<&Slot> = slots
             .iter()
--- a/crates/batch/src/headroom.rs
+++ b/crates/batch/src/headroom.rs
@@ -102,7 +102,7 @@
     fn urgent_use(&self) -> Share {
         let mut used = 0;
         for job in self.live.iter().filter_map(|id| self.jobs.get(id)) {
-            let queue = self.policy.queues.get(&job.queue);
+            let queue = self.policy.queue(job);
             if queue.is_none_or(|queue| queue.priority > 0) {
                 continue;
             }
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -14,6 +14,7 @@
 use crate::advice::Ticket;
 use crate::crash::Loss;
 use crate::pace::RunPace;
+use crate::policy::Queue;
 use crate::record::Record;
 use crate::record::TaskRecord;
 use crate::spec::Spec;
@@ -181,6 +182,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
     pub queue: String,
+    /// The queue as defined when the job was admitted; `None` if that is not known.
+    pub admitted: Option<Queue>,
     pub account: Option<String>,
     pub spec: Arc<Spec>,
     pub cancelled: bool,
@@ -200,6 +203,7 @@
     pub fn new(submission: &Submission, since: Time) -> Job {
         Job {
             queue: submission.queue.clone(),
+            admitted: submission.admitted.clone(),
             account: submission.account.clone(),
             spec: Arc::clone(&submission.spec),
             cancelled: submission.cancelled,
--- a/crates/batch/src/lost.rs
+++ b/crates/batch/src/lost.rs
@@ -85,7 +85,7 @@
         // that a former owner started, until the worker has seen this owner's fencing token. With a
         // single member here that member must have started, as its end broke the others.
         let all_started = here == 1 || unconfirmed == 0;
-        let queue = self.policy.queues.get(&job.queue);
+        let queue = self.policy.queue(job);
         let attempts = queue.map_or(u32::MAX, |queue| queue.attempts) as usize;
         here < step.tasks.len() && all_started && self.failures(key) + 1 < attempts
     }
--- a/crates/batch/src/open.rs
+++ b/crates/batch/src/open.rs
@@ -66,7 +66,7 @@
 
     /// Whether a worker is listed that could run a task of the job's first step if it were idle.
     fn is_runnable(&self, job: &Job) -> bool {
-        let Some(queue) = self.policy.queues.get(&job.queue) else { return false };
+        let Some(queue) = self.policy.queue(job) else { return false };
         let Some(step) = job.spec.steps.first() else { return false };
         self.workers.values().filter(|worker| worker.listed).any(|worker| {
             let info = &worker.info;
--- a/crates/batch/src/order.rs
+++ b/crates/batch/src/order.rs
@@ -46,8 +46,7 @@
             }
             let objective = objective(job, &self.policy);
             let (due, last) = (job.since + objective, job.since + objective * LATE_OBJECTIVES);
-            let priority =
-                self.policy.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
+            let priority = self.policy.queue(job).map_or(u32::MAX, |queue| queue.priority);
             let rank = match priority {
                 0 if guaranteed.contains_key(id) => Rank::Guaranteed,
                 _ if last < now => Rank::Late,
@@ -81,7 +80,7 @@
         let mut urgent: Vec<(Time, &JobId, &Job)> = Vec::new();
         for id in &self.live {
             let Some(job) = self.jobs.get(id) else { continue };
-            let priority = self.policy.queues.get(&job.queue).map(|queue| queue.priority);
+            let priority = self.policy.queue(job).map(|queue| queue.priority);
             if priority == Some(0) && !job.state.ended() {
                 urgent.push((job.since, id, job));
             }
@@ -111,7 +110,7 @@
 /// Latency objective of a job: its critical path times the queue's stretch factor, plus the queue's
 /// fixed part.
 pub(crate) fn objective(job: &Job, policy: &crate::Policy) -> Duration {
-    let Some(queue) = policy.queues.get(&job.queue) else { return Duration::ZERO };
+    let Some(queue) = policy.queue(job) else { return Duration::ZERO };
     let stretched = critical_path_ms(&job.spec.steps) as f64 * queue.stretch;
     Duration::from_millis((stretched as u64).saturating_add(queue.objective_ms))
 }
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -74,7 +74,7 @@
                 waiting |= !step_state.done();
                 continue;
             }
-            let queue = self.policy.queues.get(&job.queue);
+            let queue = self.policy.queue(job);
             let Some((service, advised)) = queue.map(|q| (q.service.clone(), q.advised)) else {
                 continue;
             };
--- a/crates/batch/src/policy.rs
+++ b/crates/batch/src/policy.rs
@@ -2,6 +2,11 @@
 
 use std::collections::BTreeMap;
 
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::job::Job;
+
 /// Scheduling configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Policy {
@@ -17,12 +22,14 @@
     pub body_bytes: usize,
 }
 
-/// A queue of jobs.
-#[derive(Clone, Debug, PartialEq)]
+/// A queue of jobs. How callers reach it is not part of its stored form.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
     /// Host name by which callers reach it.
+    #[serde(skip)]
     pub host: String,
     /// Path prefix by which callers reach it.
+    #[serde(skip)]
     pub prefix: String,
     /// Service whose workers run its tasks.
     pub service: String,
@@ -35,6 +42,7 @@
     /// Fixed part of the latency objective, in ms.
     pub objective_ms: u64,
     /// Whether calls are accepted without a key.
+    #[serde(skip)]
     pub public: bool,
     /// Whether its steps may run only on workers that the advice service allows.
     pub advised: bool,
@@ -68,6 +76,11 @@
             .map(|(name, queue)| (name.as_str(), queue))
     }
 
+    /// The queue of a job, as defined when the job was admitted if it has been removed since.
+    pub(crate) fn queue<'p>(&'p self, job: &'p Job) -> Option<&'p Queue> {
+        self.queues.get(&job.queue).or(job.admitted.as_ref())
+    }
+
     /// Finds the client account that `key` belongs to.
     pub fn holder(&self, key: &str) -> Option<&str> {
         self.accounts
--- a/crates/batch/src/reclaim.rs
+++ b/crates/batch/src/reclaim.rs
@@ -123,8 +123,7 @@
         for (worker, keys) in &self.runs {
             for key in keys {
                 let Some(job) = self.jobs.get(&key.job) else { continue };
-                let priority =
-                    self.policy.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
+                let priority = self.policy.queue(job).map_or(u32::MAX, |queue| queue.priority);
                 let lower = match rank {
                     Rank::Guaranteed => !guaranteed.contains_key(&key.job),
                     _ => priority > 0,
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -181,8 +181,7 @@
     fn run_ended(&mut self, now: Time, id: &WorkerId, end: &End) {
         let key = &end.task;
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
-        let attempts =
-            self.policy.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.attempts) as usize;
+        let attempts = self.policy.queue(job).map_or(u32::MAX, |queue| queue.attempts) as usize;
         let Some(spec) = job.spec.steps.get(key.step as usize) else { return };
         let (gang, lasting) = (spec.gang, spec.lasting);
         let Some(task) = task_mut(job, key) else { return };
--- a/crates/batch/src/spec.rs
+++ b/crates/batch/src/spec.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::policy::Queue;
 use model::Stamp;
 
 /// Maximum number of tasks of a job, over all steps and occurrences.
@@ -211,6 +212,10 @@
 pub struct Submission {
     /// Name of its queue.
     pub queue: String,
+    /// The queue as defined then, for when it has been removed; `None` if an earlier version
+    /// stored the job.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub admitted: Option<Queue>,
     /// Client account; `None` where the queue needs no key.
     pub account: Option<String>,
     /// When the entry VM accepted the job, by that VM's wall clock.
@@ -226,7 +231,8 @@
     /// A tombstone: it stands for a job that was cancelled before it was stored, and keeps a late
     /// submission from being stored.
     pub fn tombstone(queue: String, account: Option<String>, taken: Stamp) -> Submission {
-        Submission { queue, account, taken, cancelled: true, spec: Arc::default() }
+        let (admitted, spec) = (None, Arc::default());
+        Submission { queue, admitted, account, taken, cancelled: true, spec }
     }
 
     /// Whether this is a tombstone. Every job has a step.
--- a/crates/batch/tests/large_jobs.rs
+++ b/crates/batch/tests/large_jobs.rs
@@ -37,6 +37,7 @@
     let spec = Spec { steps: vec![step], first, interval_ms: 1, repeats, ..Spec::default() };
     Submission {
         queue: "queue".to_owned(),
+        admitted: None,
         account: None,
         taken: Stamp(0),
         cancelled: false,
--- a/crates/batch/tests/losses.rs
+++ b/crates/batch/tests/losses.rs
@@ -56,6 +56,7 @@
     let step = StepSpec { count: 1, need, ..StepSpec::default() };
     Submission {
         queue: "queue".to_owned(),
+        admitted: None,
         account: None,
         taken: Stamp(0),
         cancelled: false,
--- a/crates/batch/tests/refused_starts.rs
+++ b/crates/batch/tests/refused_starts.rs
@@ -87,6 +87,7 @@
         let step = StepSpec { count: 1, need, ..StepSpec::default() };
         let submission = Submission {
             queue: "queue".to_owned(),
+            admitted: None,
             account: None,
             taken: Stamp(0),
             cancelled: false,
--- a/crates/batch/tests/schedules/odd_workers.rs
+++ b/crates/batch/tests/schedules/odd_workers.rs
@@ -66,6 +66,7 @@
     let spec = Spec { steps: vec![step(1, 1, 500)], ..Spec::default() };
     let submission = Submission {
         queue: "usual".to_owned(),
+        admitted: None,
         account: None,
         taken: Stamp(1),
         cancelled: false,
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -429,6 +429,7 @@
         let spec = Arc::new(Spec { payload: "text".to_owned(), steps, ..Spec::default() });
         let submission = Submission {
             queue: queue.to_owned(),
+            admitted: None,
             account: Some(account.to_owned()),
             taken: Stamp(self.now),
             cancelled: false,
--- a/crates/batch/tests/takeover.rs
+++ b/crates/batch/tests/takeover.rs
@@ -81,6 +81,7 @@
     let step = StepSpec { count: tasks.len() as u32, need, gang, ..StepSpec::default() };
     let submission = Submission {
         queue: "queue".to_owned(),
+        admitted: None,
         account: None,
         taken: Stamp(0),
         cancelled,
--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -47,6 +47,7 @@
 use crate::state::State;
 use batch::JobState;
 use batch::MAX_JOB_TASKS;
+use batch::Queue;
 use batch::Submission;
 use model::Time;
 use platform::callers;
@@ -219,6 +220,13 @@
     suffix: String,
 }
 
+impl Admitted {
+    /// The queue in the configuration that admitted the request.
+    fn definition(&self) -> Option<&Queue> {
+        self.active.policy.queues.get(&self.queue)
+    }
+}
+
 /// The parts of a request that decide on its admission.
 struct RequestHead {
     host: String,
@@ -452,6 +460,7 @@
     let key = format!("{JOB_PREFIX}{}", admitted.suffix);
     let mut submission = Submission {
         queue: admitted.queue.clone(),
+        admitted: admitted.definition().cloned(),
         account: admitted.account.clone(),
         taken: state.clock.stamp(),
         cancelled: false,
@@ -500,6 +509,7 @@
                     Err(answer) => return answer,
                 };
                 submission.queue.clone_from(&admitted.queue);
+                submission.admitted = admitted.definition().cloned();
                 submission.account.clone_from(&admitted.account);
             }
         }
