Keep the queue lengths when the ownership is claimed

Cause: a claim overwrote the key with the lengths by the name of the VM, and what cannot be decoded counts as zero.

Change: a claim writes the lengths that the last owner stored. They are read while the store grants the lease.

Before the fix queue_lengths::takeover fails with zeros among the answers; with it all of them are 6.

--- a/crates/entry/tests/hosted/main.rs
+++ b/crates/entry/tests/hosted/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod large_jobs;
 mod odd_entries;
+mod queue_lengths;
 mod soak;
 
 use std::cell::Cell;
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -1,5 +1,6 @@
 //! Leader election: claims the ownership of the jobs when no entry VM holds it.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,9 +9,11 @@
 use rand::RngExt;
 use tokio::time::sleep;
 
+use crate::commit::Sequence;
 use crate::state::OWNER_KEY;
 use crate::state::SEQUENCE_KEY;
 use crate::state::State;
+use crate::transactions::encode_json;
 use model::Time;
 use platform::store::Txn;
 use platform::store::TxnOutcome;
@@ -69,7 +72,9 @@
 /// Claims the ownership once; `None` if another VM has it, or the claim failed or is in doubt.
 async fn try_claim(state: &State) -> Option<Claim> {
     let started = state.clock.now();
-    let lease = match state.store.grant(state.settings.ownership, CLAIM_TIMEOUT).await {
+    let (granted, waiting) =
+        tokio::join!(state.store.grant(state.settings.ownership, CLAIM_TIMEOUT), lengths(state));
+    let lease = match granted {
         Ok((lease, _)) => lease,
         Err(error) => {
             warn!(error = error.to_string().as_str(); "ownership: store grants no lease");
@@ -87,12 +92,10 @@
     }
     let since = state.clock.now();
     let name = state.settings.vm.to_string();
+    let sequence = encode_json(&Sequence::claimed(waiting));
     let txn = Txn {
         conditions: vec![(OWNER_KEY, 0)],
-        writes: vec![
-            (OWNER_KEY, name.as_bytes(), Some(lease)),
-            (SEQUENCE_KEY, name.as_bytes(), None),
-        ],
+        writes: vec![(OWNER_KEY, name.as_bytes(), Some(lease)), (SEQUENCE_KEY, &sequence, None)],
         deletes: Vec::new(),
     };
     match state.store.commit(&txn, CLAIM_TIMEOUT).await {
@@ -116,6 +119,19 @@
     }
 }
 
+/// Reads the queue lengths that the last owner stored; empty if they cannot be read. They are shown
+/// until the first commit of the next owner.
+async fn lengths(state: &State) -> BTreeMap<String, u64> {
+    let sequence = match state.store.get(SEQUENCE_KEY, CLAIM_TIMEOUT).await {
+        Ok(item) => item.and_then(|item| item.json::<Sequence>().ok()),
+        Err(error) => {
+            warn!(error = error.to_string().as_str(); "ownership: cannot read the queue lengths");
+            None
+        }
+    };
+    sequence.map(|sequence| sequence.waiting).unwrap_or_default()
+}
+
 /// Delay that lets entry VMs with more CPU and bandwidth claim first.
 fn low_capacity_delay(state: &State) -> Duration {
     let cpu_ratio = (state.settings.cpu / PREFERRED_CPU_CORES).min(1.0);
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -65,6 +65,14 @@
     pub waiting: std::collections::BTreeMap<String, u64>,
 }
 
+impl Sequence {
+    /// Value that a claim of the ownership writes. It differs from the value of every commit, whose
+    /// token is not zero.
+    pub fn claimed(waiting: std::collections::BTreeMap<String, u64>) -> Sequence {
+        Sequence { token: 0, number: 0, waiting }
+    }
+}
+
 impl RecordWriter {
     /// Stores records, deletes the jobs whose record is `None`, and stores the queue lengths.
     ///
