--- a/crates/entry/tests/hosted/cancels.rs
+++ b/crates/entry/tests/hosted/cancels.rs
@@ -49,6 +49,7 @@
         assert_eq!(cluster.ask(vm, Method::GET, path, "").await.0, 410);
         assert_eq!(cluster.ask(vm, Method::POST, path, &job(2)).await.0, 410);
     }
+    cluster.until("a VM owns the jobs", async || cluster.owner().is_some()).await;
     let owner = cluster.owner().expect("an owner");
     cluster.vms[owner].kill();
     let other = 1 - owner;
