--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -129,10 +129,10 @@
 impl Planner {
     /// Creates a planner that takes over ownership at `now`.
     ///
-    /// Leases are extended only once [`Event::Confirmed`] tells when the store confirmed the ownership.
     /// An owner extends leases for at most `solo` after the store has last confirmed its ownership,
-    /// so the former one does for at most `solo` after the takeover. A worker that cannot be reached
-    /// is assumed to run what the store says until such a lease has expired.
+    /// of which [`Event::Confirmed`] tells, and so the former one for at most `solo` after the
+    /// takeover. A worker that cannot be reached is assumed to run what the store says until such a
+    /// lease has expired.
     pub fn new(settings: Settings, now: Time, solo: Duration) -> Planner {
         let inherited_end = now + solo + settings.lease + settings.lease / 40;
         Planner {
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -72,8 +72,10 @@
 /// Claims the ownership once; `None` if another VM has it, or the claim failed or is in doubt.
 async fn try_claim(state: &State) -> Option<Claim> {
     let started = state.clock.now();
-    let (granted, waiting) =
-        tokio::join!(state.store.grant(state.settings.ownership, CLAIM_TIMEOUT), lengths(state));
+    let (granted, waiting) = tokio::join!(
+        state.store.grant(state.settings.ownership, CLAIM_TIMEOUT),
+        queue_lengths(state)
+    );
     let lease = match granted {
         Ok((lease, _)) => lease,
         Err(error) => {
@@ -121,7 +123,7 @@
 
 /// Reads the queue lengths that the last owner stored; empty if they cannot be read. They are shown
 /// until the first commit of the next owner.
-async fn lengths(state: &State) -> BTreeMap<String, u64> {
+async fn queue_lengths(state: &State) -> BTreeMap<String, u64> {
     let sequence = match state.store.get(SEQUENCE_KEY, CLAIM_TIMEOUT).await {
         Ok(item) => item.and_then(|item| item.json::<Sequence>().ok()),
         Err(error) => {
