--- a/crates/entry/tests/hosted/cluster.rs
+++ b/crates/entry/tests/hosted/cluster.rs
@@ -102,6 +102,14 @@
         fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default()
     }
 
+    /// Largest amount of memory that the process has used so far, in kB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        let status = fs::read_to_string(format!("/proc/{id}/status")).expect("a process");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("its memory");
+        line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).expect("a number")
+    }
+
     pub fn is_running(&self) -> bool {
         self.child.is_some()
     }
--- a/crates/entry/tests/hosted/large_jobs.rs
+++ b/crates/entry/tests/hosted/large_jobs.rs
@@ -12,6 +12,9 @@
 const TASK_TIME: Duration = Duration::from_millis(300);
 /// Maximum size of a request body on the users' platform.
 const LONG_BODY_BYTES: usize = 262_144;
+/// Limit on the memory of an owner that starts 300 tasks with long payloads at once, in kB. The
+/// smallest VM of the users has 160 MB, and a worker of theirs takes up to 1,280 tasks.
+const MAX_OWNER_KB: u64 = 64 << 10;
 
 /// Starts entry VMs that accept long bodies.
 async fn start(name: &str, vms: usize) -> Cluster {
@@ -68,3 +71,17 @@
     cluster.wait_completed(1, "00000000000000d3").await;
     assert_eq!(cluster.state(0, "00000000000000d2").await, "failed");
 }
+
+/// Guards against owners that run out of memory: each start of a job with a long payload held a
+/// copy of it, and a wide job has hundreds of starts at a time.
+#[tokio::test]
+async fn long_payload() {
+    let cluster = start("long-payload", 1).await;
+    let payload = "x".repeat(LONG_BODY_BYTES - 1_000);
+    let body = format!(r#"{{"spec":"{payload}","steps":[{{"count":300,"cpu":10,"memMb":1}}]}}"#);
+    let path = "/work/00000000000000d4";
+    assert_eq!(cluster.ask(0, Method::POST, path, &body).await.0, 200);
+    cluster.wait_completed(0, "00000000000000d4").await;
+    let peak = cluster.vms[0].peak_memory_kb();
+    assert!(peak < MAX_OWNER_KB, "{peak} kB in use");
+}
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -2,12 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use log::Level;
 use log::info;
 use log::log;
 use log::warn;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -35,6 +38,12 @@
 /// Timeout of a renewal, in addition to the wait that it requests.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Payload size, in bytes, from which starts are limited by [`LARGE_STARTS_KB`].
+const LARGE_PAYLOAD_BYTES: usize = 16 << 10;
+/// Maximum size of the payloads of all large starts in flight, in kB, since each start holds copies
+/// of its payload.
+const LARGE_STARTS_KB: usize = 8 << 10;
+
 /// Timeout of a call for advice: 100 workers at some tens of milliseconds each.
 const ADVICE_TIMEOUT: Duration = Duration::from_millis(5_000);
 
@@ -53,6 +62,13 @@
     pub caller: Caller,
     /// Address of the advice service; `None` if the settings name none.
     pub advice_address: Option<SocketAddr>,
+    /// Permits for the payloads of large starts, one for each kB.
+    pub payload_permits: Rc<Semaphore>,
+}
+
+/// Creates the permits for the payloads of large starts.
+pub fn payload_permits() -> Rc<Semaphore> {
+    Rc::new(Semaphore::new(LARGE_STARTS_KB))
 }
 
 impl OrderSender {
@@ -65,6 +81,7 @@
                 let Some(&address) = addresses.get(&worker) else { return };
                 spawn_local(async move {
                     let (payload, saved) = (spec.payload.as_str(), saved.as_str());
+                    let _permit = sender.payload_permit(payload.len()).await;
                     let ticket = ticket.as_deref();
                     let start = StartOrder { task: &task, run, payload, deadline, saved, ticket };
                     let sent = sender.clock.now();
@@ -126,6 +143,17 @@
         }
     }
 
+    /// Waits until a start with a payload of `bytes` may be sent, and returns its permit; `None` if
+    /// it needs none.
+    async fn payload_permit(&self, bytes: usize) -> Option<SemaphorePermit<'_>> {
+        if bytes < LARGE_PAYLOAD_BYTES {
+            return None;
+        }
+        let size = u32::try_from((bytes >> 10).min(LARGE_STARTS_KB)).unwrap_or(u32::MAX);
+        // Fails only if the semaphore is closed, which never happens.
+        self.payload_permits.acquire_many(size).await.ok()
+    }
+
     /// Asks the advice service; `None` if it refuses the call or does not answer.
     async fn advise(&self, step: &StepKey, workers: &[WorkerId]) -> Option<Advice> {
         let Some(address) = self.advice_address else {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -21,6 +21,7 @@
 use crate::commit::OwnershipLost;
 use crate::commit::RecordWriter;
 use crate::orders::OrderSender;
+use crate::orders::payload_permits;
 use crate::state::JOB_PREFIX;
 use crate::state::RECORD_PREFIX;
 use crate::state::State;
@@ -135,6 +136,7 @@
             metrics,
             caller: caller.clone(),
             advice_address: state.settings.advice,
+            payload_permits: payload_permits(),
         };
         let writer = RecordWriter {
             state: Rc::clone(state),
