--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -60,7 +60,9 @@
     pub(crate) dirty: BTreeSet<JobId>,
     /// Jobs that have not ended, or still have runs.
     pub(crate) live: BTreeSet<JobId>,
-    /// Ended jobs with the time since which their end is stored, in this order.
+    /// Jobs that were cancelled before they were stored.
+    tombstones: BTreeSet<JobId>,
+    /// Ended jobs with the time since which their end is stored, in this order; and tombstones.
     ended: VecDeque<(Time, JobId)>,
     /// Recently removed jobs, which a slow read of the store may still return.
     removed: VecDeque<(Time, JobId)>,
@@ -136,6 +138,7 @@
             reserving: BTreeSet::new(),
             dirty: BTreeSet::new(),
             live: BTreeSet::new(),
+            tombstones: BTreeSet::new(),
             ended: VecDeque::new(),
             removed: VecDeque::new(),
             needs_isolation: false,
@@ -296,6 +299,10 @@
     }
 
     fn accepted(&mut self, now: Time, id: JobId, submission: &Submission) {
+        if submission.is_tombstone() {
+            self.keep_tombstone(now, id);
+            return;
+        }
         if self.jobs.contains_key(&id) || self.removed.iter().any(|(_, known)| *known == id) {
             return;
         }
@@ -308,6 +315,13 @@
         }
     }
 
+    /// Keeps a tombstone for the retention time.
+    fn keep_tombstone(&mut self, now: Time, id: JobId) {
+        if self.tombstones.insert(id.clone()) {
+            self.ended.push_back((now, id));
+        }
+    }
+
     fn note_isolation(&mut self, submission: &Submission) {
         let mut steps = submission.spec.steps.iter();
         self.needs_isolation |= steps.any(|step| step.fills || step.target_ms > 0);
@@ -315,6 +329,10 @@
 
     /// Adds a stored job at a takeover, with the runs that its record names.
     fn restored(&mut self, now: Time, id: JobId, submission: &Submission, record: Option<&Record>) {
+        if submission.is_tombstone() {
+            self.keep_tombstone(now, id);
+            return;
+        }
         self.note_isolation(submission);
         let mut job = Job::new(submission, now);
         if let Some(record) = record {
@@ -437,7 +455,7 @@
         }
     }
 
-    /// Removes ended jobs whose retention time is over.
+    /// Removes ended jobs and tombstones whose retention time is over.
     fn remove_expired_jobs(&mut self, now: Time) {
         while self.removed.front().is_some_and(|(at, _)| now.since(*at) > REMOVED_ID_TIME) {
             self.removed.pop_front();
@@ -451,7 +469,9 @@
             self.dirty.insert(id.clone());
             let id = id.clone();
             self.ended.pop_front();
-            self.removed.push_back((now, id));
+            if !self.tombstones.remove(&id) {
+                self.removed.push_back((now, id));
+            }
         }
     }
 
--- a/crates/batch/src/spec.rs
+++ b/crates/batch/src/spec.rs
@@ -221,3 +221,16 @@
     /// Specification.
     pub spec: Arc<Spec>,
 }
+
+impl Submission {
+    /// A tombstone: it stands for a job that was cancelled before it was stored, and keeps a late
+    /// submission from being stored.
+    pub fn tombstone(queue: String, account: Option<String>, taken: Stamp) -> Submission {
+        Submission { queue, account, taken, cancelled: true, spec: Arc::default() }
+    }
+
+    /// Whether this is a tombstone. Every job has a step.
+    pub fn is_tombstone(&self) -> bool {
+        self.cancelled && self.spec.steps.is_empty()
+    }
+}
--- a/crates/fake/src/hosted/store.rs
+++ b/crates/fake/src/hosted/store.rs
@@ -46,6 +46,8 @@
     pub down: bool,
     /// Whether transactions are executed but never answered.
     pub unanswered_writes: bool,
+    /// If not zero, transactions are executed after this time and never answered.
+    pub late_writes: Duration,
     /// Delay of every call.
     pub delay: Duration,
 }
@@ -329,6 +331,15 @@
                 self.watch(&prefix, query_number("after"), query_number("waitMs")).await
             }
             "/-/kv-txn" => {
+                if !faults.late_writes.is_zero() {
+                    // The transaction is carried out even if the caller closes the connection.
+                    let state = Arc::clone(&self.state);
+                    tokio::spawn(async move {
+                        sleep(faults.late_writes).await;
+                        lock(&state).transact(&body);
+                    });
+                    return std::future::pending().await;
+                }
                 let response = lock(&self.state).transact(&body);
                 if faults.unanswered_writes {
                     std::future::pending::<()>().await;
--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -510,10 +510,13 @@
     Answer::ok(callers::encode_state(JobState::Pending), "stored")
 }
 
-/// Answers a submission whose id is already stored: accepted if the job is the same, otherwise a
-/// conflict.
+/// Answers a submission whose id is already stored: accepted if the job is the same, gone if it was
+/// cancelled before, otherwise a conflict.
 fn answer_duplicate(item: &Item, submission: &Submission) -> Answer {
     match item.json::<Submission>() {
+        Ok(stored) if stored.is_tombstone() => {
+            Answer::new(StatusCode::GONE, "cancelled before it was stored")
+        }
         Ok(stored) if stored.spec == submission.spec && stored.account == submission.account => {
             accepted_answer()
         }
@@ -555,11 +558,11 @@
         return Ok(Answer::ok(body, "record"));
     }
     match read_with_retry(state, &format!("{JOB_PREFIX}{}", admitted.suffix)).await? {
-        Some(_) => {
+        Some(item) if !item.json::<Submission>().is_ok_and(|stored| stored.is_tombstone()) => {
             let body = callers::encode_state(JobState::Pending);
             Ok(Answer::ok(body, "no record yet"))
         }
-        None => Ok(Answer::new(StatusCode::GONE, "no such job")),
+        _ => Ok(Answer::new(StatusCode::GONE, "no such job")),
     }
 }
 
@@ -576,32 +579,43 @@
 }
 
 /// Marks a stored job as cancelled; the owner watches for the change.
+///
+/// If there is no such job, a tombstone is stored under its id: the submission may still be on its
+/// way to the store, or in another entry VM.
 async fn cancel_job(state: &State, admitted: &Admitted, deadline: Time) -> Answer {
     let key = format!("{JOB_PREFIX}{}", admitted.suffix);
     let mut maybe_applied = false;
-    let mut item = match read_with_retry(state, &key).await {
-        Ok(Some(item)) => item,
-        Ok(None) => return Answer::new(StatusCode::GONE, "no such job"),
+    let mut stored = match read_with_retry(state, &key).await {
+        Ok(stored) => stored,
         Err(answer) => return answer,
     };
     loop {
-        let Ok(mut submission) = item.json::<Submission>() else {
-            return Answer::new(StatusCode::INTERNAL_SERVER_ERROR, "stored job is unreadable");
+        let (submission, revision) = match &stored {
+            Some(item) => {
+                let Ok(submission) = item.json::<Submission>() else {
+                    let status = StatusCode::INTERNAL_SERVER_ERROR;
+                    return Answer::new(status, "stored job is unreadable");
+                };
+                if submission.cancelled {
+                    return cancelled_answer(&submission);
+                }
+                (Submission { cancelled: true, ..submission }, item.revision)
+            }
+            None => {
+                let (queue, account) = (admitted.queue.clone(), admitted.account.clone());
+                (Submission::tombstone(queue, account, state.clock.stamp()), 0)
+            }
         };
-        if submission.cancelled {
-            return Answer::new(StatusCode::OK, "cancelled");
-        }
-        submission.cancelled = true;
         let Ok(value) = serde_json::to_vec(&submission) else {
             return Answer::new(StatusCode::INTERNAL_SERVER_ERROR, "job cannot be stored");
         };
         let txn = Txn {
-            conditions: vec![(&key, item.revision)],
+            conditions: vec![(&key, revision)],
             writes: vec![(&key, &value, None)],
             deletes: Vec::new(),
         };
         match write_with_retry(state, &txn, &mut maybe_applied, deadline).await {
-            WriteOutcome::Done => return Answer::new(StatusCode::OK, "cancelled"),
+            WriteOutcome::Done => return cancelled_answer(&submission),
             WriteOutcome::Refused => {
                 return Answer::forwardable(StatusCode::SERVICE_UNAVAILABLE, "store refuses");
             }
@@ -610,9 +624,18 @@
             }
             WriteOutcome::Conflict(items) => match items.into_iter().find(|found| found.key == key)
             {
-                Some(found) => item = found,
+                Some(found) => stored = Some(found),
+                // The job had ended and has been removed.
                 None => return Answer::new(StatusCode::GONE, "no such job"),
             },
         }
     }
 }
+
+/// Answer to the cancellation of a job, or of an id under which there is none.
+fn cancelled_answer(submission: &Submission) -> Answer {
+    match submission.is_tombstone() {
+        true => Answer::new(StatusCode::GONE, "no such job"),
+        false => Answer::new(StatusCode::OK, "cancelled"),
+    }
+}
