--- a/crates/entry/tests/hosted/cancels.rs
+++ b/crates/entry/tests/hosted/cancels.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hyper::Method;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::cluster::Cluster;
@@ -10,6 +11,8 @@
 use fake::hosted_job as job;
 
 const TASK_TIME: Duration = Duration::from_millis(300);
+/// Time within which the tasks of a cancelled job have to be stopped.
+const CANCEL_TIME: Duration = Duration::from_millis(3_200);
 /// Time after which the store carries out an unanswered write.
 const WRITE_DELAY: Duration = Duration::from_millis(2_000);
 
@@ -54,3 +57,20 @@
     assert_eq!(cluster.ask(other, Method::GET, path, "").await.0, 410);
     assert_eq!(cluster.started_tasks(), ["00000000000000e2.0.0.0"]);
 }
+
+/// Guards against tasks that run on after their job was cancelled: the owner's watch of jobs waited
+/// on a connection that had gone silent, while its other calls to the store were answered.
+#[tokio::test]
+async fn silent_watch() {
+    let cluster = Cluster::start("silent-watch", 2, 1, TASK_TIME * 100).await;
+    let path = "/work/00000000000000e3";
+    assert_eq!(cluster.ask(0, Method::POST, path, &job(2)).await.0, 200);
+    cluster.until("all tasks run", async || cluster.started_tasks().len() == 2).await;
+    cluster.store.silence_watches("j/");
+    assert_eq!(cluster.ask(0, Method::DELETE, path, "").await.0, 200);
+    let acknowledged = Instant::now();
+    let stopped = async || cluster.workers[0].running_tasks().is_empty();
+    cluster.until("the tasks have been stopped", stopped).await;
+    let took = acknowledged.elapsed();
+    assert!(took < CANCEL_TIME, "the tasks ran on for {took:?}");
+}
--- a/crates/fake/src/hosted/store.rs
+++ b/crates/fake/src/hosted/store.rs
@@ -76,6 +76,8 @@
     calls: u64,
     /// Number of range reads by prefix.
     range_reads: BTreeMap<String, u64>,
+    /// How often the waiting watches of each prefix were silenced.
+    silenced_watches: BTreeMap<String, u64>,
 }
 
 /// A simulated store of the platform.
@@ -120,6 +122,11 @@
         self.server.silence();
     }
 
+    /// Never answers the watches of a prefix that are waiting now, without closing their connections.
+    pub fn silence_watches(&self, prefix: &str) {
+        *lock(&self.state).silenced_watches.entry(prefix.to_owned()).or_default() += 1;
+    }
+
     /// Writes the configuration record, as an operator does.
     pub fn configure(&self, configuration: &HostedConfiguration<'_>) {
         self.put("op/config", &configuration.body());
@@ -369,8 +376,13 @@
 
     async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Response<Body> {
         let end = Instant::now() + Duration::from_millis(wait_ms);
+        let silenced = || lock(&self.state).silenced_watches.get(prefix).copied();
+        let silenced_before = silenced();
         loop {
             let now = Instant::now();
+            if silenced() != silenced_before {
+                return std::future::pending().await;
+            }
             {
                 let mut state = lock(&self.state);
                 state.expire(now);
--- a/crates/fake/src/hosted/worker.rs
+++ b/crates/fake/src/hosted/worker.rs
@@ -135,6 +135,13 @@
         lock(&self.state).starts.clone()
     }
 
+    /// Returns the names of the tasks that are running.
+    pub fn running_tasks(&self) -> Vec<String> {
+        let mut state = lock(&self.state);
+        state.advance();
+        state.running.keys().cloned().collect()
+    }
+
     /// Stalls all open connections permanently without closing them.
     pub fn silence(&self) {
         self.server.silence();
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -55,8 +55,9 @@
 const DIRECTORY_ENTRIES_PER_SECOND: u32 = 200;
 /// Maximum number of further events that are applied before one decision.
 const MAX_EVENTS_PER_DECISION: usize = 256;
-/// Maximum wait of a watch for submitted and cancelled jobs.
-const JOBS_WATCH_WAIT: Duration = Duration::from_millis(5_000);
+/// Maximum wait of a watch for submitted and cancelled jobs. A watch whose connection has gone
+/// silent is given up after it, and the tasks of a cancelled job have to stop within three seconds.
+const JOBS_WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// Time allowed for the answer of such a watch to arrive.
 const JOBS_WATCH_MARGIN: Duration = Duration::from_millis(600);
 /// Maximum interval between decisions of the planner.
@@ -464,30 +465,37 @@
 }
 
 /// Sends new and cancelled jobs to the owner as events.
+///
+/// After a failure it polls for changes since the last known revision. Reading all jobs again takes
+/// seconds over a slow link, in which cancellations go unnoticed.
 async fn follow_jobs(state: Rc<State>, mut after: u64, events: UnboundedSender<Event>) {
+    let (mut wait, mut timeout) = (JOBS_WATCH_WAIT, JOBS_WATCH_WAIT + JOBS_WATCH_MARGIN);
     loop {
-        let items = match state
-            .store
-            .watch(JOB_PREFIX, after, JOBS_WATCH_WAIT, JOBS_WATCH_WAIT + JOBS_WATCH_MARGIN)
-            .await
-        {
+        let items = match state.store.watch(JOB_PREFIX, after, wait, timeout).await {
             Ok((changes, revision)) => {
                 after = revision;
+                (wait, timeout) = (JOBS_WATCH_WAIT, JOBS_WATCH_WAIT + JOBS_WATCH_MARGIN);
                 let written = |change| match change {
                     Change::Written(item) => Some(item),
                     Change::Removed(_) => None,
                 };
                 changes.into_iter().filter_map(written).collect()
             }
-            Err(error) => {
-                if error != StoreError::Compacted {
-                    warn!(error = error.to_string().as_str(); "jobs: watch failed");
-                    sleep(READ_PAUSE).await;
-                }
+            Err(StoreError::Compacted) => {
                 let (items, revision) = read_range(&state, JOB_PREFIX).await;
                 after = revision;
                 items
             }
+            Err(error) => {
+                warn!(error = error.to_string().as_str(); "jobs: watch failed");
+                timeout = match wait.is_zero() {
+                    true => (timeout * 2).min(SLOW_READ_TIMEOUT),
+                    false => READ_TIMEOUT,
+                };
+                wait = Duration::ZERO;
+                sleep(READ_PAUSE).await;
+                continue;
+            }
         };
         for (id, submission) in items.iter().filter_map(parse_submission) {
             let cancelled = submission.cancelled;
