--- a/crates/batch/src/event.rs
+++ b/crates/batch/src/event.rs
@@ -1,9 +1,11 @@
 //! Input events of a planner.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::Advice;
 use crate::Policy;
+use crate::View;
 use crate::directory::WorkerInfo;
 use crate::record::Record;
 use crate::spec::JobId;
@@ -125,6 +127,11 @@
     Cancelled(JobId),
     /// The store has confirmed the ownership, in answer to a call sent at this time.
     Confirmed(Time),
+    /// A view includes all changes that were acknowledged before this time. The events that carry
+    /// these changes precede it.
+    Viewed(View, Time),
+    /// The availability zones that are evacuated now.
+    Evacuated(BTreeSet<String>),
     /// A worker answered a lease renewal.
     Renewed(WorkerId, RenewalReport),
     /// A worker did not answer a lease renewal.
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -30,6 +30,7 @@
 use crate::spec::Submission;
 use crate::spec::TaskKey;
 use crate::spec::WorkerId;
+use crate::views::Views;
 use model::Stamp;
 use model::Time;
 
@@ -95,6 +96,9 @@
     /// Time up to which leases are extended: another owner may have taken over since the store last
     /// confirmed the ownership, and relies on this limit.
     pub(crate) extend_until: Time,
+    pub(crate) views: Views,
+    /// Evacuated availability zones.
+    pub(crate) evacuated: BTreeSet<String>,
 }
 
 /// A commit in flight.
@@ -163,6 +167,8 @@
             inherited_end,
             solo,
             extend_until: Time::ZERO,
+            views: Views::default(),
+            evacuated: BTreeSet::new(),
         }
     }
 
@@ -261,6 +267,8 @@
             Event::Confirmed(at) => {
                 self.extend_until = self.extend_until.max(at + self.solo);
             }
+            Event::Viewed(view, at) => self.views.confirm(view, at),
+            Event::Evacuated(zones) => self.set_evacuated(zones),
             Event::Renewed(worker, report) => self.renewal_answered(now, &worker, &report),
             Event::RenewalFailed(worker) => self.renewal_failed(now, &worker),
             Event::Deposed => self.out.push(Action::Resign),
--- a/crates/batch/src/settings.rs
+++ b/crates/batch/src/settings.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-/// Time limits of a planner. The deployment's settings provide them; none has a default.
+use crate::ViewBounds;
+
+/// Time limits of a planner. The deployment's settings provide them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// Longest lease that a worker grants.
@@ -11,4 +13,6 @@
     pub stop: Duration,
     /// Time for which the state of an ended job is kept in the store.
     pub retention: Duration,
+    /// Times from which starts have to respect changes in the store.
+    pub bounds: ViewBounds,
 }
--- a/crates/batch/tests/ends.rs
+++ b/crates/batch/tests/ends.rs
@@ -14,6 +14,7 @@
 use batch::RenewalReport;
 use batch::Settings;
 use batch::TaskKey;
+use batch::ViewBounds;
 use batch::WorkerId;
 use batch::WorkerInfo;
 use model::Stamp;
@@ -45,6 +46,7 @@
             lease: Duration::from_secs(6),
             stop: Duration::from_millis(200),
             retention: Duration::from_secs(120),
+            bounds: ViewBounds::default(),
         };
         let planner = Planner::new(settings, Time::from_millis(1_000), Duration::from_secs(2));
         let mut owner = Owner { planner, now: 1_000 };
--- a/crates/batch/tests/large_jobs.rs
+++ b/crates/batch/tests/large_jobs.rs
@@ -19,6 +19,7 @@
 use batch::Spec;
 use batch::StepSpec;
 use batch::Submission;
+use batch::ViewBounds;
 use batch::WorkerId;
 use batch::WorkerInfo;
 use model::Stamp;
@@ -51,6 +52,7 @@
         lease: Duration::from_secs(6),
         stop: Duration::from_millis(200),
         retention: Duration::from_secs(120),
+        bounds: ViewBounds::default(),
     };
     let queue = Queue {
         host: String::new(),
--- a/crates/batch/tests/lease_extension.rs
+++ b/crates/batch/tests/lease_extension.rs
@@ -10,6 +10,7 @@
 use batch::Planner;
 use batch::RenewalReport;
 use batch::Settings;
+use batch::ViewBounds;
 use batch::WorkerId;
 use batch::WorkerInfo;
 use model::Stamp;
@@ -47,6 +48,7 @@
             lease: LEASE,
             stop: Duration::from_millis(200),
             retention: Duration::from_secs(120),
+            bounds: ViewBounds::default(),
         };
         let mut planner = Planner::new(settings, confirmed, SOLO);
         planner.apply(confirmed, Event::Confirmed(confirmed));
--- a/crates/batch/tests/losses.rs
+++ b/crates/batch/tests/losses.rs
@@ -25,6 +25,7 @@
 use batch::Submission;
 use batch::TaskKey;
 use batch::TaskRecord;
+use batch::ViewBounds;
 use batch::WorkerId;
 use batch::WorkerInfo;
 use model::Stamp;
@@ -71,6 +72,7 @@
             lease: Duration::from_secs(6),
             stop: Duration::from_millis(200),
             retention: Duration::from_secs(120),
+            bounds: ViewBounds::default(),
         };
         let planner = Planner::new(settings, Time::from_millis(1_000), Duration::from_secs(2));
         let mut world = World { planner, stored: None, started: Vec::new(), slow_store: false };
--- a/crates/batch/tests/refused_starts.rs
+++ b/crates/batch/tests/refused_starts.rs
@@ -22,6 +22,7 @@
 use batch::StepSpec;
 use batch::Submission;
 use batch::TaskKey;
+use batch::ViewBounds;
 use batch::WorkerId;
 use batch::WorkerInfo;
 use model::Stamp;
@@ -74,6 +75,7 @@
             lease: Duration::from_secs(6),
             stop: Duration::from_millis(200),
             retention: Duration::from_secs(120),
+            bounds: ViewBounds::default(),
         };
         let now = Time::from_millis(1_000);
         let planner = Planner::new(settings, now, Duration::from_secs(2));
--- a/crates/batch/tests/removed_queue.rs
+++ b/crates/batch/tests/removed_queue.rs
@@ -19,6 +19,7 @@
 use batch::StepSpec;
 use batch::Submission;
 use batch::TaskRecord;
+use batch::ViewBounds;
 use batch::WorkerId;
 use batch::WorkerInfo;
 use model::Stamp;
@@ -80,6 +81,7 @@
         lease: Duration::from_secs(6),
         stop: Duration::from_millis(200),
         retention: Duration::from_secs(120),
+        bounds: ViewBounds::default(),
     };
     let mut planner = Planner::new(settings, NOW, Duration::from_secs(3));
     let report = RenewalReport {
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -41,6 +41,7 @@
 use batch::StepSpec;
 use batch::Submission;
 use batch::TaskKey;
+use batch::ViewBounds;
 use batch::WorkerId;
 use batch::WorkerInfo;
 use model::Stamp;
@@ -243,6 +244,7 @@
         lease: Duration::from_millis(LEASE_MS),
         stop: Duration::from_millis(STOP_TIMEOUT_MS),
         retention: Duration::from_secs(120),
+        bounds: ViewBounds::default(),
     }
 }
 
--- a/crates/batch/tests/takeover.rs
+++ b/crates/batch/tests/takeover.rs
@@ -22,6 +22,7 @@
 use batch::Submission;
 use batch::TaskKey;
 use batch::TaskRecord;
+use batch::ViewBounds;
 use batch::WorkerId;
 use batch::WorkerInfo;
 use model::Stamp;
@@ -62,6 +63,7 @@
         lease: Duration::from_secs(6),
         stop: Duration::from_millis(200),
         retention: Duration::from_secs(120),
+        bounds: ViewBounds::default(),
     }
 }
 
--- a/crates/batch/tests/tombstones.rs
+++ b/crates/batch/tests/tombstones.rs
@@ -12,6 +12,7 @@
 use batch::Spec;
 use batch::StepSpec;
 use batch::Submission;
+use batch::ViewBounds;
 use model::Stamp;
 use model::Time;
 
@@ -30,6 +31,7 @@
         lease: Duration::from_secs(6),
         stop: Duration::from_millis(200),
         retention: RETENTION,
+        bounds: ViewBounds::default(),
     };
     Planner::new(settings, Time::ZERO, Duration::from_secs(2))
 }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -33,6 +33,7 @@
 use batch::Record;
 use batch::Settings;
 use batch::Submission;
+use batch::ViewBounds;
 use batch::WorkerId;
 use batch::WorkerInfo;
 use net::Caller;
@@ -402,7 +403,12 @@
 }
 
 fn planner_settings(jobs: &JobBounds) -> Settings {
-    Settings { lease: jobs.lease, stop: jobs.stop, retention: jobs.retention }
+    Settings {
+        lease: jobs.lease,
+        stop: jobs.stop,
+        retention: jobs.retention,
+        bounds: ViewBounds { drain: jobs.drain, evacuate: jobs.evacuate, cancel: jobs.cancel },
+    }
 }
 
 /// Reads all items under a prefix, with retries until it succeeds.
--- a/crates/text/src/host.rs
+++ b/crates/text/src/host.rs
@@ -66,6 +66,14 @@
     pub stop: Duration,
     /// Retention time of the state of a finished job.
     pub retention: Duration,
+    /// Time after a worker has announced that it drains from which it must get no starts; `None`
+    /// sets no bound.
+    pub drain: Option<Duration>,
+    /// Time after an availability zone has been evacuated from which its workers must get no starts;
+    /// `None` sets no bound.
+    pub evacuate: Option<Duration>,
+    /// Time after a job has been cancelled from which it must get no starts; `None` sets no bound.
+    pub cancel: Option<Duration>,
 }
 
 const FIELDS: [&str; 18] = [
@@ -91,12 +99,22 @@
 
 impl Read for JobBounds {
     fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<JobBounds> {
-        let known = ["lease", "stop", "retention"];
+        let known = ["lease", "stop", "retention", "drain", "evacuate", "cancel"];
         let object = reader.object(value, path, &known)?;
         let lease = reader.required(object, path, "lease", "\"6s\"");
         let stop = reader.required(object, path, "stop", "\"200ms\"");
         let retention = reader.required(object, path, "retention", "\"2m\"");
-        Some(JobBounds { lease: lease?, stop: stop?, retention: retention? })
+        let drain = reader.optional_or(object, path, "drain", None);
+        let evacuate = reader.optional_or(object, path, "evacuate", None);
+        let cancel = reader.optional_or(object, path, "cancel", None);
+        Some(JobBounds {
+            lease: lease?,
+            stop: stop?,
+            retention: retention?,
+            drain: drain?,
+            evacuate: evacuate?,
+            cancel: cancel?,
+        })
     }
 }
 
