Give evacuated zones no starts, and let load return in steps

Cause: the planner knew the set of evacuated availability zones but no decision used it. On the code before, the new invariant of the seeded schedules (no start in a zone later than 5 s after the acknowledged evacuation) failed in all three tests, for example evacuated_zones at 22,014 ms on a worker of a zone evacuated at 17,000 ms. Change: workers of evacuated zones are marked and not usable, so placement, preemption, reservations and advice leave them out. Runs that they have not confirmed are stopped, with their gangs, and placed elsewhere. Long-running tasks are moved within their disruption budgets and the room of other zones. After an evacuation the workers open one after the other over 8 s and rank as slow for that time.

--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -86,6 +86,14 @@
     pub suspicions: u32,
     /// Until when the worker is taken to be slow.
     pub slow_until: Time,
+    /// Whether its availability zone is evacuated, so that it gets no starts.
+    pub evacuated: bool,
+    /// When it gets new runs again after an evacuation of its zone.
+    pub opens_at: Time,
+    /// Until when its zone opens again after an evacuation; it ranks as slow before.
+    pub reopening_until: Time,
+    /// Until when it is slow because it is cold, as its entry says.
+    pub cold_until: Time,
     /// Earliest time at which a draining worker goes away; `None` if it is not draining.
     pub drain_end: Option<Time>,
     /// Number of starts and stops in a row without an answer.
@@ -137,6 +145,10 @@
             suspect_until: Time::ZERO,
             suspicions: 0,
             slow_until: Time::ZERO,
+            evacuated: false,
+            opens_at: Time::ZERO,
+            reopening_until: Time::ZERO,
+            cold_until: Time::ZERO,
             drain_end: None,
             unanswered_orders: 0,
             probe: None,
@@ -160,6 +172,7 @@
     pub fn usable(&self, now: Time) -> bool {
         self.listed
             && self.drain_end.is_none()
+            && self.is_open(now)
             && self.reachable
             && self.clock.is_some()
             && self.foreign_runs == 0
@@ -167,6 +180,12 @@
             && self.backoff_until <= now
     }
 
+    /// Whether other workers are preferred, since this one makes little progress or may do so.
+    pub fn ranks_slow(&self, now: Time) -> bool {
+        let slow_until = self.slow_until.max(self.reopening_until).max(self.cold_until);
+        now < slow_until || self.missed_calls > 0
+    }
+
     /// Marks the worker as suspect after a failed run, for a time that doubles with each failure in
     /// a row up to a limit, and returns that time.
     pub fn suspect(&mut self, now: Time) -> Duration {
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -37,6 +37,7 @@
 pub use action::Note;
 pub use advice::Advice;
 pub use directory::WorkerInfo;
+pub use evacuation::EvacuatedZone;
 pub use event::End;
 pub use event::Event;
 pub use event::Outcome;
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -256,7 +256,7 @@
 }
 
 /// Counts the tasks of a step on each slot, if its spread is limited.
-fn count_step_tasks(slots: &mut [Slot], step_state: &Step, step: &StepSpec) {
+pub(crate) fn count_step_tasks(slots: &mut [Slot], step_state: &Step, step: &StepSpec) {
     if step.spread.is_none() {
         return;
     }
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -99,6 +99,8 @@
     pub(crate) views: Views,
     /// Evacuated availability zones.
     pub(crate) evacuated: BTreeSet<String>,
+    /// No long-running tasks are moved out of them before this time.
+    pub(crate) moves_after: Time,
 }
 
 /// A commit in flight.
@@ -169,6 +171,7 @@
             extend_until: Time::ZERO,
             views: Views::default(),
             evacuated: BTreeSet::new(),
+            moves_after: Time::ZERO,
         }
     }
 
@@ -191,6 +194,7 @@
                 self.replan_at = Time::NEVER;
                 self.place(now);
             }
+            self.move_lasting(now);
             self.send_stops(now);
             self.send_probes(now);
             self.remove_expired_jobs(now);
@@ -268,7 +272,7 @@
                 self.extend_until = self.extend_until.max(at + self.solo);
             }
             Event::Viewed(view, at) => self.views.confirm(view, at),
-            Event::Evacuated(zones) => self.set_evacuated(zones),
+            Event::Evacuated(zones) => self.set_evacuated(now, zones),
             Event::Renewed(worker, report) => self.renewal_answered(now, &worker, &report),
             Event::RenewalFailed(worker) => self.renewal_failed(now, &worker),
             Event::Deposed => self.out.push(Action::Resign),
@@ -321,6 +325,7 @@
         for id in self.taken_addresses() {
             self.replaced(now, &id);
         }
+        self.mark_evacuated(now);
     }
 
     fn accepted(&mut self, now: Time, id: JobId, submission: &Submission) {
@@ -584,7 +589,8 @@
         if run.stopping.is_some() {
             return;
         }
-        let Some(worker) = self.workers.get_mut(&run.worker) else { return };
+        let worker = self.workers.get_mut(&run.worker).filter(|worker| !worker.evacuated);
+        let Some(worker) = worker else { return };
         let Some(deadline) = worker.lease_deadline(extend_from, lease) else { return };
         let (id, incarnation) = (run.worker.clone(), worker.incarnation);
         worker.deadline = worker.deadline.max(deadline);
--- a/crates/batch/src/reclaim.rs
+++ b/crates/batch/src/reclaim.rs
@@ -169,7 +169,7 @@
 
 impl Planner {
     /// Disruption budget left for a step: how many more of its tasks may be stopped now.
-    fn disruptions_left(&self, key: &StepKey) -> u32 {
+    pub(crate) fn disruptions_left(&self, key: &StepKey) -> u32 {
         let Some(job) = self.jobs.get(&key.job) else { return 0 };
         let may_miss = job.spec.steps[key.step as usize].may_miss;
         let tasks = &job.occurrences[key.occurrence as usize][key.step as usize].tasks;
--- a/crates/batch/src/room.rs
+++ b/crates/batch/src/room.rs
@@ -24,7 +24,8 @@
     pub step_tasks: u32,
     /// Whether the worker may be the cause of recent failures.
     pub suspect: bool,
-    /// Whether runs make less progress on the worker than elsewhere, or it did not answer lately.
+    /// Whether runs make less progress on the worker than elsewhere, or it did not answer lately, or
+    /// it is cold or in a zone that opens again.
     pub slow: bool,
     /// Incarnation of the worker.
     pub incarnation: u64,
@@ -51,7 +52,7 @@
             unfreed: Need::default(),
             step_tasks: 0,
             suspect: now < worker.suspect_until,
-            slow: now < worker.slow_until || worker.missed_calls > 0,
+            slow: worker.ranks_slow(now),
             incarnation: worker.incarnation,
             barred: false,
             occupied: false,
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod crashing;
+mod evacuations;
 mod large_fleet;
 mod lasting;
 mod load;
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -1,6 +1,7 @@
 //! Simulation of owners, the store, workers and callers under a seeded schedule of faults, with
 //! the invariants checked at every start and at the end.
 
+mod evacuations;
 mod promises;
 
 use std::collections::BTreeMap;
@@ -101,6 +102,8 @@
     pub cancelled_takeovers: bool,
     /// Some jobs have a task that crashes each worker that starts it.
     pub crashing: bool,
+    /// Evacuations of availability zones, of which owners learn late.
+    pub evacuations: bool,
 }
 
 impl Faults {
@@ -117,6 +120,7 @@
             cancels: true,
             cancelled_takeovers: false,
             crashing: false,
+            evacuations: false,
         }
     }
 }
@@ -237,6 +241,10 @@
     pub refused_starts: u64,
     /// Jobs that were removed from the store.
     pub removed: BTreeSet<JobId>,
+    /// Evacuated availability zones, and when the store acknowledged each evacuation, in ms.
+    pub evacuations: BTreeMap<String, u64>,
+    /// Until when owners do not learn of evacuations, in ms.
+    pub blind_until: u64,
 }
 
 pub fn settings() -> Settings {
@@ -321,6 +329,8 @@
             advice_calls: 0,
             refused_starts: 0,
             removed: BTreeSet::new(),
+            evacuations: BTreeMap::new(),
+            blind_until: 0,
         };
         world.take_over(false);
         world
@@ -355,6 +365,7 @@
         self.confirm_ownership();
         self.handle_event(owner, Event::Configured(Arc::clone(&self.policy)));
         self.list_workers();
+        self.show_evacuations(owner);
         for (id, job) in self.jobs.iter().filter(|(id, _)| !self.removed.contains(id)) {
             let record = self.records.get(id).cloned();
             let record = record.map(|record| round_trip(&record));
@@ -413,7 +424,7 @@
             id: id.clone(),
             service: "service".to_owned(),
             address: SocketAddr::from(([10, 0, 0, 1], 8_000 + number as u16)),
-            zone: "north-a".to_owned(),
+            zone: evacuations::zone(number),
             rack: format!("r{}", number / 8),
             labels: vec!["a".to_owned(), format!("r{}", number / 8)],
             capacity: worker.capacity,
@@ -494,6 +505,7 @@
                 Action::Note(note) => self.log_line(format!("{note:?}")),
                 Action::Advise { step, workers } => self.advise(owner, &step, workers),
                 action => {
+                    self.check_sent(owner, &action);
                     let delay = self.delay();
                     let sent = self.now;
                     let order = !matches!(action, Action::Renew { .. });
@@ -583,6 +595,8 @@
                 let result = fake.start(now, owner, &task, deadline, work);
                 if result == StartResult::Taken && running != Some(run) {
                     self.check_start(owner, &worker, &task, run);
+                    // A late order waits inside the worker, which is no fault of the owner.
+                    self.check_evacuation(&worker, &task, if answered { now } else { sent });
                 }
                 if answered {
                     self.send(
@@ -762,6 +776,7 @@
                 self.check_guarantees();
                 self.check_ended_jobs();
                 self.confirm_ownership();
+                self.confirm_evacuations();
                 for owner in self.owners.keys().copied().collect::<Vec<_>>() {
                     self.handle_event(owner, Event::Tick);
                 }
@@ -916,9 +931,13 @@
             }
         }
         if self.is_calm() {
+            self.lift_all();
             return;
         }
         let faults = self.faults;
+        if faults.evacuations {
+            self.change_evacuations();
+        }
         if faults.cancelled_takeovers && self.rng.random_bool(0.3) {
             self.cancel_before_takeover();
             return;
