Follow the evacuations in the store and pass them to the planner

Cause: the watch on the prefix o already sees op/evacuate/ZONE, but nothing read it. Change: each entry VM keeps the evacuated zones with their revisions and the time up to which they are known; an answer older than the known revision changes nothing. The owner passes the zones and their age to the planner before each event, since some events make it send starts. An order that waited for a payload permit is dropped if its worker's zone has been evacuated meanwhile; the planner stops that run. Log lines for heard, in force, empty and taken back, and gauges for each zone. An answer with changes confirms only the time at which the call was sent, since it may have been delayed on its way. The watch waits for at most half of the bound of evacuations. Not yet run with real processes.

--- a/crates/node/src/confirm.rs
+++ b/crates/node/src/confirm.rs
@@ -1,6 +1,6 @@
-//! Watches the configuration and the ownership key in the store.
+//! Watches the configuration, the evacuations and the ownership key in the store.
 //!
-//! One watch covers both. Each of its answers confirms that the active configuration is the latest;
+//! One watch covers them all. Each of its answers confirms that the active configuration is the latest;
 //! requests that depend on the configuration require a sufficiently recent confirmation.
 
 use std::rc::Rc;
@@ -93,7 +93,7 @@
     }
 }
 
-/// Watches the configuration and the ownership for as long as the process runs.
+/// Watches the configuration, the evacuations and the ownership for as long as the process runs.
 ///
 /// After a failure it polls for changes since the last known revision. Reading everything again
 /// would transfer the whole configuration, and many VMs doing so in turn would saturate the link
@@ -134,10 +134,11 @@
     }
 }
 
-/// Reads the configuration and the ownership, and returns the store revision of the read.
+/// Reads the configuration, the evacuations and the ownership, and returns the store revision of the read.
 async fn read_all(state: &State, timeout: Duration) -> Result<u64, StoreError> {
     let sent = state.clock.now();
     let (items, revision) = state.store.range(WATCHED_PREFIX, timeout).await?;
+    state.evacuations.borrow_mut().replace(&items, revision, sent);
     let mut has_owner = false;
     for item in &items {
         match item.key.as_str() {
@@ -154,6 +155,8 @@
 /// Waits for changes after store revision `after`.
 async fn watch_changes(state: &State, after: u64) -> Result<u64, StoreError> {
     let wait = confirmation_lifetime(state).saturating_sub(WATCH_MARGIN);
+    // The other half of the bound is left for a second attempt if the connection is silent.
+    let wait = wait.min(state.settings.jobs.evacuate.map_or(wait, |bound| bound / 2));
     fetch_changes(state, after, wait, wait + WATCH_MARGIN / 2).await
 }
 
@@ -171,6 +174,9 @@
 ) -> Result<u64, StoreError> {
     let sent = state.clock.now();
     let (changes, revision) = state.store.watch(WATCHED_PREFIX, after, wait, timeout).await?;
+    // Without changes the store has waited to the end.
+    let held = if state.clock.now().since(sent) >= wait { wait } else { Duration::ZERO };
+    state.evacuations.borrow_mut().apply(&changes, revision, sent, held);
     for change in changes {
         match change {
             Change::Written(item) if item.key == configuration::KEY => {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of an entry VM.
 //!
-//! Label values come from small fixed sets; none contains a job, a caller or a worker.
+//! Label values come from small fixed sets; none contains a job, a caller or a worker. Only the
+//! names of evacuated availability zones are chosen by operators, and their number is limited.
 
 use std::time::Duration;
 
@@ -30,6 +31,7 @@
     placement_seconds: HistogramVec,
     events: IntCounterVec,
     gauges: IntGaugeVec,
+    evacuations: IntGaugeVec,
 }
 
 impl Metrics {
@@ -72,6 +74,13 @@
                 Opts::new("basilrack_level", "Jobs, runs, workers, versions and ages, by name"),
                 &["name"],
             )?,
+            evacuations: IntGaugeVec::new(
+                Opts::new(
+                    "basilrack_evacuation",
+                    "Evacuated availability zones at the owner, by zone and name",
+                ),
+                &["zone", "name"],
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.answer_seconds.clone()))?;
@@ -80,6 +89,7 @@
         registry.register(Box::new(metrics.placement_seconds.clone()))?;
         registry.register(Box::new(metrics.events.clone()))?;
         registry.register(Box::new(metrics.gauges.clone()))?;
+        registry.register(Box::new(metrics.evacuations.clone()))?;
         Ok(metrics)
     }
 
@@ -112,6 +122,17 @@
         self.gauges.with_label_values(&[name]).set(i64::try_from(value).unwrap_or(i64::MAX));
     }
 
+    /// Sets a gauge of an evacuated availability zone to its current value.
+    pub fn set_evacuation(&self, zone: &str, name: &str, value: u64) {
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        self.evacuations.with_label_values(&[zone, name]).set(value);
+    }
+
+    /// Removes the gauges of all availability zones, as on an entry VM that is not the owner.
+    pub fn clear_evacuations(&self) {
+        self.evacuations.reset();
+    }
+
     /// Encodes all metrics in the Prometheus text format; empty if that fails.
     pub fn encode_text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
+use crate::evacuation::ClosedWorkers;
 use crate::metrics::Metrics;
 use batch::Action;
 use batch::Advice;
@@ -64,6 +65,8 @@
     pub advice_address: Option<SocketAddr>,
     /// Permits for the payloads of large starts, one for each kB.
     pub payload_permits: Rc<Semaphore>,
+    /// Workers of evacuated availability zones.
+    pub closed: ClosedWorkers,
 }
 
 /// Creates the permits for the payloads of large starts.
@@ -82,6 +85,12 @@
                 spawn_local(async move {
                     let (payload, saved) = (spec.payload.as_str(), saved.as_str());
                     let _permit = sender.payload_permit(payload.len()).await;
+                    // The zone may have been evacuated during the wait. The planner then stops the
+                    // run, so that the worker's next report settles it.
+                    if sender.closed.contains(&worker) {
+                        sender.metrics.observe_order("start", "evacuated", Duration::ZERO);
+                        return;
+                    }
                     let ticket = ticket.as_deref();
                     let start = StartOrder { task: &task, run, payload, deadline, saved, ticket };
                     let sent = sender.clock.now();
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -20,6 +20,7 @@
 use crate::claim::release_lease;
 use crate::commit::OwnershipLost;
 use crate::commit::RecordWriter;
+use crate::evacuation::EvacuationFollower;
 use crate::orders::OrderSender;
 use crate::orders::payload_permits;
 use crate::state::JOB_PREFIX;
@@ -89,6 +90,7 @@
             took_ms = elapsed.as_millis() as u64; "ownership: taken over");
         owner.run().await;
         drop(owner);
+        state.metrics.clear_evacuations();
         info!(lease = lease; "ownership: given up");
         release_lease(&state, lease).await;
         if state.draining.get() {
@@ -101,6 +103,7 @@
 struct Owner {
     state: Rc<State>,
     planner: Planner,
+    evacuations: EvacuationFollower,
     orders: OrderSender,
     addresses: BTreeMap<WorkerId, SocketAddr>,
     /// Passed on once the directory is followed.
@@ -135,6 +138,7 @@
         let (commit_sender, commit_results) = mpsc::unbounded_channel();
         let workers = WorkerClient::new(caller.clone(), claim.token);
         let (clock, metrics) = (state.clock.clone(), state.metrics.clone());
+        let evacuations = EvacuationFollower::default();
         let orders = OrderSender {
             workers,
             clock,
@@ -143,6 +147,7 @@
             caller: caller.clone(),
             advice_address: state.settings.advice,
             payload_permits: payload_permits(),
+            closed: evacuations.closed(),
         };
         let writer = RecordWriter {
             state: Rc::clone(state),
@@ -161,6 +166,7 @@
         let mut owner = Owner {
             state: Rc::clone(state),
             planner,
+            evacuations,
             orders,
             addresses: BTreeMap::new(),
             decoder: EntryDecoder::default(),
@@ -242,6 +248,7 @@
                 return;
             }
             self.store_queue_lengths();
+            self.evacuations.show(&self.state, &self.planner, state.clock.now());
         }
     }
 
@@ -250,12 +257,15 @@
         for worker in &workers {
             self.addresses.insert(worker.id.clone(), worker.address);
         }
-        self.handle_event(Event::Listed(workers))
+        self.handle_event(Event::Listed(workers))?;
+        self.evacuations.close(&self.planner);
+        Ok(())
     }
 
     /// Applies an event and further queued ones, and decides once.
     fn handle_events(&mut self, event: Event) -> Result<(), OwnershipLost> {
         let now = self.state.clock.now();
+        self.evacuations.pass(&self.state, &mut self.planner, now);
         self.planner.apply(now, event);
         for _ in 0..MAX_EVENTS_PER_DECISION {
             let Ok(event) = self.events.try_recv() else { break };
@@ -266,6 +276,7 @@
 
     fn handle_event(&mut self, event: Event) -> Result<(), OwnershipLost> {
         let now = self.state.clock.now();
+        self.evacuations.pass(&self.state, &mut self.planner, now);
         self.planner.apply(now, event);
         self.decide(now)
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
+use crate::evacuation::Evacuations;
 use crate::metrics::Metrics;
 use crate::outage::Outage;
 use batch::Policy;
@@ -23,7 +24,8 @@
 
 /// Key of the ownership, attached to the owner's lease; its value is the name of the owner.
 pub(crate) const OWNER_KEY: &str = "owner";
-/// Common prefix of the keys of the configuration and the ownership, so that one watch covers both.
+/// Common prefix of the keys of the configuration, the evacuations and the ownership, so that one
+/// watch covers all of them.
 pub(crate) const WATCHED_PREFIX: &str = "o";
 /// Key that every commit of an owner writes, so that a delayed commit cannot overwrite a newer one.
 pub(crate) const SEQUENCE_KEY: &str = "sequence";
@@ -59,6 +61,8 @@
     /// Store revision up to which changes of the configuration and the ownership are known; `None`
     /// requires reading them again.
     pub watched_revision: Cell<Option<u64>>,
+    /// Evacuated availability zones as far as this VM knows.
+    pub evacuations: RefCell<Evacuations>,
     /// Whether the VM is draining before its process stops.
     pub draining: Cell<bool>,
     /// Whether no entry VM owns the jobs, as far as this VM knows.
@@ -101,6 +105,7 @@
             configuration: RefCell::new(None),
             confirmed_at: Cell::new(Time::ZERO),
             watched_revision: Cell::new(None),
+            evacuations: RefCell::new(Evacuations::default()),
             draining: Cell::new(false),
             vacant: watch::Sender::new(false),
             configuration_changed: watch::Sender::new(0),
