Test evacuations with real processes

Cause: the watch, takeovers and the store's faults are outside the seeded schedules. The settings of these tests name the bound of evacuations.

--- a/crates/entry/tests/hosted/cluster.rs
+++ b/crates/entry/tests/hosted/cluster.rs
@@ -279,7 +279,7 @@
         "peers": peers.to_string(), "metrics": metrics.to_string(), "store": store.address().to_string(),
         "cpu": 0.25, "link_mbps": 1000, "ownership": "1200ms", "apply": "3s", "grace": "4s",
         "jobs": {
-            "lease": "6s", "stop": "200ms", "retention": "2m",
+            "lease": "6s", "stop": "200ms", "retention": "2m", "evacuate": "5s",
         },
     });
     if let Some(advice) = advice {
--- a/crates/entry/tests/hosted/main.rs
+++ b/crates/entry/tests/hosted/main.rs
@@ -2,6 +2,7 @@
 
 mod cancels;
 mod cluster;
+mod evacuations;
 mod large_jobs;
 mod odd_entries;
 mod queue_lengths;
