--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -33,6 +33,8 @@
     pub incarnation: Option<u64>,
     /// Minimum time left before a draining worker goes away; `None` if it is not draining.
     pub drain_left: Option<Duration>,
+    /// Time for which the worker is still slow after a start or an evacuation; `None` if it is warm.
+    pub cold_left: Option<Duration>,
 }
 
 /// State of a worker in the planner.
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -305,6 +305,7 @@
                 (Some(known), Some(listed)) => Some(known.min(listed)),
                 (_, listed) => listed,
             };
+            worker.cold_until = info.cold_left.map_or(Time::ZERO, |left| now + left);
             if !worker.listed {
                 worker.listed = true;
                 self.replan = true;
@@ -680,5 +681,6 @@
         capacity: crate::spec::Need::default(),
         incarnation: None,
         drain_left: None,
+        cold_left: None,
     }
 }
--- a/crates/batch/tests/large_jobs.rs
+++ b/crates/batch/tests/large_jobs.rs
@@ -76,6 +76,7 @@
         capacity: Need { cpu: 8_000, memory: 8_000, gpu: 8 },
         incarnation: Some(1),
         drain_left: None,
+        cold_left: None,
     };
     let mut planner = Planner::new(settings, NOW, Duration::from_secs(2));
     for event in [
--- a/crates/batch/tests/lease_extension.rs
+++ b/crates/batch/tests/lease_extension.rs
@@ -33,6 +33,7 @@
         capacity: Need { cpu: 8_000, memory: 8_000, gpu: 8 },
         incarnation: Some(1),
         drain_left: None,
+        cold_left: None,
     }
 }
 
--- a/crates/batch/tests/losses.rs
+++ b/crates/batch/tests/losses.rs
@@ -102,6 +102,7 @@
             capacity: Need { cpu: 8_000, memory: 8_000, gpu: 8 },
             incarnation: Some(1),
             drain_left: None,
+            cold_left: None,
         };
         world.event(1_000, Event::Configured(Arc::new(policy)));
         world.event(1_000, Event::Listed(vec![worker]));
--- a/crates/batch/tests/schedules/evacuations.rs
+++ b/crates/batch/tests/schedules/evacuations.rs
@@ -194,3 +194,58 @@
     world.run(3_000);
     assert_eq!(world.stored_state(&id), JobState::Completed);
 }
+
+/// Urgent gangs take warm workers first, and cold ones rather than wait.
+#[test]
+fn cold_workers() {
+    let mut world = world(38);
+    for worker in world.workers.values_mut().take(12) {
+        worker.cold_until = 30_000;
+    }
+    world.run(1_100);
+    let gang = |count| StepSpec { gang: true, ..step(count, 8, 1_000) };
+    world.submit("00000000000000cb", "urgent", "a", vec![gang(12)]);
+    world.run(500);
+    let cold = |world: &World| {
+        let cold = world.workers.values().filter(|worker| worker.cold_until > world.now);
+        cold.filter(|worker| !worker.running.is_empty()).count()
+    };
+    assert_eq!((world.starts, cold(&world)), (12, 0), "cold workers come last");
+    world.submit("00000000000000cc", "urgent", "a", vec![gang(12)]);
+    world.run(500);
+    assert_eq!(cold(&world), 12, "cold workers are better than none");
+}
+
+/// Partitions between two owners while zones are evacuated and reopened: neither owner starts tasks
+/// in a zone that has been evacuated for long enough.
+#[test]
+fn evacuated_partitions() {
+    for seed in crate::seeds(1_300_000) {
+        println!("seed {seed}");
+        let mut world = world(seed);
+        let mut number = 0;
+        for second in 0..60u64 {
+            match second % 12 {
+                3 => world.partition_owner(7_000),
+                4 => world.evacuate(ZONE),
+                5 => world.evacuate("south-a"),
+                9 => world.lift(ZONE),
+                _ => {}
+            }
+            if second % 24 == 20 {
+                world.lift("south-a");
+            }
+            for _ in 0..3 {
+                number += 1;
+                let estimate_ms = [600, 2_000, 6_000][number % 3];
+                let steps = vec![step(1 + number as u32 % 4, 4, estimate_ms)];
+                world.submit(&format!("{number:016x}"), "usual", "a", steps);
+            }
+            world.run(1_000);
+        }
+        world.lift(ZONE);
+        world.lift("south-a");
+        world.run(120_000);
+        world.check_ends();
+    }
+}
--- a/crates/batch/tests/schedules/worker.rs
+++ b/crates/batch/tests/schedules/worker.rs
@@ -74,6 +74,8 @@
     pub failing_until: u64,
     /// Work takes [`SLOW_FACTOR`] times as long before this time in ms.
     pub slow_until: u64,
+    /// Its entry says that it is cold before this time in ms.
+    pub cold_until: u64,
     /// Maximum number of ends in an answer to a renewal.
     pub max_ends: usize,
     /// When it goes away for good, in ms.
@@ -102,6 +104,7 @@
             unwell_until: 0,
             failing_until: 0,
             slow_until: 0,
+            cold_until: 0,
             max_ends: MAX_ENDS,
             leaves_at: None,
             restarts_at: None,
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -432,6 +432,8 @@
             drain_left: worker
                 .leaves_at
                 .map(|at| Duration::from_millis(at.saturating_sub(self.now))),
+            cold_left: (worker.cold_until > self.now)
+                .then(|| Duration::from_millis(worker.cold_until - self.now)),
         }
     }
 
--- a/crates/node/src/evacuation.rs
+++ b/crates/node/src/evacuation.rs
@@ -134,7 +134,7 @@
     }
 
     /// Names of the zones.
-    fn names(&self) -> BTreeSet<String> {
+    pub fn names(&self) -> BTreeSet<String> {
         self.zones.keys().filter(|zone| !zone.is_empty()).cloned().collect()
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod clock;
 pub mod confirm;
 pub mod error;
-mod evacuation;
+pub mod evacuation;
 pub mod metrics;
 pub mod outage;
 pub mod owner;
