--- a/crates/batch/tests/schedules/evacuations.rs
+++ b/crates/batch/tests/schedules/evacuations.rs
@@ -165,7 +165,7 @@
         world.run(2_000);
         world.lift(ZONE);
         world.run(5_000);
-        let gang = StepSpec { gang: true, ..step(8, 8, 500) };
+        let gang = StepSpec { gang: true, ..step(4, 8, 500) };
         let id = world.submit(&format!("00000000000000d{round}"), "urgent", "a", vec![gang]);
         world.run(1_500);
         assert_eq!(world.runs_in(ZONE), 0, "workers that just opened are used first");
