Read the directory of workers within the drain bound

Cause: the pause between two reads of the directory grew with the number of entries, to 15 s for 3,000, and an attempt on a silent connection took 4 s. Starts were sent to workers that had drained for up to 7.9 s.

Change: the directory is read page by page. Each page is read again within 60% of jobs.drain, including the time of the reads, and the pages are spread over that time. A silent attempt is abandoned after an eighth of the bound, and only that page is read again. Without the bound, and with 350 entries, the pauses are as before. Entries whose bytes differ only in the sequence and the clock are not decoded again. The owner tells the planner up to when its view of the directory is complete, and exports the ages of the views.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod clock;
 pub mod confirm;
+pub mod directory;
 pub mod error;
 pub mod metrics;
 pub mod outage;
@@ -19,6 +20,7 @@
 mod commit;
 mod orders;
 mod peers;
+mod views;
 
 pub use error::Error;
 pub use run::run;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -20,11 +20,14 @@
 use crate::claim::release_lease;
 use crate::commit::OwnershipLost;
 use crate::commit::RecordWriter;
+use crate::directory::DirectoryReader;
+use crate::directory::Listing;
 use crate::orders::OrderSender;
 use crate::orders::payload_permits;
 use crate::state::JOB_PREFIX;
 use crate::state::RECORD_PREFIX;
 use crate::state::State;
+use crate::views::confirm_views;
 use batch::Action;
 use batch::Event;
 use batch::JobId;
@@ -33,11 +36,10 @@
 use batch::Record;
 use batch::Settings;
 use batch::Submission;
+use batch::View;
 use batch::ViewBounds;
 use batch::WorkerId;
-use batch::WorkerInfo;
 use net::Caller;
-use platform::directory;
 use platform::store::Change;
 use platform::store::Item;
 use platform::store::StoreError;
@@ -50,10 +52,6 @@
 const SLOW_READ_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// Pause after a failed read of the store.
 const READ_PAUSE: Duration = Duration::from_millis(150);
-/// Pause between reads of the directory of workers.
-const DIRECTORY_READ_PAUSE: Duration = Duration::from_millis(1_000);
-/// Maximum average rate at which directory entries are read, so that slow links are not saturated.
-const DIRECTORY_ENTRIES_PER_SECOND: u32 = 200;
 /// Maximum number of further events that are applied before one decision.
 const MAX_EVENTS_PER_DECISION: usize = 256;
 /// Maximum wait of a watch for submitted and cancelled jobs. A watch whose connection has gone
@@ -104,7 +102,7 @@
     orders: OrderSender,
     addresses: BTreeMap<WorkerId, SocketAddr>,
     /// Passed on once the directory is followed.
-    decoder: EntryDecoder,
+    directory: Option<DirectoryReader>,
     /// `None` while a commit is in progress.
     writer: Option<RecordWriter>,
     events: mpsc::UnboundedReceiver<Event>,
@@ -163,7 +161,7 @@
             planner,
             orders,
             addresses: BTreeMap::new(),
-            decoder: EntryDecoder::default(),
+            directory: None,
             writer: Some(writer),
             events,
             event_sender,
@@ -186,12 +184,13 @@
         let state = Rc::clone(&self.state);
         let (jobs, revision) = read_range(&state, JOB_PREFIX).await;
         let (records, _) = read_range(&state, RECORD_PREFIX).await;
-        let (entries, _) = read_range(&state, directory::PREFIX).await;
+        let mut directory = DirectoryReader::new(Rc::clone(&state));
+        let listing = directory.read().await;
+        self.directory = Some(directory);
         if let Some(active) = state.active_configuration() {
             self.handle_event(Event::Configured(active.policy))?;
         }
-        let workers = self.decoder.decode(&entries);
-        self.update_directory(workers)?;
+        self.update_directory(listing)?;
         let mut states: BTreeMap<JobId, Record> = BTreeMap::new();
         for item in &records {
             match item.json() {
@@ -222,13 +221,14 @@
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut changed = state.configuration_changed.subscribe();
         let (listing_sender, mut listings) = mpsc::unbounded_channel();
-        let decoder = std::mem::take(&mut self.decoder);
-        self.tasks.spawn_local(follow_directory(Rc::clone(&state), decoder, listing_sender));
+        if let Some(directory) = self.directory.take() {
+            self.tasks.spawn_local(directory.follow(listing_sender));
+        }
         loop {
             let handled = tokio::select! {
                 biased;
                 Some(result) = self.commit_results.recv() => self.finish_commit(result),
-                Some(workers) = listings.recv() => self.update_directory(workers),
+                Some(listing) = listings.recv() => self.update_directory(listing),
                 Some(event) = self.events.recv() => self.handle_events(event),
                 Ok(()) = changed.changed() => match state.active_configuration() {
                     Some(active) => self.handle_event(Event::Configured(active.policy)),
@@ -246,11 +246,14 @@
     }
 
     /// Stores the addresses of the listed workers and passes the workers to the planner.
-    fn update_directory(&mut self, workers: Vec<WorkerInfo>) -> Result<(), OwnershipLost> {
-        for worker in &workers {
-            self.addresses.insert(worker.id.clone(), worker.address);
+    fn update_directory(&mut self, listing: Listing) -> Result<(), OwnershipLost> {
+        if let Some(workers) = listing.workers {
+            for worker in &workers {
+                self.addresses.insert(worker.id.clone(), worker.address);
+            }
+            self.planner.apply(self.state.clock.now(), Event::Listed(workers));
         }
-        self.handle_event(Event::Listed(workers))
+        self.handle_event(Event::Viewed(View::Directory, listing.complete_at))
     }
 
     /// Applies an event and further queued ones, and decides once.
@@ -272,6 +275,7 @@
 
     /// Lets the planner decide and carries out its actions.
     fn decide(&mut self, now: model::Time) -> Result<(), OwnershipLost> {
+        confirm_views(&self.state, &mut self.planner, now);
         let extends = self.planner.extends_leases(now);
         if std::mem::replace(&mut self.extends_leases, extends) != extends {
             let change = if extends { "leases: extended again" } else { "leases: not extended" };
@@ -442,34 +446,6 @@
     }
 }
 
-/// Decoder of the directory's entries, which logs each malformed one once per change.
-#[derive(Debug, Default)]
-struct EntryDecoder {
-    /// Store revisions of the malformed entries of the last read, by key.
-    malformed: BTreeMap<String, u64>,
-}
-
-impl EntryDecoder {
-    fn decode(&mut self, entries: &[Item]) -> Vec<WorkerInfo> {
-        let known = std::mem::take(&mut self.malformed);
-        let mut workers = Vec::with_capacity(entries.len());
-        for item in entries {
-            let value = item.value.as_deref().map_err(String::clone);
-            match value.and_then(|value| directory::decode_entry(&item.key, value)) {
-                Ok(worker) => workers.push(worker),
-                Err(error) => {
-                    if known.get(&item.key) != Some(&item.revision) {
-                        warn!(key = item.key.as_str(), error = error.as_str();
-                            "directory: malformed worker entry; ignored");
-                    }
-                    self.malformed.insert(item.key.clone(), item.revision);
-                }
-            }
-        }
-        workers
-    }
-}
-
 /// Sends new and cancelled jobs to the owner as events.
 ///
 /// After a failure it polls for changes since the last known revision. Reading all jobs again takes
@@ -513,30 +489,6 @@
     }
 }
 
-/// Reads the directory of workers periodically.
-async fn follow_directory(
-    state: Rc<State>,
-    mut decoder: EntryDecoder,
-    listing_sender: UnboundedSender<Vec<WorkerInfo>>,
-) {
-    loop {
-        let mut pause = DIRECTORY_READ_PAUSE;
-        match state.store.range(directory::PREFIX, SLOW_READ_TIMEOUT).await {
-            Ok((entries, _)) => {
-                let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
-                pause = pause.max(Duration::from_secs(1) * count / DIRECTORY_ENTRIES_PER_SECOND);
-                if listing_sender.send(decoder.decode(&entries)).is_err() {
-                    return;
-                }
-            }
-            Err(error) => {
-                warn!(error = error.to_string().as_str(); "directory: read failed");
-            }
-        }
-        sleep(pause).await;
-    }
-}
-
 /// Renews the lease of the ownership until it has ended, and then reports the ownership as lost.
 async fn renew_lease(state: Rc<State>, lease: u64, events: UnboundedSender<Event>) {
     let pause = state.settings.ownership / RENEWALS_PER_LEASE;
