--- a/crates/node/src/confirm.rs
+++ b/crates/node/src/confirm.rs
@@ -1,7 +1,7 @@
 //! Watches the configuration, the evacuations and the ownership key in the store.
 //!
-//! One watch covers them all. Each of its answers confirms that the active configuration is the latest;
-//! requests that depend on the configuration require a sufficiently recent confirmation.
+//! One watch covers them all. Each of its answers confirms that the active configuration is the
+//! latest; requests that depend on the configuration require a sufficiently recent confirmation.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -134,7 +134,8 @@
     }
 }
 
-/// Reads the configuration, the evacuations and the ownership, and returns the store revision of the read.
+/// Reads the configuration, the evacuations and the ownership, and returns the store revision of
+/// the read.
 async fn read_all(state: &State, timeout: Duration) -> Result<u64, StoreError> {
     let sent = state.clock.now();
     let (items, revision) = state.store.range(WATCHED_PREFIX, timeout).await?;
