Send starts only while the views behind them are fresh

Cause: a start was sent however old the owner's views of the store were, and orders that wait for a payload permit or are repeated were sent on the views of the time at which they were decided. Workers that drain, evacuated zones and cancelled jobs thus got starts after their bounds.

Change: each start carries the latest time at which it may be sent: for each view with a bound, the time up to which the view is complete, plus the bound, less 500 ms for the call (timeout 300 ms). The sender checks it after the wait for a permit, and reports a start that it did not send as NotSent, so that the worker is known to have no run of it. The planner holds a start while a view is too old, logs that with the age, and sends it when all views are fresh, unless its run was withdrawn. A run on a worker that is known to drain, or whose zone is evacuated, is withdrawn before its start or the repetition of it. The watch of jobs waits for at most half of jobs.cancel, and confirms only what its answer proves: an answer with changes may have been under way for all of its time.

--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -10,6 +10,8 @@
 use crate::spec::StepKey;
 use crate::spec::TaskKey;
 use crate::spec::WorkerId;
+use crate::views::View;
+use model::Time;
 
 /// Output action of a planner.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,6 +35,10 @@
         saved: String,
         /// Ticket of the advice service; `None` where the queue needs none.
         ticket: Option<String>,
+        /// Latest time at which it may be sent. Later, the views of the outside world on which it
+        /// is based are too old, and [`StartResult::NotSent`](crate::StartResult::NotSent) is
+        /// reported instead.
+        send_by: Time,
     },
     /// Ask the advice service which workers may run a step. No further call is issued until this
     /// one is answered or has failed.
@@ -111,6 +117,17 @@
         /// Tasks whose runs are stopped.
         stopped: Vec<TaskKey>,
     },
+    /// A view has become too old for starts while some are due, or is fresh again.
+    HoldsStarts {
+        /// The view.
+        view: View,
+        /// Whether it holds up starts.
+        holds: bool,
+        /// Its age in ms; `None` if it has not been read yet.
+        age: Option<u64>,
+        /// Number of starts that wait.
+        starts: usize,
+    },
     /// A worker gets no new runs for a limited time.
     #[strum(serialize = "shuns")]
     BacksOff {
--- a/crates/batch/src/event.rs
+++ b/crates/batch/src/event.rs
@@ -108,6 +108,8 @@
     Refused(Refusal),
     /// No answer arrived, so the worker may or may not have the run.
     Unknown,
+    /// The start was not sent, since the time until which it may be sent had passed.
+    NotSent,
 }
 
 /// Input event of a planner.
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -191,6 +191,7 @@
                 self.replan_at = Time::NEVER;
                 self.place(now);
             }
+            self.send_held_starts(now);
             self.send_stops(now);
             self.send_probes(now);
             self.remove_expired_jobs(now);
@@ -274,7 +275,9 @@
             Event::Deposed => self.out.push(Action::Resign),
             Event::Replaced(worker) => self.replaced(now, &worker),
             Event::Started(worker, task, run, result) => {
-                self.record_answer(&worker, &task, run, result != StartResult::Unknown);
+                if result != StartResult::NotSent {
+                    self.record_answer(&worker, &task, run, result != StartResult::Unknown);
+                }
                 self.start_answered(now, &worker, &task, run, result);
             }
             Event::Stopped(worker, task, run, answered) => {
@@ -570,20 +573,14 @@
 
     /// Sends a start for a run that has been stored.
     pub(crate) fn start(&mut self, now: Time, key: &TaskKey, number: u32) {
+        let Some(send_by) = self.clear_to_start(now, key, number) else { return };
         let lease = self.settings.lease / START_LEASE_DIVISOR;
         let extend_from = now.min(self.extend_until);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let spec = Arc::clone(&job.spec);
         let Some(task) = task_mut(job, key) else { return };
-        if task.run != number {
-            return;
-        }
         let saved = task.saved.clone();
         let Stage::Placed(run) = &mut task.stage else { return };
-        run.stored = true;
-        if run.stopping.is_some() {
-            return;
-        }
         let Some(worker) = self.workers.get_mut(&run.worker) else { return };
         let Some(deadline) = worker.lease_deadline(extend_from, lease) else { return };
         let (id, incarnation) = (run.worker.clone(), worker.incarnation);
@@ -600,6 +597,7 @@
             deadline,
             saved,
             ticket,
+            send_by,
         });
     }
 
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -463,6 +463,7 @@
                     self.record_failure(now, &worker, None);
                 }
             }
+            StartResult::NotSent => self.start_not_sent(now, key, number),
             StartResult::Refused(Refusal::Fence) => self.out.push(Action::Resign),
             StartResult::Refused(reason) => {
                 let (worker, unanswered) = (run.worker.clone(), run.unanswered_starts);
--- a/crates/entry/tests/hosted/cluster.rs
+++ b/crates/entry/tests/hosted/cluster.rs
@@ -280,6 +280,7 @@
         "cpu": 0.25, "link_mbps": 1000, "ownership": "1200ms", "apply": "3s", "grace": "4s",
         "jobs": {
             "lease": "6s", "stop": "200ms", "retention": "2m",
+            "drain": "3s", "cancel": "3s", "evacuate": "5s",
         },
     });
     if let Some(advice) = advice {
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -77,7 +77,7 @@
     pub fn send(&self, addresses: &BTreeMap<WorkerId, SocketAddr>, action: Action) {
         let sender = self.clone();
         match action {
-            Action::Start { worker, task, run, spec, deadline, saved, ticket } => {
+            Action::Start { worker, task, run, spec, deadline, saved, ticket, send_by } => {
                 let Some(&address) = addresses.get(&worker) else { return };
                 spawn_local(async move {
                     let (payload, saved) = (spec.payload.as_str(), saved.as_str());
@@ -85,12 +85,15 @@
                     let ticket = ticket.as_deref();
                     let start = StartOrder { task: &task, run, payload, deadline, saved, ticket };
                     let sent = sender.clock.now();
-                    let result =
-                        sender.workers.start(&worker, address, &start, ORDER_TIMEOUT).await;
+                    let result = match sent <= send_by {
+                        true => sender.workers.start(&worker, address, &start, ORDER_TIMEOUT).await,
+                        false => StartResult::NotSent,
+                    };
                     let outcome = match result {
                         StartResult::Taken => "taken".to_owned(),
                         StartResult::Refused(reason) => reason.to_string(),
                         StartResult::Unknown => "unknown".to_owned(),
+                        StartResult::NotSent => "not_sent".to_owned(),
                     };
                     let took = sender.clock.now().since(sent);
                     sender.metrics.observe_order("start", &outcome, took);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -39,6 +39,7 @@
 use batch::View;
 use batch::ViewBounds;
 use batch::WorkerId;
+use model::Time;
 use net::Caller;
 use platform::store::Change;
 use platform::store::Item;
@@ -57,6 +58,9 @@
 /// Maximum wait of a watch for submitted and cancelled jobs. A watch whose connection has gone
 /// silent is given up after it, and the tasks of a cancelled job have to stop within three seconds.
 const JOBS_WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Divisor of the bound on cancellations for the maximum wait of such a watch. With 3 s, the rest
+/// suffices for a watch that goes silent, a poll, and the margin of a start.
+const JOBS_WAIT_DIVISOR: u32 = 2;
 /// Time allowed for the answer of such a watch to arrive.
 const JOBS_WATCH_MARGIN: Duration = Duration::from_millis(600);
 /// Maximum interval between decisions of the planner.
@@ -112,7 +116,7 @@
     /// Queue lengths as last stored.
     stored_lengths: BTreeMap<String, u64>,
     /// Time at which the queue lengths were last stored or found unchanged.
-    lengths_checked: model::Time,
+    lengths_checked: Time,
     /// Whether the commit in progress was issued by the planner.
     planner_commit: bool,
     /// Whether the planner extended leases at the last decision.
@@ -168,7 +172,7 @@
             commit_results,
             commit_sender,
             stored_lengths: BTreeMap::new(),
-            lengths_checked: model::Time::ZERO,
+            lengths_checked: Time::ZERO,
             planner_commit: false,
             extends_leases: true,
             pending_commit: None,
@@ -182,8 +186,8 @@
     /// Restores the planner's state from the stored jobs, records and directory.
     async fn restore(&mut self) -> Result<(), OwnershipLost> {
         let state = Rc::clone(&self.state);
-        let (jobs, revision) = read_range(&state, JOB_PREFIX).await;
-        let (records, _) = read_range(&state, RECORD_PREFIX).await;
+        let (jobs, revision, jobs_sent) = read_range(&state, JOB_PREFIX).await;
+        let (records, ..) = read_range(&state, RECORD_PREFIX).await;
         let mut directory = DirectoryReader::new(Rc::clone(&state));
         let listing = directory.read().await;
         self.directory = Some(directory);
@@ -209,8 +213,10 @@
                 self.handle_event(Event::Restored(id, submission, record))?;
             }
         }
+        self.planner.apply(state.clock.now(), Event::Viewed(View::Cancellations, jobs_sent));
         self.handle_event(Event::RestoreComplete)?;
-        self.tasks.spawn_local(follow_jobs(Rc::clone(&state), revision, self.event_sender.clone()));
+        let events = self.event_sender.clone();
+        self.tasks.spawn_local(follow_jobs(Rc::clone(&state), revision, jobs_sent, events));
         Ok(())
     }
 
@@ -274,7 +280,7 @@
     }
 
     /// Lets the planner decide and carries out its actions.
-    fn decide(&mut self, now: model::Time) -> Result<(), OwnershipLost> {
+    fn decide(&mut self, now: Time) -> Result<(), OwnershipLost> {
         confirm_views(&self.state, &mut self.planner, now);
         let extends = self.planner.extends_leases(now);
         if std::mem::replace(&mut self.extends_leases, extends) != extends {
@@ -374,6 +380,11 @@
             let stopped: Vec<String> = stopped.iter().map(ToString::to_string).collect();
             info!(job = &*job.0, tasks = tasks, stopped = stopped.join(" ").as_str(); "{what}");
         }
+        Note::HoldsStarts { view, holds, age, starts } => {
+            let age = age.map_or("unknown".to_owned(), |age| age.to_string());
+            info!(view = view.as_ref(), holds = holds, age_ms = age.as_str(), starts = starts;
+                "{what}");
+        }
         Note::BacksOff { worker, why, span } => {
             info!(worker = &*worker.0, why = why, span_ms = span; "{what}");
         }
@@ -415,12 +426,14 @@
     }
 }
 
-/// Reads all items under a prefix, with retries until it succeeds.
-async fn read_range(state: &State, prefix: &str) -> (Vec<Item>, u64) {
+/// Reads all items under a prefix, with retries until it succeeds. Returns them with their store
+/// revision and the time at which the read was sent.
+async fn read_range(state: &State, prefix: &str) -> (Vec<Item>, u64, Time) {
     let mut timeout = READ_TIMEOUT;
     loop {
+        let sent = state.clock.now();
         match state.store.range(prefix, timeout).await {
-            Ok(found) => return found,
+            Ok((items, revision)) => return (items, revision, sent),
             Err(error) => {
                 warn!(prefix = prefix, error = error.to_string().as_str();
                     "read: failed; retrying");
@@ -446,17 +459,33 @@
     }
 }
 
-/// Sends new and cancelled jobs to the owner as events.
+/// Sends new and cancelled jobs to the owner as events, after a read at `after` that was sent at
+/// `confirmed`.
 ///
 /// After a failure it polls for changes since the last known revision. Reading all jobs again takes
 /// seconds over a slow link, in which cancellations go unnoticed.
-async fn follow_jobs(state: Rc<State>, mut after: u64, events: UnboundedSender<Event>) {
-    let (mut wait, mut timeout) = (JOBS_WATCH_WAIT, JOBS_WATCH_WAIT + JOBS_WATCH_MARGIN);
+async fn follow_jobs(
+    state: Rc<State>,
+    mut after: u64,
+    mut confirmed: Time,
+    events: UnboundedSender<Event>,
+) {
+    let longest = jobs_watch_wait(state.settings.jobs.cancel);
+    let mut poll_timeout = None;
     loop {
-        let items = match state.store.watch(JOB_PREFIX, after, wait, timeout).await {
+        let sent = state.clock.now();
+        // A watch that ends with a change confirms nothing beyond the time at which it was sent, so
+        // the next one may wait for less.
+        let wait = longest.saturating_sub(sent.since(confirmed));
+        let (wait, timeout) = match poll_timeout {
+            Some(timeout) => (Duration::ZERO, timeout),
+            None => (wait, wait + JOBS_WATCH_MARGIN),
+        };
+        let items: Vec<Item> = match state.store.watch(JOB_PREFIX, after, wait, timeout).await {
             Ok((changes, revision)) => {
-                after = revision;
-                (wait, timeout) = (JOBS_WATCH_WAIT, JOBS_WATCH_WAIT + JOBS_WATCH_MARGIN);
+                let waited = changes.is_empty() && state.clock.now().since(sent) >= wait;
+                (after, poll_timeout) = (revision, None);
+                confirmed = confirmed.max(if waited { sent + wait } else { sent });
                 let written = |change| match change {
                     Change::Written(item) => Some(item),
                     Change::Removed(_) => None,
@@ -464,17 +493,14 @@
                 changes.into_iter().filter_map(written).collect()
             }
             Err(StoreError::Compacted) => {
-                let (items, revision) = read_range(&state, JOB_PREFIX).await;
-                after = revision;
+                let items;
+                (items, after, confirmed) = read_range(&state, JOB_PREFIX).await;
                 items
             }
             Err(error) => {
                 warn!(error = error.to_string().as_str(); "jobs: watch failed");
-                timeout = match wait.is_zero() {
-                    true => (timeout * 2).min(SLOW_READ_TIMEOUT),
-                    false => READ_TIMEOUT,
-                };
-                wait = Duration::ZERO;
+                let longer = |timeout: Duration| (timeout * 2).min(SLOW_READ_TIMEOUT);
+                poll_timeout = Some(poll_timeout.map_or(READ_TIMEOUT, longer));
                 sleep(READ_PAUSE).await;
                 continue;
             }
@@ -486,9 +512,17 @@
                 return;
             }
         }
+        if events.send(Event::Viewed(View::Cancellations, confirmed)).is_err() {
+            return;
+        }
     }
 }
 
+/// Maximum wait of a watch for jobs, given the time in which cancellations have to be respected.
+fn jobs_watch_wait(bound: Option<Duration>) -> Duration {
+    bound.map_or(JOBS_WATCH_WAIT, |bound| JOBS_WATCH_WAIT.min(bound / JOBS_WAIT_DIVISOR))
+}
+
 /// Renews the lease of the ownership until it has ended, and then reports the ownership as lost.
 async fn renew_lease(state: Rc<State>, lease: u64, events: UnboundedSender<Event>) {
     let pause = state.settings.ownership / RENEWALS_PER_LEASE;
