--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -8,6 +8,7 @@
 mod odd_workers;
 mod partitions;
 mod regressions;
+mod stale_views;
 mod worker;
 mod world;
 
@@ -126,19 +127,3 @@
     let faults = Faults { takeovers: true, cancels: true, ..Faults::default() };
     run_seeds(700_000, Faults { cancelled_takeovers: true, ..faults });
 }
-
-/// Guards against starts on workers that have drained for long and of jobs cancelled long before,
-/// because the owner's views of the store are seconds old, or its orders have waited.
-#[test]
-fn delayed_views() {
-    let faults = Faults { views: true, leaving: true, cancels: true, ..Faults::default() };
-    let mut unsent = 0;
-    for seed in seeds(800_000) {
-        println!("seed {seed}");
-        unsent += run_seed(seed, faults).reads.unsent;
-        let more = Faults { takeovers: true, cuts: true, crashes: true, ..faults };
-        let more = Faults { refusals: true, ..more };
-        run_seed(seed, more);
-    }
-    assert!(unsent > 0, "no order waited for too long");
-}
--- a/crates/batch/tests/stale_views.rs
+++ b/crates/batch/tests/schedules/stale_views.rs
@@ -1,25 +1,27 @@
 //! Drains, evacuations and cancellations of which the owner learns late.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::load::step;
+use crate::run_seed;
+use crate::seeds;
+use crate::world::Faults;
+use crate::world::World;
+use crate::world::policy;
+use crate::world::settings;
+use crate::world::worker_id;
 use batch::Action;
 use batch::Event;
 use batch::JobId;
-use batch::Need;
 use batch::Planner;
-use batch::Policy;
-use batch::Queue;
 use batch::RenewalReport;
 use batch::Settings;
-use batch::Spec;
 use batch::StartResult;
 use batch::StepSpec;
 use batch::Submission;
 use batch::View;
 use batch::ViewBounds;
-use batch::WorkerId;
 use batch::WorkerInfo;
 use model::Stamp;
 use model::Time;
@@ -39,63 +41,31 @@
     Cancellation,
 }
 
-fn worker(drains: bool) -> WorkerInfo {
-    WorkerInfo {
-        id: WorkerId("i-1".into()),
-        service: "service".to_owned(),
-        address: SocketAddr::from(([10, 0, 0, 1], 8_000)),
-        zone: "north-a".to_owned(),
-        rack: "r0".to_owned(),
-        labels: Vec::new(),
-        capacity: Need { cpu: 90_000, memory: 90_000, gpu: 900 },
-        incarnation: Some(1),
-        drain_left: drains.then_some(Duration::from_secs(60)),
-    }
-}
-
-fn policy() -> Policy {
-    let mut policy = Policy::default();
-    let queue = Queue {
-        host: String::new(),
-        prefix: String::new(),
-        service: "service".to_owned(),
-        priority: 1,
-        attempts: 9,
-        stretch: 2.0,
-        objective_ms: 1_000,
-        public: true,
-        advised: false,
-    };
-    policy.queues.insert("queue".to_owned(), queue);
-    policy
-}
-
-fn submission() -> Submission {
-    let need = Need { cpu: 100, memory: 100, gpu: 1 };
-    let step = StepSpec { count: 2, gang: true, need, ..StepSpec::default() };
-    let spec = Arc::new(Spec { steps: vec![step], ..Spec::default() });
-    let (queue, taken) = ("queue".to_owned(), Stamp(0));
-    Submission { queue, admitted: None, account: None, taken, cancelled: false, spec }
+/// The entry of a worker, and a job of a gang.
+fn entry_and_job(id: &str) -> (WorkerInfo, JobId, Submission) {
+    let mut world = World::new(1, 1, Faults::default(), policy(0));
+    let gang = StepSpec { gang: true, ..step(2, 1, 1_000) };
+    let id = world.submit(id, "usual", "a", vec![gang]);
+    let submission = world.jobs[&id].submission.clone();
+    (world.entry(&worker_id(0)), id, submission)
 }
 
 /// An owner whose commits succeed at once and whose starts get no answer.
 struct Owner {
     planner: Planner,
+    worker: WorkerInfo,
     change: Change,
     now: Time,
     starts: usize,
-    /// Number of starts issued after the change.
-    starts_since: usize,
 }
 
 impl Owner {
-    fn new(change: Change, bounds: ViewBounds) -> Owner {
-        let (lease, stop) = (Duration::from_secs(6), Duration::from_millis(200));
-        let settings = Settings { lease, stop, retention: Duration::from_secs(120), bounds };
+    fn new(worker: WorkerInfo, change: Change, bounds: ViewBounds) -> Owner {
+        let settings = Settings { bounds, ..settings() };
         let mut planner = Planner::new(settings, Time::ZERO, Duration::from_secs(2));
-        planner.apply(Time::ZERO, Event::Configured(Arc::new(policy())));
+        planner.apply(Time::ZERO, Event::Configured(Arc::new(policy(0))));
         planner.apply(Time::ZERO, Event::RestoreComplete);
-        Owner { planner, change, now: Time::ZERO, starts: 0, starts_since: 0 }
+        Owner { planner, worker, change, now: Time::ZERO, starts: 0 }
     }
 
     fn handle(&mut self, event: Event) {
@@ -108,7 +78,6 @@
                     let limit = CHANGE_AT + BOUND;
                     assert!(send_by + ORDER_TIMEOUT <= limit, "{task} may start on {worker}");
                     self.starts += 1;
-                    self.starts_since += usize::from(self.now > CHANGE_AT);
                     Event::Started(worker, task, run, StartResult::Unknown)
                 }
                 Action::Renew { worker, .. } => {
@@ -130,8 +99,10 @@
     /// The owner reads the store.
     fn read_views(&mut self, job: &JobId) {
         let changed = |change| self.change == change && self.now >= CHANGE_AT;
-        self.planner.apply(self.now, Event::Listed(vec![worker(changed(Change::Drain))]));
-        let zones = changed(Change::Evacuation).then(|| "north-a".to_owned());
+        let drain_left = changed(Change::Drain).then(|| Duration::from_secs(60));
+        let listed = vec![WorkerInfo { drain_left, ..self.worker.clone() }];
+        self.planner.apply(self.now, Event::Listed(listed));
+        let zones = changed(Change::Evacuation).then(|| self.worker.zone.clone());
         self.planner.apply(self.now, Event::Evacuated(zones.into_iter().collect()));
         if changed(Change::Cancellation) {
             self.planner.apply(self.now, Event::Cancelled(job.clone()));
@@ -150,15 +121,15 @@
     let bounds = ViewBounds { drain: Some(BOUND), evacuate: Some(BOUND), cancel: Some(BOUND) };
     for change in [Change::Drain, Change::Evacuation, Change::Cancellation] {
         for (delay, submitted) in (1_000..=10_000).step_by(500).zip((1_000..3_000).step_by(100)) {
-            let mut owner = Owner::new(change, bounds.clone());
-            let job = JobId(format!("{submitted:016x}").into());
+            let (worker, job, submission) = entry_and_job(&format!("{submitted:016x}"));
+            let mut owner = Owner::new(worker, change, bounds.clone());
             while owner.now < CHANGE_AT + Duration::from_millis(delay + 500) {
                 let blind = CHANGE_AT..CHANGE_AT + Duration::from_millis(delay);
                 if !blind.contains(&owner.now) {
                     owner.read_views(&job);
                 }
                 if owner.now == Time::from_millis(submitted) {
-                    owner.handle(Event::Accepted(job.clone(), submission()));
+                    owner.handle(Event::Accepted(job.clone(), submission.clone()));
                 }
                 owner.handle(Event::Tick);
                 owner.now = owner.now + Duration::from_millis(100);
@@ -173,12 +144,12 @@
 #[test]
 fn held_starts() {
     let bounds = ViewBounds { drain: Some(BOUND), evacuate: None, cancel: Some(BOUND) };
-    let mut owner = Owner::new(Change::Cancellation, bounds);
-    let [job, other] = ["00000000000000a1", "00000000000000a2"].map(|id| JobId(id.into()));
-    owner.read_views(&other);
+    let (worker, job, submission) = entry_and_job("00000000000000a1");
+    let mut owner = Owner::new(worker, Change::Cancellation, bounds);
+    owner.read_views(&job);
     owner.handle(Event::Tick);
     owner.now = Time::from_millis(2_600);
-    owner.handle(Event::Accepted(job.clone(), submission()));
+    owner.handle(Event::Accepted(job, submission));
     owner.handle(Event::Viewed(View::Directory, owner.now));
     assert_eq!(owner.starts, 0, "the cancellations are too old");
     let first_start = |actions: Vec<Action>| {
@@ -202,3 +173,19 @@
     let again = first_start(owner.planner.handle(owner.now, Stamp(0), Event::Tick));
     assert_eq!(again, Some((worker, task, run)), "the same run is started");
 }
+
+/// Guards against starts on workers that have drained for long and of jobs cancelled long before,
+/// because the owner's views of the store are seconds old, or its orders have waited.
+#[test]
+fn delayed_schedules() {
+    let faults = Faults { views: true, leaving: true, cancels: true, ..Faults::default() };
+    let mut unsent = 0;
+    for seed in seeds(800_000) {
+        println!("seed {seed}");
+        unsent += run_seed(seed, faults).reads.unsent;
+        let more = Faults { takeovers: true, cuts: true, crashes: true, ..faults };
+        let more = Faults { refusals: true, ..more };
+        run_seed(seed, more);
+    }
+    assert!(unsent > 0, "no order waited for too long");
+}
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -123,6 +123,8 @@
     took: Duration,
     /// Time that the reads of the last pass took.
     last_took: Duration,
+    /// When the last page arrived.
+    arrived: Time,
     /// Number of attempts in a row that failed.
     failures: u32,
 }
@@ -139,6 +141,7 @@
             last_pages: Vec::new(),
             took: Duration::ZERO,
             last_took: Duration::ZERO,
+            arrived: Time::ZERO,
             failures: 0,
         }
     }
@@ -159,7 +162,8 @@
             // The directory may have grown since the last pass.
             let pages = self.last_pages.len().max(self.pages.len() + 1);
             let entries = self.entries.len();
-            sleep(self.intervals.pause(entries, pages, self.last_took)).await;
+            let pause = self.intervals.pause(entries, pages, self.last_took);
+            sleep(pause.saturating_sub(self.state.clock.now().since(self.arrived))).await;
             let (listing, _) = self.read_page().await;
             if listings.send(listing).is_err() {
                 return;
@@ -218,7 +222,8 @@
 
     /// Ends the read of a page.
     fn finish_page(&mut self, sent: Time, news: bool) -> (Listing, bool) {
-        self.took += self.state.clock.now().since(sent);
+        self.arrived = self.state.clock.now();
+        self.took += self.arrived.since(sent);
         let whole = self.pages.last().is_some_and(|page| page.last.is_none());
         if whole {
             self.last_pages = std::mem::take(&mut self.pages);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -27,6 +27,7 @@
 use crate::state::JOB_PREFIX;
 use crate::state::RECORD_PREFIX;
 use crate::state::State;
+use crate::views::clear_ages;
 use crate::views::confirm_views;
 use batch::Action;
 use batch::Event;
@@ -91,6 +92,7 @@
             took_ms = elapsed.as_millis() as u64; "ownership: taken over");
         owner.run().await;
         drop(owner);
+        clear_ages(&state);
         info!(lease = lease; "ownership: given up");
         release_lease(&state, lease).await;
         if state.draining.get() {
