--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -9,6 +9,7 @@
 mod odd_workers;
 mod partitions;
 mod regressions;
+mod stale_views;
 mod worker;
 mod world;
 
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -80,26 +80,25 @@
     pub fn send(&self, addresses: &BTreeMap<WorkerId, SocketAddr>, action: Action) {
         let sender = self.clone();
         match action {
-            Action::Start { worker, task, run, spec, deadline, saved, ticket } => {
+            Action::Start { worker, task, run, spec, deadline, saved, ticket, send_by } => {
                 let Some(&address) = addresses.get(&worker) else { return };
                 spawn_local(async move {
                     let (payload, saved) = (spec.payload.as_str(), saved.as_str());
                     let _permit = sender.payload_permit(payload.len()).await;
-                    // The zone may have been evacuated during the wait. The planner then stops the
-                    // run, so that the worker's next report settles it.
-                    if sender.closed.contains(&worker) {
-                        sender.metrics.observe_order("start", "evacuated", Duration::ZERO);
-                        return;
-                    }
                     let ticket = ticket.as_deref();
                     let start = StartOrder { task: &task, run, payload, deadline, saved, ticket };
                     let sent = sender.clock.now();
-                    let result =
-                        sender.workers.start(&worker, address, &start, ORDER_TIMEOUT).await;
+                    // The views may have become too old during the wait, or the zone evacuated.
+                    let may_send = sent <= send_by && !sender.closed.contains(&worker);
+                    let result = match may_send {
+                        true => sender.workers.start(&worker, address, &start, ORDER_TIMEOUT).await,
+                        false => StartResult::NotSent,
+                    };
                     let outcome = match result {
                         StartResult::Taken => "taken".to_owned(),
                         StartResult::Refused(reason) => reason.to_string(),
                         StartResult::Unknown => "unknown".to_owned(),
+                        StartResult::NotSent => "not_sent".to_owned(),
                     };
                     let took = sender.clock.now().since(sent);
                     sender.metrics.observe_order("start", &outcome, took);
