Preempt gangs as a whole, by their whole lost work

Cause: victims were chosen run by run. A gang's member counted as its whole gang each time it was chosen, the capacity that the gang freed on other workers was not used, and a gang that had just been started again was the cheapest victim once more. Change: a crate preempt with pure functions over borrowed views chooses groups of runs that are stopped together; their cost is paid once, and each run lost before adds a whole run time to it (from the stored run numbers, so that it outlives a takeover). Runs that end by themselves within the stop time are not stopped. reclaim.rs describes workers and runs to it. Without the setting the former choice is in force.

--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -110,6 +110,8 @@
         tasks: usize,
         /// Tasks whose runs are stopped.
         stopped: Vec<TaskKey>,
+        /// What stopping them costs, in core-milliseconds; an accelerator counts as eight cores.
+        cost: u64,
     },
     /// A worker gets no new runs for a limited time.
     #[strum(serialize = "shuns")]
--- a/crates/batch/src/pace.rs
+++ b/crates/batch/src/pace.rs
@@ -11,6 +11,7 @@
 use crate::action::Note;
 use crate::directory::millis;
 use crate::event::RenewalReport;
+use crate::job::Run;
 use crate::job::Stage;
 use crate::job::Task;
 use crate::spec::TaskKey;
@@ -74,6 +75,21 @@
     }
 }
 
+impl Run {
+    /// Time until the run ends if it keeps its last pace; `None` if the pace is not known, or if the
+    /// run should have ended already.
+    pub fn time_left(&self, now: Time) -> Option<Duration> {
+        if self.percent >= WORK_ENDED {
+            return Some(Duration::ZERO);
+        }
+        let (since, percent) = self.pace.since?;
+        let pace = self.pace.last.filter(|pace| *pace > 0)?;
+        let needed = u64::from(WORK_ENDED.saturating_sub(percent)) * 1_000_000 / pace;
+        let end = since + Duration::from_millis(needed);
+        (end >= now).then(|| end.since(now))
+    }
+}
+
 /// Pace of a run beside the pace that is to be expected.
 #[derive(Clone, Copy, Debug)]
 struct Comparison {
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -99,6 +99,8 @@
     pub(crate) views: Views,
     /// Evacuated availability zones.
     pub(crate) evacuated: BTreeSet<String>,
+    /// Whether gangs are preempted as a whole.
+    pub(crate) whole_gangs: bool,
 }
 
 /// A commit in flight.
@@ -169,6 +171,7 @@
             extend_until: Time::ZERO,
             views: Views::default(),
             evacuated: BTreeSet::new(),
+            whole_gangs: false,
         }
     }
 
--- a/crates/batch/src/reclaim.rs
+++ b/crates/batch/src/reclaim.rs
@@ -1,16 +1,24 @@
 //! Preemption: stopping less urgent runs to free capacity for urgent steps.
+//!
+//! The choice of the runs is made by the crate `preempt`, which sees workers as sites and runs that
+//! are stopped together as groups. With [`Planner::preempt_gangs`] a gang is one group; otherwise
+//! each run is one, and a member costs as much as its whole gang.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::Planner;
 use crate::action::Action;
 use crate::action::Note;
 use crate::directory::millis;
+use crate::job::Job;
+use crate::job::Run;
 use crate::job::Stage;
+use crate::job::Step;
+use crate::job::Task;
 use crate::order::PendingStep;
 use crate::order::Rank;
-use crate::place::Places;
 use crate::room::Slot;
 use crate::spec::JobId;
 use crate::spec::Need;
@@ -18,16 +26,17 @@
 use crate::spec::StepKey;
 use crate::spec::StepSpec;
 use crate::spec::TaskKey;
-use crate::spec::WorkerId;
 use model::Time;
+use preempt::Amount;
+use preempt::Ending;
+use preempt::Group;
+use preempt::Loss;
+use preempt::Plan;
+use preempt::Request;
+use preempt::Site;
 
 /// Minimum time between attempts to preempt runs for the same step.
 const RECLAIM_PAUSE: Duration = Duration::from_millis(200);
-/// Maximum work that a checkpointing run loses when it is stopped, in ms: the time since its last
-/// checkpoint. The users' checkpoint interval is a second or two.
-const MAX_CHECKPOINT_LOSS_MS: u64 = 1_000;
-/// Cost of each stop beside the lost work, in ms: starting the task again and restoring it.
-const RESTART_COST_MS: u64 = 500;
 
 /// Progress that a long-running task reports once it has finished its startup, in percent.
 const FULL_PROGRESS_PERCENT: u32 = 100;
@@ -39,28 +48,39 @@
     victims: BTreeMap<Rank, Victims>,
 }
 
-/// Runs that may be preempted, by worker, the cheapest first.
-type Victims = BTreeMap<WorkerId, Vec<Victim>>;
-
-/// A run that may be preempted.
-#[derive(Clone, Debug)]
-struct Victim {
-    key: TaskKey,
-    need: Need,
-    /// Cost of stopping it, in core-milliseconds; zero if it is being stopped already.
-    cost: u64,
+/// Runs that may be preempted for steps of one rank.
+#[derive(Debug)]
+struct Victims {
+    groups: preempt::Victims<Need>,
+    /// Each group's run, or a gang's first one, in ascending order.
+    keys: Vec<TaskKey>,
 }
 
-/// A set of runs to stop, with the placement that this makes possible.
-#[derive(Clone, Debug)]
-struct Preemption {
-    cost: u64,
-    places: Places,
-    /// Runs to stop, with the index of the slot and the capacity that each frees.
-    stopped: BTreeMap<TaskKey, (usize, Need)>,
+impl Amount for Need {
+    fn fits(&self, free: &Need) -> bool {
+        Need::fits(self, free)
+    }
+
+    fn copies(&self, need: &Need) -> u64 {
+        Need::copies(self, need)
+    }
+
+    fn add(&mut self, other: &Need) {
+        Need::add(self, other);
+    }
+
+    fn less(&self, other: &Need) -> Need {
+        Need::less(self, other)
+    }
 }
 
 impl Planner {
+    /// Sets whether gangs are preempted as a whole: their cost counts once, and the capacity that
+    /// they free counts on all of their workers.
+    pub fn preempt_gangs(&mut self, whole: bool) {
+        self.whole_gangs = whole;
+    }
+
     /// Reserves capacity for an urgent step by stopping less urgent runs, with the least cost in
     /// lost work.
     pub(crate) fn reclaim(
@@ -73,11 +93,6 @@
         found: &mut Reclaim,
     ) {
         let step = &spec.steps[pending.step];
-        if !found.victims.contains_key(&pending.rank) {
-            let guaranteed = found.guaranteed.get_or_insert_with(|| self.guaranteed());
-            let victims = self.victims(now, pending.rank, guaranteed);
-            found.victims.insert(pending.rank, victims);
-        }
         let Some(job) = self.jobs.get_mut(&pending.job) else { return };
         let step_state = &mut job.occurrences[pending.occurrence][pending.step];
         if step_state.reclaim_after > now {
@@ -89,85 +104,202 @@
             .filter(|(_, task)| !task.done && task.stage == Stage::Idle)
             .map(|(index, _)| index)
             .collect();
+        let request = Request {
+            need: step.need,
+            count: missing.len(),
+            one_rack: step.gang && step.one_rack,
+            rack: step.rack.as_deref(),
+            avoid_suspects: step_state.avoids_suspects(now),
+            // The start of guaranteed steps must not depend on an end that is only expected.
+            ending: match pending.rank {
+                Rank::Guaranteed => Ending::Stopped,
+                _ => Ending::Awaited,
+            },
+        };
+        if !found.victims.contains_key(&pending.rank) {
+            let guaranteed = found.guaranteed.get_or_insert_with(|| self.guaranteed());
+            let victims = self.victims(now, pending.rank, guaranteed, slots);
+            found.victims.insert(pending.rank, victims);
+        }
         let Some(victims) = found.victims.get(&pending.rank) else { return };
-        let avoid_suspects = step_state.avoids_suspects(now);
-        let preemption =
-            cheapest_preemption(slots, step, service, &missing, victims, avoid_suspects);
-        let Some(preemption) = preemption else { return };
-        for (index, at) in &preemption.places {
-            let task = &mut step_state.tasks[*index as usize];
-            task.stage = Stage::Reserved(slots[*at].worker.clone());
-            slots[*at].reserve(&step.need);
+        let sites: Vec<Site<'_, Need>> =
+            slots.iter().map(|slot| site(slot, step, service)).collect();
+        let plan = match self.whole_gangs {
+            true => preempt::plan_groups(&sites, &victims.groups, &request),
+            false => preempt::plan_runs(&sites, &victims.groups, &request),
+        };
+        let Some(plan) = plan else { return };
+        self.carry_out(now, pending, &missing, &plan, slots, found);
+    }
+
+    /// Reserves the places of a plan and stops the runs that it names.
+    fn carry_out(
+        &mut self,
+        now: Time,
+        pending: &PendingStep,
+        missing: &[u32],
+        plan: &Plan,
+        slots: &mut [Slot],
+        found: &mut Reclaim,
+    ) {
+        let Some(job) = self.jobs.get_mut(&pending.job) else { return };
+        let need = job.spec.steps[pending.step].need;
+        let step_state = &mut job.occurrences[pending.occurrence][pending.step];
+        for (index, at) in missing.iter().zip(&plan.places) {
+            step_state.tasks[*index as usize].stage = Stage::Reserved(slots[*at].worker.clone());
+            slots[*at].reserve(&need);
         }
         self.reserving.insert(pending.job.clone());
-        // The capacity of these runs goes to this step and must not be counted for another.
-        for (at, need) in preemption.stopped.values() {
-            slots[*at].credit_stop(need);
+        let Some(victims) = found.victims.get(&pending.rank) else { return };
+        let keys: Vec<TaskKey> =
+            plan.stopped.iter().map(|(group, _)| victims.keys[*group].clone()).collect();
+        if !self.whole_gangs {
+            // The capacity of these runs goes to this step and must not be counted for another.
+            for (group, at) in &plan.stopped {
+                let members = &victims.groups.group(*group).members;
+                members.iter().for_each(|(_, need)| slots[*at].credit_stop(need));
+            }
         }
-        for list in found.victims.values_mut().flat_map(BTreeMap::values_mut) {
-            list.retain(|victim| !preemption.stopped.contains_key(&victim.key));
+        for victims in found.victims.values_mut() {
+            for key in &keys {
+                let Ok(group) = victims.keys.binary_search(key) else { continue };
+                match self.whole_gangs {
+                    true => victims.groups.mark_stopping(group),
+                    false => victims.groups.remove(group),
+                }
+            }
         }
-        for key in preemption.stopped.keys() {
+        let mut stopped: BTreeSet<TaskKey> = BTreeSet::new();
+        for key in &keys {
+            let members = self.whole_gangs.then(|| self.gang_members(key));
+            stopped.extend(members.unwrap_or_else(|| vec![key.clone()]));
             self.stop_run(now, key);
         }
-        let (job, tasks) = (pending.job.clone(), preemption.places.len());
-        let stopped = preemption.stopped.into_keys().collect();
-        self.out.push(Action::Note(Note::Reclaims { job, tasks, stopped }));
+        let (job, tasks) = (pending.job.clone(), plan.places.len());
+        let (stopped, cost) = (stopped.into_iter().collect(), plan.cost);
+        self.out.push(Action::Note(Note::Reclaims { job, tasks, stopped, cost }));
         self.replan = true;
     }
 
+    /// Tasks whose runs are stopped together with that of `key`.
+    fn gang_members(&self, key: &TaskKey) -> Vec<TaskKey> {
+        let Some(job) = self.jobs.get(&key.job) else { return Vec::new() };
+        if !job.spec.steps[key.step as usize].gang {
+            return vec![key.clone()];
+        }
+        let tasks = &job.occurrences[key.occurrence as usize][key.step as usize].tasks;
+        let placed = (0u32..).zip(tasks).filter(|(_, task)| run_of(task).is_some());
+        placed.map(|(index, _)| TaskKey { index, ..key.clone() }).collect()
+    }
+
     /// Runs that may be preempted for a step of `rank`, within the disruption budgets.
-    fn victims(&self, now: Time, rank: Rank, guaranteed: &BTreeMap<JobId, u64>) -> Victims {
-        let mut victims = Victims::new();
-        let mut budgets: BTreeMap<StepKey, u32> = BTreeMap::new();
-        for (worker, keys) in &self.runs {
-            for key in keys {
-                let Some(job) = self.jobs.get(&key.job) else { continue };
-                let priority = self.policy.queue(job).map_or(u32::MAX, |queue| queue.priority);
-                let lower = match rank {
-                    Rank::Guaranteed => !guaranteed.contains_key(&key.job),
-                    _ => priority > 0,
-                };
-                let Some(Stage::Placed(run)) = self.task(key).map(|task| &task.stage) else {
-                    continue;
-                };
-                if !lower && run.stopping.is_none() {
-                    continue;
-                }
-                let step = &job.spec.steps[key.step as usize];
-                if step.may_miss > 0 && run.stopping.is_none() {
-                    let step = StepKey {
-                        job: key.job.clone(),
-                        occurrence: key.occurrence,
-                        step: key.step,
-                    };
-                    let left =
-                        budgets.entry(step).or_insert_with_key(|step| self.disruptions_left(step));
-                    if *left == 0 {
-                        continue;
+    fn victims(
+        &self,
+        now: Time,
+        rank: Rank,
+        guaranteed: &BTreeMap<JobId, u64>,
+        slots: &[Slot],
+    ) -> Victims {
+        let mut groups = Vec::new();
+        let mut keys = Vec::new();
+        for (id, job) in self.live.iter().filter_map(|id| Some((id, self.jobs.get(id)?))) {
+            let priority = self.policy.queue(job).map_or(u32::MAX, |queue| queue.priority);
+            let lower = match rank {
+                Rank::Guaranteed => !guaranteed.contains_key(id),
+                _ => priority > 0,
+            };
+            for (occurrence, steps) in (0u32..).zip(&job.occurrences) {
+                for (step, step_state) in (0u32..).zip(steps) {
+                    let key = StepKey { job: id.clone(), occurrence, step };
+                    for indexes in self.stoppable(&key, job, step_state, lower) {
+                        groups.push(self.group(
+                            now,
+                            &job.spec.steps[step as usize],
+                            step_state,
+                            &indexes,
+                            slots,
+                        ));
+                        let (job, index) = (id.clone(), indexes[0]);
+                        keys.push(TaskKey { job, occurrence, step, index });
                     }
-                    *left -= 1;
                 }
-                let worked = millis(now.since(run.confirmed.unwrap_or(now)));
-                let lost =
-                    if step.checkpoints { worked.min(MAX_CHECKPOINT_LOSS_MS) } else { worked };
-                let members = if step.gang { u64::from(step.count) } else { 1 };
-                let cost = match run.stopping {
-                    Some(_) => 0,
-                    None => (lost + RESTART_COST_MS) * step.need.weight() * members / 1_000,
-                };
-                let victim = Victim { key: key.clone(), need: step.need, cost };
-                victims.entry(worker.clone()).or_default().push(victim);
             }
         }
-        for list in victims.values_mut() {
-            list.sort_by(|a, b| (a.cost, &a.key).cmp(&(b.cost, &b.key)));
+        Victims { groups: preempt::Victims::new(groups, slots.len()), keys }
+    }
+
+    /// Tasks of a step whose runs may be stopped, or are being stopped already, in groups that are
+    /// stopped together.
+    fn stoppable(&self, key: &StepKey, job: &Job, step_state: &Step, lower: bool) -> Vec<Vec<u32>> {
+        let step = &job.spec.steps[key.step as usize];
+        let mut placed: Vec<(u32, &Run)> = (0u32..)
+            .zip(&step_state.tasks)
+            .filter_map(|(index, task)| Some((index, run_of(task)?)))
+            .collect();
+        if placed.is_empty() {
+            return Vec::new();
         }
-        victims
+        let mut left = match step.may_miss {
+            0 => usize::MAX,
+            _ if lower => self.disruptions_left(key) as usize,
+            _ => 0,
+        };
+        if self.whole_gangs && step.gang {
+            let going = placed.iter().filter(|(_, run)| run.stopping.is_none()).count();
+            let stoppable = going == 0 || lower && going <= left;
+            let indexes = placed.into_iter().map(|(index, _)| index);
+            return stoppable.then(|| indexes.collect()).into_iter().collect();
+        }
+        if step.may_miss > 0 {
+            placed.sort_by(|(_, a), (_, b)| a.worker.cmp(&b.worker));
+        }
+        placed.retain(|(_, run)| {
+            let stoppable = run.stopping.is_some() || lower && left > 0;
+            if stoppable && run.stopping.is_none() {
+                left -= 1;
+            }
+            stoppable
+        });
+        placed.sort_by_key(|(index, _)| *index);
+        placed.into_iter().map(|(index, _)| vec![index]).collect()
+    }
+
+    /// Describes the runs of some tasks of a step, which are stopped together.
+    fn group(
+        &self,
+        now: Time,
+        step: &StepSpec,
+        step_state: &Step,
+        indexes: &[u32],
+        slots: &[Slot],
+    ) -> Group<Need> {
+        let tasks = indexes.iter().map(|&index| &step_state.tasks[index as usize]);
+        let runs: Vec<&Run> = tasks.clone().filter_map(run_of).collect();
+        let at = |run: &Run| slots.binary_search_by(|slot| slot.worker.cmp(&run.worker)).ok();
+        let members = runs.iter().filter_map(|run| Some((at(run)?, step.need))).collect();
+        let stopping = runs.iter().all(|run| run.stopping.is_some());
+        if stopping {
+            return Group { cost: 0, stopping, ending: false, members };
+        }
+        let whole = self.whole_gangs;
+        let earlier = if whole { earlier_losses(tasks) } else { 0 };
+        let counted = if step.gang && !whole { u64::from(step.count) } else { 1 };
+        let loss = |run: &Run| Loss {
+            worked_ms: if whole { worked_ms(now, run, step) } else { confirmed_ms(now, run) },
+            checkpoints: step.checkpoints,
+            estimate_ms: step.estimate_ms,
+            earlier,
+            weight: step.need.weight().saturating_mul(counted),
+        };
+        let costs = runs.iter().map(|run| loss(run).cost());
+        let cost = costs.fold(0, u64::saturating_add);
+        let ends_soon = |run: &&Run| {
+            let left = if step.lasting || !whole { None } else { run.time_left(now) };
+            left.is_some_and(|left| left <= self.settings.stop)
+        };
+        Group { cost, stopping, ending: runs.iter().all(ends_soon), members }
     }
-}
 
-impl Planner {
     /// Disruption budget left for a step: how many more of its tasks may be stopped now.
     fn disruptions_left(&self, key: &StepKey) -> u32 {
         let Some(job) = self.jobs.get(&key.job) else { return 0 };
@@ -182,93 +314,46 @@
     }
 }
 
-/// Finds the cheapest preemption for the missing tasks of a step, on unsuspected workers first.
-fn cheapest_preemption(
-    slots: &[Slot],
-    step: &StepSpec,
-    service: &str,
-    missing: &[u32],
-    victims: &Victims,
-    avoid_suspects: bool,
-) -> Option<Preemption> {
-    let all: Vec<usize> = (0..slots.len()).filter(|&at| slots[at].suits(step, service)).collect();
-    let unsuspected: Vec<usize> = all.iter().copied().filter(|&at| !slots[at].suspect).collect();
-    let best = cheapest_among(slots, &unsuspected, step, missing, victims);
-    if avoid_suspects || best.is_some() || unsuspected.len() == all.len() {
-        return best;
+/// A slot as the search sees it.
+fn site<'s>(slot: &'s Slot, step: &StepSpec, service: &str) -> Site<'s, Need> {
+    let room = step.spread.map_or(u32::MAX, |most| most.saturating_sub(slot.step_tasks));
+    Site {
+        free: slot.free,
+        owed: slot.unfreed,
+        room: if slot.suits(step, service) { room } else { 0 },
+        rack: slot.info.rack.as_str(),
+        suspect: slot.suspect,
+        slow: slot.slow,
     }
-    cheapest_among(slots, &all, step, missing, victims)
 }
 
-/// Finds the cheapest preemption on some of the slots. A gang that should share a rack is placed on
-/// a single rack if possible.
-fn cheapest_among(
-    slots: &[Slot],
-    all: &[usize],
-    step: &StepSpec,
-    missing: &[u32],
-    victims: &Victims,
-) -> Option<Preemption> {
-    let mut best: Option<Preemption> = None;
-    if step.gang && step.one_rack {
-        let mut racks: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
-        for &at in all {
-            racks.entry(slots[at].info.rack.as_str()).or_default().push(at);
-        }
-        for group in racks.values() {
-            if let Some(found) = cheapest_in_group(slots, group, step, missing, victims)
-                && best.as_ref().is_none_or(|best| found.cost < best.cost)
-            {
-                best = Some(found);
-            }
-        }
+/// The run of a task.
+fn run_of(task: &Task) -> Option<&Run> {
+    match &task.stage {
+        Stage::Placed(run) => Some(run),
+        _ => None,
     }
-    best.or_else(|| cheapest_in_group(slots, all, step, missing, victims))
 }
 
-/// Places the missing tasks one by one on the slots of `group`, each where the runs to stop for it
-/// cost least; `None` if a task cannot be placed.
-fn cheapest_in_group(
-    slots: &[Slot],
-    group: &[usize],
-    step: &StepSpec,
-    missing: &[u32],
-    victims: &Victims,
-) -> Option<Preemption> {
-    let mut trial_slots: Vec<(usize, Slot)> =
-        group.iter().map(|&at| (at, slots[at].clone())).collect();
-    let mut places = Places::new();
-    let mut stopped: BTreeMap<TaskKey, (usize, Need)> = BTreeMap::new();
-    let mut total = 0;
-    for &index in missing {
-        let mut best: Option<(u64, usize, Vec<&Victim>)> = None;
-        for (number, (_, slot)) in trial_slots.iter().enumerate() {
-            let mut left = slot.clone();
-            let mut cost = 0;
-            let mut chosen = Vec::new();
-            let list = victims.get(&slot.worker).map_or(&[][..], Vec::as_slice);
-            for victim in list.iter().filter(|victim| !stopped.contains_key(&victim.key)) {
-                if left.fits_task(step) {
-                    break;
-                }
-                left.release(&victim.need);
-                cost += victim.cost;
-                chosen.push(victim);
-            }
-            if left.fits_task(step) && best.as_ref().is_none_or(|best| cost < best.0) {
-                best = Some((cost, number, chosen));
-            }
-        }
-        let (cost, number, chosen) = best?;
-        total += cost;
-        let (at, slot) = &mut trial_slots[number];
-        for victim in chosen {
-            slot.release(&victim.need);
-            stopped.insert(victim.key.clone(), (*at, victim.need));
-        }
-        slot.reserve(&step.need);
-        slot.step_tasks += 1;
-        places.push((index, *at));
-    }
-    Some(Preemption { cost: total, places, stopped })
+/// Time since this owner learned that a worker has a run, in ms.
+fn confirmed_ms(now: Time, run: &Run) -> u64 {
+    millis(now.since(run.confirmed.unwrap_or(now)))
+}
+
+/// Time for which a run has worked, in ms. Of a run that a former owner started, only the progress
+/// is known.
+fn worked_ms(now: Time, run: &Run, step: &StepSpec) -> u64 {
+    let by_progress = match step.lasting {
+        true => 0,
+        false => step.estimate_ms.saturating_mul(u64::from(run.percent)) / 100,
+    };
+    confirmed_ms(now, run).max(by_progress)
+}
+
+/// Number of runs that some tasks lost without a failure of their own. It follows from the numbers
+/// of the runs, which are stored, so that it outlives a takeover.
+fn earlier_losses<'t>(tasks: impl Iterator<Item = &'t Task> + Clone) -> u64 {
+    let highest = tasks.clone().map(|task| task.run).max().unwrap_or(0);
+    let failures: BTreeSet<u32> = tasks.flat_map(|task| &task.failures).copied().collect();
+    u64::from(highest.saturating_sub(1)).saturating_sub(failures.len() as u64)
 }
--- a/crates/batch/src/room.rs
+++ b/crates/batch/src/room.rs
@@ -96,13 +96,6 @@
         self.unfreed.remove(need);
     }
 
-    /// Adds the capacity of a run that could be stopped here, as far as no reservation needs it.
-    pub fn release(&mut self, need: &Need) {
-        let unfreed = self.unfreed;
-        self.unfreed.remove(need);
-        self.free.add(&need.less(&unfreed));
-    }
-
     /// Whether another task of `step` fits within the free capacity and its spread limit.
     pub fn fits_task(&self, step: &StepSpec) -> bool {
         step.spread.is_none_or(|most| self.step_tasks < most) && step.need.fits(&self.free)
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -7,6 +7,7 @@
 mod load;
 mod odd_workers;
 mod partitions;
+mod preemption;
 mod regressions;
 mod worker;
 mod world;
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -237,6 +237,8 @@
     pub refused_starts: u64,
     /// Jobs that were removed from the store.
     pub removed: BTreeSet<JobId>,
+    /// Whether owners preempt gangs as a whole.
+    whole_gangs: bool,
 }
 
 pub fn settings() -> Settings {
@@ -321,11 +323,18 @@
             advice_calls: 0,
             refused_starts: 0,
             removed: BTreeSet::new(),
+            whole_gangs: false,
         };
         world.take_over(false);
         world
     }
 
+    /// Makes this and all further owners preempt gangs as a whole.
+    pub fn preempt_gangs(&mut self) {
+        self.whole_gangs = true;
+        self.owners.values_mut().for_each(|planner| planner.preempt_gangs(true));
+    }
+
     fn send(&mut self, delay: u64, message: Message) {
         self.message_number += 1;
         self.heap.push(Envelope { at: self.now + delay, number: self.message_number, message });
@@ -349,7 +358,8 @@
         self.owner_since = self.now;
         self.log_line(format!("owner {}", self.owner));
         let stale_time = Duration::from_millis(STALE_OWNER_MS);
-        let planner = Planner::new(settings(), Time::from_millis(self.now), stale_time);
+        let mut planner = Planner::new(settings(), Time::from_millis(self.now), stale_time);
+        planner.preempt_gangs(self.whole_gangs);
         self.owners.insert(self.owner, planner);
         let owner = self.owner;
         self.confirm_ownership();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -30,6 +30,7 @@
     placement_seconds: HistogramVec,
     events: IntCounterVec,
     gauges: IntGaugeVec,
+    preempted: IntCounterVec,
 }
 
 impl Metrics {
@@ -72,6 +73,10 @@
                 Opts::new("basilrack_level", "Jobs, runs, workers, versions and ages, by name"),
                 &["name"],
             )?,
+            preempted: IntCounterVec::new(
+                Opts::new("basilrack_preempted_total", "Preempted runs, and their cost in core-ms"),
+                &["what"],
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.answer_seconds.clone()))?;
@@ -80,6 +85,7 @@
         registry.register(Box::new(metrics.placement_seconds.clone()))?;
         registry.register(Box::new(metrics.events.clone()))?;
         registry.register(Box::new(metrics.gauges.clone()))?;
+        registry.register(Box::new(metrics.preempted.clone()))?;
         Ok(metrics)
     }
 
@@ -107,6 +113,12 @@
         self.events.with_label_values(&[kind]).inc();
     }
 
+    /// Counts preempted runs, and what stopping them costs in core-milliseconds.
+    pub fn count_preemption(&self, runs: usize, core_ms: u64) {
+        self.preempted.with_label_values(&["runs"]).inc_by(runs as u64);
+        self.preempted.with_label_values(&["core_ms"]).inc_by(core_ms);
+    }
+
     /// Sets the gauge `name` to its current value.
     pub fn set_gauge(&self, name: &str, value: u64) {
         self.gauges.with_label_values(&[name]).set(i64::try_from(value).unwrap_or(i64::MAX));
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -153,11 +153,12 @@
         };
         let mut tasks = JoinSet::new();
         tasks.spawn_local(renew_lease(Rc::clone(state), claim.lease, event_sender.clone()));
-        let planner = Planner::new(
+        let mut planner = Planner::new(
             planner_settings(&state.settings.jobs),
             state.clock.now(),
             SOLO_RENEWAL_TIME,
         );
+        planner.preempt_gangs(state.settings.jobs.preempt_gangs);
         let mut owner = Owner {
             state: Rc::clone(state),
             planner,
@@ -288,6 +289,9 @@
                     if let Note::Placed { rank, age, .. } = &note {
                         metrics.observe_placement(rank, Duration::from_millis(*age));
                     }
+                    if let Note::Reclaims { stopped, cost, .. } = &note {
+                        metrics.count_preemption(stopped.len(), *cost);
+                    }
                     log_note(&note);
                 }
                 order => self.orders.send(&self.addresses, order),
@@ -366,9 +370,10 @@
             info!(job = &*job.0, step = step, missing = missing, rank = rank.as_str(),
                 workers = usable, accelerators = free; "{what}");
         }
-        Note::Reclaims { job, tasks, stopped } => {
-            let stopped: Vec<String> = stopped.iter().map(ToString::to_string).collect();
-            info!(job = &*job.0, tasks = tasks, stopped = stopped.join(" ").as_str(); "{what}");
+        Note::Reclaims { job, tasks, stopped, cost } => {
+            let names: Vec<String> = stopped.iter().map(ToString::to_string).collect();
+            info!(job = &*job.0, tasks = tasks, count = stopped.len(), core_ms = cost,
+                stopped = names.join(" ").as_str(); "{what}");
         }
         Note::BacksOff { worker, why, span } => {
             info!(worker = &*worker.0, why = why, span_ms = span; "{what}");
--- a/crates/text/src/host.rs
+++ b/crates/text/src/host.rs
@@ -74,6 +74,9 @@
     pub evacuate: Option<Duration>,
     /// Time after a job has been cancelled from which it must get no starts; `None` sets no bound.
     pub cancel: Option<Duration>,
+    /// Whether gangs are preempted as a whole, with their cost counted once and all the capacity
+    /// that they free.
+    pub preempt_gangs: bool,
 }
 
 const FIELDS: [&str; 18] = [
@@ -99,7 +102,7 @@
 
 impl Read for JobBounds {
     fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<JobBounds> {
-        let known = ["lease", "stop", "retention", "drain", "evacuate", "cancel"];
+        let known = ["lease", "stop", "retention", "drain", "evacuate", "cancel", "preempt_gangs"];
         let object = reader.object(value, path, &known)?;
         let lease = reader.required(object, path, "lease", "\"6s\"");
         let stop = reader.required(object, path, "stop", "\"200ms\"");
@@ -107,6 +110,7 @@
         let drain = reader.optional_or(object, path, "drain", None);
         let evacuate = reader.optional_or(object, path, "evacuate", None);
         let cancel = reader.optional_or(object, path, "cancel", None);
+        let preempt_gangs = reader.optional_or(object, path, "preempt_gangs", false);
         Some(JobBounds {
             lease: lease?,
             stop: stop?,
@@ -114,6 +118,7 @@
             drain: drain?,
             evacuate: evacuate?,
             cancel: cancel?,
+            preempt_gangs: preempt_gangs?,
         })
     }
 }
