--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -230,8 +230,8 @@
                 found.push((*index, at));
             }
         }
-        if lost {
-            // A reserved worker has become unusable: drop all reservations of the step, so that
+        if lost || self.waits_in_vain(now, pending, &reserved, &found) {
+            // A reserved worker has become unusable, or is not freed as expected: drop all reservations of the step, so that
             // the next pass places it again.
             let Some(job) = self.jobs.get_mut(&pending.job) else { return false };
             for task in &mut job.occurrences[pending.occurrence][pending.step].tasks {
--- a/crates/batch/src/reclaim.rs
+++ b/crates/batch/src/reclaim.rs
@@ -19,6 +19,7 @@
 use crate::job::Task;
 use crate::order::PendingStep;
 use crate::order::Rank;
+use crate::place::Places;
 use crate::room::Slot;
 use crate::spec::JobId;
 use crate::spec::Need;
@@ -26,6 +27,7 @@
 use crate::spec::StepKey;
 use crate::spec::StepSpec;
 use crate::spec::TaskKey;
+use crate::spec::WorkerId;
 use model::Time;
 use preempt::Amount;
 use preempt::Ending;
@@ -181,6 +183,30 @@
         self.replan = true;
     }
 
+    /// Whether a reservation of a step waits on for runs that were expected to end by themselves.
+    /// `found` lists the tasks whose reserved capacity is free.
+    pub(crate) fn waits_in_vain(
+        &self,
+        now: Time,
+        pending: &PendingStep,
+        reserved: &[(u32, WorkerId)],
+        found: &Places,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&pending.job) else { return false };
+        let step_state = &job.occurrences[pending.occurrence][pending.step];
+        if !self.whole_gangs || now <= step_state.reclaim_after + self.settings.stop {
+            return false;
+        }
+        let is_stopping = |key: &TaskKey| {
+            let run = self.task(key).and_then(run_of);
+            run.is_some_and(|run| run.stopping.is_some())
+        };
+        reserved.iter().any(|(index, worker)| {
+            let is_free = found.iter().any(|(free, _)| free == index);
+            !is_free && !self.runs.get(worker).into_iter().flatten().any(is_stopping)
+        })
+    }
+
     /// Tasks whose runs are stopped together with that of `key`.
     fn gang_members(&self, key: &TaskKey) -> Vec<TaskKey> {
         let Some(job) = self.jobs.get(&key.job) else { return Vec::new() };
--- a/crates/batch/tests/schedules/preemption.rs
+++ b/crates/batch/tests/schedules/preemption.rs
@@ -9,6 +9,7 @@
 use crate::world::Faults;
 use crate::world::World;
 use crate::world::policy;
+use crate::world::worker_id;
 use batch::JobState;
 use batch::StepSpec;
 
@@ -110,3 +111,25 @@
     stopped.dedup();
     assert_eq!(stopped.len(), 4, "{stopped:?}");
 }
+
+/// Load: an urgent task and a worker whose run is about to end, but then stalls. The run is not
+/// stopped at first; guards against an urgent task that waits for it without end.
+#[test]
+fn stalled_end() {
+    let mut world = World::new(44, 1, Faults::default(), policy(0));
+    world.preempt_gangs();
+    world.submit("00000000000000f1", "patient", "a", vec![step(1, 8, 6_000)]);
+    world.run(1_000);
+    let id = worker_id(0);
+    while world.workers[&id].running.values().any(|work| work.left > 120) {
+        world.run(10);
+    }
+    for work in world.workers.get_mut(&id).expect("there").running.values_mut() {
+        work.left += 30_000;
+    }
+    let urgent = world.submit("00000000000000f2", "urgent", "a", vec![step(1, 8, 1_000)]);
+    world.run(200);
+    assert!(preempted(&world).is_empty(), "the run was about to end");
+    world.run(4_000);
+    assert_eq!(world.stored_state(&urgent), JobState::Completed);
+}
--- a/crates/preempt/src/groups.rs
+++ b/crates/preempt/src/groups.rs
@@ -61,8 +61,7 @@
     if request.one_rack {
         let racks: BTreeSet<&str> = sites.iter().map(|site| site.rack).collect();
         for rack in racks {
-            let here = |site: &Site<'_, A>| usable(site) && site.rack == rack;
-            let trial = Trial::new(sites, victims, request, here);
+            let trial = everywhere.narrowed(|site| site.rack == rack);
             if !trial.may_fit(request.count as u64) {
                 continue;
             }
--- a/crates/preempt/src/trial.rs
+++ b/crates/preempt/src/trial.rs
@@ -85,6 +85,18 @@
         trial
     }
 
+    /// Returns the same set with only the sites in `scope`.
+    pub fn narrowed(&self, scope: impl Fn(&Site<'s, A>) -> bool) -> Trial<'v, 's, A> {
+        let mut trial = self.clone();
+        for at in 0..trial.sites.len() {
+            if trial.sites[at].room > 0 && !scope(&trial.sites[at]) {
+                trial.sites[at].room = 0;
+                trial.count(at);
+            }
+        }
+        trial
+    }
+
     /// Whether the capacity of a group becomes free without a further stop.
     fn is_freed(&self, group: &Group<A>) -> bool {
         group.stopping || group.ending && self.awaits_ending
