--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -116,6 +116,8 @@
         tasks: usize,
         /// Tasks whose runs are stopped.
         stopped: Vec<TaskKey>,
+        /// What stopping them costs, in core-milliseconds; an accelerator counts as eight cores.
+        cost: u64,
     },
     /// A view has become too old for starts while some are due, or is fresh again.
     HoldsStarts {
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -101,6 +101,8 @@
     pub(crate) evacuated: BTreeSet<String>,
     /// No long-running tasks are moved out of them before this time.
     pub(crate) moves_after: Time,
+    /// Whether gangs are preempted as a whole.
+    pub(crate) whole_gangs: bool,
 }
 
 /// A commit in flight.
@@ -172,6 +174,7 @@
             views: Views::default(),
             evacuated: BTreeSet::new(),
             moves_after: Time::ZERO,
+            whole_gangs: false,
         }
     }
 
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -8,6 +8,7 @@
 mod load;
 mod odd_workers;
 mod partitions;
+mod preemption;
 mod regressions;
 mod stale_views;
 mod worker;
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -252,6 +252,8 @@
     pub evacuations: BTreeMap<String, u64>,
     /// Until when owners do not learn of evacuations, in ms.
     pub blind_until: u64,
+    /// Whether owners preempt gangs as a whole.
+    whole_gangs: bool,
 }
 
 pub fn settings() -> Settings {
@@ -340,11 +342,18 @@
             removed: BTreeSet::new(),
             evacuations: BTreeMap::new(),
             blind_until: 0,
+            whole_gangs: false,
         };
         world.take_over(false);
         world
     }
 
+    /// Makes this and all further owners preempt gangs as a whole.
+    pub fn preempt_gangs(&mut self) {
+        self.whole_gangs = true;
+        self.owners.values_mut().for_each(|planner| planner.preempt_gangs(true));
+    }
+
     fn send(&mut self, delay: u64, message: Message) {
         self.message_number += 1;
         self.heap.push(Envelope { at: self.now + delay, number: self.message_number, message });
@@ -369,7 +378,8 @@
         self.log_line(format!("owner {}", self.owner));
         let stale_time = Duration::from_millis(STALE_OWNER_MS);
         let settings = Settings { bounds: self.bounds(), ..settings() };
-        let planner = Planner::new(settings, Time::from_millis(self.now), stale_time);
+        let mut planner = Planner::new(settings, Time::from_millis(self.now), stale_time);
+        planner.preempt_gangs(self.whole_gangs);
         self.owners.insert(self.owner, planner);
         let owner = self.owner;
         self.confirm_ownership();
