Hold capacity for gangs and whole-worker steps that do not fit

Cause: in a shortage, smaller tasks of later jobs took each bit of capacity that became free, so wide gangs started too late or never. Note "reserves", gauge "reservations", design note.

--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -111,6 +111,19 @@
         /// Tasks whose runs are stopped.
         stopped: Vec<TaskKey>,
     },
+    /// A step that does not fit now gets a reservation; logged once for each step.
+    Reserves {
+        /// The job.
+        job: JobId,
+        /// The step.
+        step: usize,
+        /// Number of tasks that the reservation is for.
+        tasks: u32,
+        /// Number of workers that it includes.
+        workers: usize,
+        /// Time until it is expected to begin, in ms.
+        wait: u64,
+    },
     /// A worker gets no new runs for a limited time.
     #[strum(serialize = "shuns")]
     BacksOff {
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -27,6 +27,7 @@
 mod policy;
 mod reclaim;
 mod record;
+mod reservations;
 mod room;
 mod settings;
 mod settle;
--- a/crates/batch/src/order.rs
+++ b/crates/batch/src/order.rs
@@ -115,6 +115,11 @@
     Duration::from_millis((stretched as u64).saturating_add(queue.objective_ms))
 }
 
+/// When a job becomes too late to earn anything.
+pub(crate) fn worthless_from(job: &Job, policy: &crate::Policy) -> Time {
+    job.since + objective(job, policy) * LATE_OBJECTIVES
+}
+
 /// Longest chain of dependent steps by their estimates, in ms.
 fn critical_path_ms(steps: &[StepSpec]) -> u64 {
     let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
--- a/crates/batch/src/pace.rs
+++ b/crates/batch/src/pace.rs
@@ -16,6 +16,7 @@
 use crate::spec::TaskKey;
 use crate::spec::WorkerId;
 use model::Time;
+use reserve::Progress;
 
 /// Minimum time over which the pace of a run is measured; progress is reported in whole percent.
 const MIN_SPAN: Duration = Duration::from_millis(800);
@@ -74,6 +75,21 @@
     }
 }
 
+impl RunPace {
+    /// Progress as it was last measured.
+    pub fn progress(&self) -> Option<Progress> {
+        let (at, percent) = self.since?;
+        let took = match (self.started, self.last) {
+            (Some(started), _) => Some(at.since(started)),
+            (None, Some(pace)) if pace > 0 => {
+                Some(Duration::from_millis(u64::from(percent) * 1_000_000 / pace))
+            }
+            (None, _) => None,
+        };
+        Some(Progress { at, percent, took })
+    }
+}
+
 /// Pace of a run beside the pace that is to be expected.
 #[derive(Clone, Copy, Debug)]
 struct Comparison {
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -17,6 +17,7 @@
 use crate::order::Rank;
 use crate::planner::task_mut;
 use crate::reclaim::Reclaim;
+use crate::reservations::PassReservations;
 use crate::room::Slot;
 use crate::spec::Need;
 use crate::spec::Spec;
@@ -40,6 +41,8 @@
     service: String,
     need: Need,
     label: Option<String>,
+    /// When its runs would be expected to end; shorter ones may fit before a reservation.
+    ends: Time,
 }
 
 impl Planner {
@@ -47,11 +50,13 @@
     pub(crate) fn place(&mut self, now: Time) {
         let pending_steps = self.pending_steps(now);
         if pending_steps.is_empty() {
+            self.reservations.finish_pass(&PassReservations::default());
             return;
         }
         let mut slots = self.slots(now);
         let mut unplaceable: Vec<Unplaceable> = Vec::new();
         let mut reclaim = Reclaim::default();
+        let mut reserved = PassReservations::default();
         let mut waiting = false;
         let mut barred = false;
         let mut all_urgent = true;
@@ -82,8 +87,10 @@
                 self.bar_unadvised(now, &mut slots, pending, advised);
                 barred = advised;
             }
+            let ends = self.bind_reservations(now, pending, step, &mut slots, &reserved);
             let known = |failed: &Unplaceable| {
                 failed.service == service
+                    && failed.ends <= ends
                     && failed.need.fits(&step.need)
                     && (failed.label.is_none() || failed.label == step.label)
             };
@@ -118,7 +125,7 @@
             let plain = !(advised || step.gang || step.rack.is_some() || step.spread.is_some());
             if missing > 0 && plain {
                 let (service, label) = (service.clone(), step.label.clone());
-                unplaceable.push(Unplaceable { service, need: step.need, label });
+                unplaceable.push(Unplaceable { service, need: step.need, label, ends });
             }
             self.note_place(now, pending, &slots, found.len(), missing);
             self.assign(pending, &spec, &slots, &found);
@@ -130,8 +137,10 @@
                 if urgent {
                     self.reclaim(now, pending, &spec, &mut slots, &service, &mut reclaim);
                 }
+                self.reserve_ahead(now, pending, step, &mut slots, &mut reserved);
             }
         }
+        self.reservations.finish_pass(&reserved);
         if waiting {
             self.replan_at = self.replan_at.min(now + PLACEMENT_INTERVAL);
         }
@@ -160,9 +169,7 @@
 
     /// Whether a step is still held back to wait for workers near its data.
     fn prefers_near(&self, now: Time, step_state: &Step, step: &StepSpec) -> bool {
-        let patience =
-            Duration::from_millis(step.estimate_ms.saturating_mul(LOCALITY_WAIT_PERCENT) / 100);
-        step_state.ready_at.is_none_or(|since| now < since + patience)
+        near_until(step_state, step).is_none_or(|end| now < end)
     }
 
     /// Creates runs for tasks on the workers found for them.
@@ -250,6 +257,13 @@
     }
 }
 
+/// Up to when a step is held back to wait for workers near its data; `None` if it is not ready.
+pub(crate) fn near_until(step_state: &Step, step: &StepSpec) -> Option<Time> {
+    let patience =
+        Duration::from_millis(step.estimate_ms.saturating_mul(LOCALITY_WAIT_PERCENT) / 100);
+    step_state.ready_at.map(|since| since + patience)
+}
+
 /// Free accelerators of some slots together.
 fn free_accelerators<'s>(slots: impl IntoIterator<Item = &'s Slot>) -> u64 {
     slots.into_iter().fold(0, |sum, slot| sum.saturating_add(slot.free.gpu))
@@ -392,8 +406,7 @@
     let mut last: Option<usize> = None;
     for (index, task) in (0u32..).zip(&step_state.tasks) {
         let best = best_slot(&trial_slots, step, task, last, |_| true)?;
-        trial_slots[best].free.remove(&step.need);
-        trial_slots[best].step_tasks += 1;
+        trial_slots[best].take_task(step);
         places.push((index, group[best]));
         last = Some(best);
     }
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -25,6 +25,7 @@
 use crate::job::Step;
 use crate::job::Task;
 use crate::record::Record;
+use crate::reservations::Reservations;
 use crate::spec::JobId;
 use crate::spec::StepSpec;
 use crate::spec::Submission;
@@ -96,6 +97,7 @@
     /// Time up to which leases are extended: another owner may have taken over since the store last
     /// confirmed the ownership, and relies on this limit.
     pub(crate) extend_until: Time,
+    pub(crate) reservations: Reservations,
     pub(crate) views: Views,
     /// Evacuated availability zones.
     pub(crate) evacuated: BTreeSet<String>,
@@ -128,6 +130,8 @@
     pub usable: usize,
     /// Number of jobs without due times whose tasks are not in memory yet, since they have many.
     pub deferred: usize,
+    /// Number of steps with a reservation in the last placement pass.
+    pub reservations: usize,
 }
 
 impl Planner {
@@ -167,6 +171,7 @@
             inherited_end,
             solo,
             extend_until: Time::ZERO,
+            reservations: Reservations::default(),
             views: Views::default(),
             evacuated: BTreeSet::new(),
         }
@@ -231,6 +236,7 @@
             orphaned_runs: self.ended_runs().filter(|run| run.stopping.is_none()).count(),
             usable: self.workers.values().filter(|worker| worker.usable(now)).count(),
             deferred,
+            reservations: self.reservations.count(),
         }
     }
 
--- /dev/null
+++ b/crates/batch/src/reservations.rs
@@ -0,0 +1,350 @@
+//! Reservations for wide steps that cannot be placed.
+//!
+//! A gang or a step whose tasks need most of a worker would wait for as long as smaller tasks take
+//! each bit of capacity that becomes free. So the first of these steps in the order of placement get
+//! the workers on which they are expected to fit first, see [`reserve`]. In the rest of the pass,
+//! tasks may use these workers if they are expected to end before the reservation begins, or fit
+//! beside it. Urgent steps are placed before any reservation is made, and may preempt runs on these
+//! workers.
+//!
+//! Every pass makes the reservations anew and nothing of them is stored, so a reservation whose time
+//! slips, or which a takeover interrupts, needs no treatment of its own.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::Planner;
+use crate::action::Action;
+use crate::action::Note;
+use crate::directory::millis;
+use crate::job::Run;
+use crate::job::Stage;
+use crate::order::PendingStep;
+use crate::order::Rank;
+use crate::order::worthless_from;
+use crate::place::near_until;
+use crate::room::Held;
+use crate::room::Slot;
+use crate::spec::Need;
+use crate::spec::StepKey;
+use crate::spec::StepSpec;
+use crate::spec::TaskKey;
+use model::Time;
+use reserve::Demand;
+use reserve::Release;
+use reserve::Reservation;
+use reserve::RunTimes;
+use reserve::Tier;
+use reserve::Worker;
+
+/// Time after which no reservation begins. Capacity held for longer would be idle for too long, and
+/// the longer the time, the less the expected ends can be relied on.
+const HORIZON: Duration = Duration::from_millis(4_000);
+/// Searches in one pass for each reservation that may be made. Without this bound, a pass with many
+/// wide steps that fit nowhere within [`HORIZON`] would take too much processor time.
+const SEARCHES_PER_RESERVATION: usize = 2;
+/// Maximum number of tasks in the reservation of a step that is not a gang, whose tasks start one by
+/// one. The rest follow in later passes.
+const MAX_SINGLE_TASKS: u32 = 8;
+/// Time from a placement to the start on the worker, with the commit in between.
+const START_TIME: Duration = Duration::from_millis(150);
+/// Time for which a run that is being stopped for longer than it should is expected to go on.
+const LATE_STOP_TIME: Duration = Duration::from_millis(250);
+
+/// What is kept between placement passes.
+#[derive(Debug, Default)]
+pub(crate) struct Reservations {
+    /// Maximum number of reservations; zero for none.
+    most: usize,
+    run_times: RunTimes,
+    /// Number of reservations in the last pass.
+    count: usize,
+    /// Live steps whose reservation has been logged.
+    noted: BTreeSet<StepKey>,
+}
+
+impl Reservations {
+    /// Number of reservations in the last pass.
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
+    /// Records the reservations of a pass that has ended.
+    pub fn finish_pass(&mut self, pass: &PassReservations) {
+        self.count = pass.count;
+    }
+}
+
+/// Reservations of one placement pass.
+#[derive(Debug, Default)]
+pub(crate) struct PassReservations {
+    count: usize,
+    searches: usize,
+    /// Whether a step waits that is not too late to earn anything.
+    worthwhile_waits: bool,
+    /// Indexes of the slots that hold capacity.
+    holding: Vec<usize>,
+    /// Computed for the first search.
+    fleet: Option<Fleet>,
+}
+
+/// Data of all slots that the searches of a pass share.
+#[derive(Debug)]
+struct Fleet {
+    /// Expected ends of the runs on each slot within [`HORIZON`], the first one first.
+    releases: Vec<Vec<Release<Need>>>,
+    /// Index of the rack of each slot.
+    racks: Vec<usize>,
+    /// The largest capacity of any slot in each resource.
+    largest: Need,
+}
+
+impl Planner {
+    /// Sets the maximum number of reservations for wide steps. It is zero before, which serves
+    /// steps without any.
+    pub fn limit_reservations(&mut self, most: usize) {
+        self.reservations.most = most;
+    }
+
+    /// Learns from the current run of a task, which has completed, how long such runs take.
+    pub(crate) fn learn_run_time(&mut self, now: Time, key: &TaskKey) {
+        if self.reservations.most == 0 {
+            return;
+        }
+        let Some(began) = self.work_begun(key) else { return };
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let step = key.step as usize;
+        let estimate = Duration::from_millis(job.spec.steps[step].estimate_ms);
+        self.reservations.run_times.record(&job.queue, step, estimate, now.since(began));
+    }
+
+    /// Applies the reservations made so far to the placement of a step: notes on the slots whether
+    /// its runs would go on after the reservations begin. Returns when they would end.
+    pub(crate) fn bind_reservations(
+        &self,
+        now: Time,
+        pending: &PendingStep,
+        step: &StepSpec,
+        slots: &mut [Slot],
+        pass: &PassReservations,
+    ) -> Time {
+        if pass.holding.is_empty() {
+            return now;
+        }
+        let run_time = self.expected_run_time(pending, step);
+        let ends = run_time.map_or(Time::NEVER, |time| now + START_TIME + time);
+        for &at in &pass.holding {
+            if let Some(held) = &mut slots[at].held {
+                held.binds = ends > held.from;
+            }
+        }
+        ends
+    }
+
+    /// Expected run time of a step's tasks; `None` if it is not known or they never end.
+    fn expected_run_time(&self, pending: &PendingStep, step: &StepSpec) -> Option<Duration> {
+        let job = self.jobs.get(&pending.job).filter(|_| !step.lasting)?;
+        let estimate = Duration::from_millis(step.estimate_ms);
+        self.reservations.run_times.expected(&job.queue, pending.step, estimate)
+    }
+
+    /// Makes a reservation for a step that could not be placed fully, if it is wide and the limits
+    /// allow it.
+    pub(crate) fn reserve_ahead(
+        &mut self,
+        now: Time,
+        pending: &PendingStep,
+        step: &StepSpec,
+        slots: &mut [Slot],
+        pass: &mut PassReservations,
+    ) {
+        let most = self.reservations.most;
+        if pass.count >= most || pass.searches >= most * SEARCHES_PER_RESERVATION {
+            return;
+        }
+        let late = pending.rank == Rank::Late;
+        pass.worthwhile_waits |= !late;
+        let urgent = matches!(pending.rank, Rank::Guaranteed | Rank::Priority(0));
+        if urgent || late && pass.worthwhile_waits {
+            return;
+        }
+        let fleet = pass.fleet.take().unwrap_or_else(|| self.fleet(now, slots));
+        if step.gang || is_wide(&step.need, &fleet.largest) {
+            pass.searches += 1;
+            if let Some(found) = self.find_reservation(now, pending, step, slots, &fleet) {
+                hold(slots, &fleet, step, &found, &mut pass.holding);
+                pass.count += 1;
+                self.note_reservation(now, pending, &found);
+            }
+        }
+        pass.fleet = Some(fleet);
+    }
+
+    /// Searches the reservation of a step that begins first.
+    fn find_reservation(
+        &self,
+        now: Time,
+        pending: &PendingStep,
+        step: &StepSpec,
+        slots: &[Slot],
+        fleet: &Fleet,
+    ) -> Option<Reservation> {
+        let job = self.jobs.get(&pending.job)?;
+        let queue = self.policy.queue(job).filter(|queue| !queue.advised)?;
+        let step_state = &job.occurrences[pending.occurrence][pending.step];
+        let suits = |slot: &Slot| slot.suits(step, &queue.service);
+        let (indexes, workers): (Vec<usize>, Vec<Worker<'_, Need>>) = (0..slots.len())
+            .filter(|&at| suits(&slots[at]) && step.need.fits(&slots[at].info.capacity))
+            .map(|at| (at, view(slots, fleet, at, step.spread)))
+            .unzip();
+        let missing = step_state.tasks.iter().filter(|t| !t.done && t.stage == Stage::Idle);
+        let missing = u32::try_from(missing.count()).unwrap_or(u32::MAX);
+        let near = step.gang && step.one_rack || step.rack.is_some();
+        let demand = Demand {
+            need: step.need,
+            count: if step.gang { missing } else { missing.min(MAX_SINGLE_TASKS) },
+            together: step.gang,
+            rack: step.rack.as_ref().map(|rack| {
+                let at = slots.iter().position(|slot| slot.info.rack == *rack);
+                at.map_or(usize::MAX, |at| fleet.racks[at])
+            }),
+            apart_from: near_until(step_state, step).filter(|_| near).unwrap_or(now),
+            worst: if step_state.avoids_suspects(now) { Tier::Slow } else { Tier::Suspect },
+        };
+        let mut found = reserve::search(now, now + HORIZON, &workers, &demand)?;
+        let run_time = self.expected_run_time(pending, step).unwrap_or_default();
+        if pending.rank != Rank::Late && found.begins + run_time > worthless_from(job, &self.policy)
+        {
+            return None;
+        }
+        found.holds.iter_mut().for_each(|hold| hold.worker = indexes[hold.worker]);
+        Some(found)
+    }
+
+    /// Logs the first reservation of a step.
+    fn note_reservation(&mut self, now: Time, pending: &PendingStep, found: &Reservation) {
+        let (occurrence, number) = (pending.occurrence as u32, pending.step as u32);
+        let key = StepKey { job: pending.job.clone(), occurrence, step: number };
+        let live = &self.live;
+        let noted = &mut self.reservations.noted;
+        if noted.contains(&key) {
+            return;
+        }
+        noted.retain(|key| live.contains(&key.job));
+        noted.insert(key);
+        let workers: BTreeSet<usize> = found.holds.iter().map(|hold| hold.worker).collect();
+        self.out.push(Action::Note(Note::Reserves {
+            job: pending.job.clone(),
+            step: pending.step,
+            tasks: found.holds.iter().map(|hold| hold.tasks).sum(),
+            workers: workers.len(),
+            wait: millis(found.begins.since(now)),
+        }));
+    }
+
+    /// Computes what the searches of a pass share.
+    fn fleet(&self, now: Time, slots: &[Slot]) -> Fleet {
+        let mut names: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut fleet = Fleet {
+            releases: Vec::with_capacity(slots.len()),
+            racks: Vec::with_capacity(slots.len()),
+            largest: Need::default(),
+        };
+        for slot in slots {
+            let next = names.len();
+            fleet.racks.push(*names.entry(&slot.info.rack).or_insert(next));
+            let capacity = &slot.info.capacity;
+            let more = capacity.less(&fleet.largest);
+            fleet.largest.add(&more);
+            let keys = self.runs.get(&slot.worker).into_iter().flatten();
+            let ends = keys.filter_map(|key| self.release(now, key));
+            let mut releases: Vec<Release<Need>> =
+                ends.filter(|release| release.at <= now + HORIZON).collect();
+            releases.sort_unstable_by_key(|release| release.at);
+            fleet.releases.push(releases);
+        }
+        fleet
+    }
+
+    /// When the run of a task is expected to end, with its capacity.
+    fn release(&self, now: Time, key: &TaskKey) -> Option<Release<Need>> {
+        let job = self.jobs.get(&key.job)?;
+        let step = job.spec.steps.get(key.step as usize)?;
+        let Stage::Placed(run) = &job.task(key)?.stage else { return None };
+        let at = match run.stopping {
+            Some(since) => (since + self.settings.stop).max(now + LATE_STOP_TIME),
+            None => {
+                let estimate =
+                    Duration::from_millis(if step.lasting { 0 } else { step.estimate_ms });
+                let number = key.step as usize;
+                let times = &self.reservations.run_times;
+                let run_time = times.expected(&job.queue, number, estimate);
+                reserve::expected_end(now, began(run, now), run_time, run.pace.progress())
+            }
+        };
+        Some(Release { at, amount: step.need })
+    }
+}
+
+/// When a run began as far as is known.
+fn began(run: &Run, now: Time) -> Time {
+    run.pace.started.or(run.confirmed).or(run.first_sent).unwrap_or(now)
+}
+
+/// Whether a task needs more than half of the largest worker.
+fn is_wide(need: &Need, largest: &Need) -> bool {
+    largest.copies(need) == 1
+}
+
+/// View of a slot for the search.
+fn view<'f>(slots: &[Slot], fleet: &'f Fleet, at: usize, spread: Option<u32>) -> Worker<'f, Need> {
+    let slot = &slots[at];
+    // Runs that are being stopped first free the capacity that is reserved for urgent steps.
+    let mut held = slot.unfreed;
+    held.add(&slot.held.map(|held| held.amount).unwrap_or_default());
+    Worker {
+        free: slot.free,
+        held,
+        releases: &fleet.releases[at],
+        rack: fleet.racks[at],
+        tier: match (slot.suspect, slot.slow) {
+            (true, _) => Tier::Suspect,
+            (false, true) => Tier::Slow,
+            (false, false) => Tier::Sound,
+        },
+        most: spread.map_or(u32::MAX, |most| most.saturating_sub(slot.step_tasks)),
+    }
+}
+
+/// Holds the capacity of a reservation on its slots.
+fn hold(
+    slots: &mut [Slot],
+    fleet: &Fleet,
+    step: &StepSpec,
+    found: &Reservation,
+    holding: &mut Vec<usize>,
+) {
+    for hold in &found.holds {
+        let mut need = Need::default();
+        (0..hold.tasks).for_each(|_| need.add(&step.need));
+        let worker = view(slots, fleet, hold.worker, None);
+        let slot = &mut slots[hold.worker];
+        let beside = reserve::available_at(&worker, hold.at).less(&need).least(&slot.free);
+        let former = slot.held.unwrap_or(Held {
+            from: Time::NEVER,
+            amount: Need::default(),
+            beside,
+            binds: false,
+        });
+        let mut amount = former.amount;
+        amount.add(&need);
+        slot.held = Some(Held {
+            from: former.from.min(hold.at),
+            amount,
+            beside: former.beside.least(&beside),
+            binds: false,
+        });
+        holding.push(hold.worker);
+    }
+}
--- a/crates/batch/src/room.rs
+++ b/crates/batch/src/room.rs
@@ -11,6 +11,19 @@
 use crate::spec::WorkerId;
 use model::Time;
 
+/// Capacity of a worker that is held for a wide step from a time on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Held {
+    /// When the capacity is first needed.
+    pub from: Time,
+    /// The capacity.
+    pub amount: Need,
+    /// Free capacity for runs that go on after this time.
+    pub beside: Need,
+    /// Whether the runs of the current step go on after this time.
+    pub binds: bool,
+}
+
 /// A worker with its free capacity during one placement pass.
 #[derive(Clone, Debug)]
 pub(crate) struct Slot {
@@ -39,6 +52,8 @@
     pub has_target: bool,
     /// Whether filler tasks run here, which use only idle CPU time.
     pub has_fillers: bool,
+    /// Capacity held for wide steps; see [`crate::reservations`].
+    pub held: Option<Held>,
 }
 
 impl Slot {
@@ -58,6 +73,7 @@
             withheld: false,
             has_target: false,
             has_fillers: false,
+            held: None,
         }
     }
 
@@ -78,13 +94,21 @@
 
     /// Places a task of `step` here.
     pub fn add_task(&mut self, step: &StepSpec) {
-        self.free.remove(&step.need);
-        self.step_tasks += 1;
+        self.take_task(step);
         self.occupied = true;
         self.has_target |= step.target_ms > 0;
         self.has_fillers |= step.fills;
     }
 
+    /// Takes the capacity of a task of `step`.
+    pub fn take_task(&mut self, step: &StepSpec) {
+        self.free.remove(&step.need);
+        self.step_tasks += 1;
+        if let Some(held) = self.held.as_mut().filter(|held| held.binds) {
+            held.beside.remove(&step.need);
+        }
+    }
+
     /// Reserves capacity, some of which may still be in use by runs that are being stopped.
     pub fn reserve(&mut self, need: &Need) {
         self.unfreed.add(&need.less(&self.free));
@@ -105,7 +129,9 @@
 
     /// Whether another task of `step` fits within the free capacity and its spread limit.
     pub fn fits_task(&self, step: &StepSpec) -> bool {
-        step.spread.is_none_or(|most| self.step_tasks < most) && step.need.fits(&self.free)
+        step.spread.is_none_or(|most| self.step_tasks < most)
+            && step.need.fits(&self.free)
+            && self.held.is_none_or(|held| !held.binds || step.need.fits(&held.beside))
     }
 }
 
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -191,6 +191,9 @@
             return;
         }
         if end.outcome == Outcome::Done && !lasting {
+            if current {
+                self.learn_run_time(now, key);
+            }
             self.complete_task(now, key, gang, current);
             return;
         }
--- a/crates/batch/src/spec.rs
+++ b/crates/batch/src/spec.rs
@@ -118,6 +118,15 @@
         }
     }
 
+    /// Returns the smaller amount of each resource.
+    pub fn least(&self, other: &Need) -> Need {
+        Need {
+            cpu: self.cpu.min(other.cpu),
+            memory: self.memory.min(other.memory),
+            gpu: self.gpu.min(other.gpu),
+        }
+    }
+
     /// CPU equivalent in thousandths of a core; an accelerator counts as eight cores.
     pub fn weight(&self) -> u64 {
         let accelerators = self.gpu.saturating_mul(CORES_PER_ACCELERATOR * 1_000);
@@ -125,6 +134,20 @@
     }
 }
 
+impl reserve::Amount for Need {
+    fn copies(&self, need: &Need) -> u64 {
+        Need::copies(self, need)
+    }
+
+    fn add(&mut self, other: &Need) {
+        Need::add(self, other);
+    }
+
+    fn less(&self, other: &Need) -> Need {
+        Need::less(self, other)
+    }
+}
+
 /// Cores that one accelerator counts as, as in the users' own accounting.
 const CORES_PER_ACCELERATOR: u64 = 8;
 
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -8,6 +8,7 @@
 mod odd_workers;
 mod partitions;
 mod regressions;
+mod wide_steps;
 mod worker;
 mod world;
 
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -235,6 +235,8 @@
     pub advice_calls: u64,
     /// Number of starts refused because they lacked a valid ticket.
     pub refused_starts: u64,
+    /// Maximum number of reservations of the next owner.
+    pub reservations: usize,
     /// Jobs that were removed from the store.
     pub removed: BTreeSet<JobId>,
 }
@@ -320,6 +322,7 @@
             advising: BTreeSet::new(),
             advice_calls: 0,
             refused_starts: 0,
+            reservations: 0,
             removed: BTreeSet::new(),
         };
         world.take_over(false);
@@ -349,7 +352,8 @@
         self.owner_since = self.now;
         self.log_line(format!("owner {}", self.owner));
         let stale_time = Duration::from_millis(STALE_OWNER_MS);
-        let planner = Planner::new(settings(), Time::from_millis(self.now), stale_time);
+        let mut planner = Planner::new(settings(), Time::from_millis(self.now), stale_time);
+        planner.limit_reservations(self.reservations);
         self.owners.insert(self.owner, planner);
         let owner = self.owner;
         self.confirm_ownership();
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -176,6 +176,7 @@
             pending_commit: None,
             tasks,
         };
+        owner.planner.limit_reservations(state.settings.jobs.reservations as usize);
         owner.planner.apply(claim.since, Event::Confirmed(claim.since));
         owner.restore().await?;
         Ok(owner)
@@ -313,6 +314,7 @@
         metrics.set_gauge("runs_orphaned", summary.orphaned_runs as u64);
         metrics.set_gauge("jobs_deferred", summary.deferred as u64);
         metrics.set_gauge("workers", summary.usable as u64);
+        metrics.set_gauge("reservations", summary.reservations as u64);
         self.stored_lengths = summary.waiting;
         self.lengths_checked = self.state.clock.now();
         let lengths = self.stored_lengths.clone();
@@ -370,6 +372,10 @@
             let stopped: Vec<String> = stopped.iter().map(ToString::to_string).collect();
             info!(job = &*job.0, tasks = tasks, stopped = stopped.join(" ").as_str(); "{what}");
         }
+        Note::Reserves { job, step, tasks, workers, wait } => {
+            info!(job = &*job.0, step = step, tasks = tasks, workers = workers, wait_ms = wait;
+                "{what}");
+        }
         Note::BacksOff { worker, why, span } => {
             info!(worker = &*worker.0, why = why, span_ms = span; "{what}");
         }
--- a/crates/text/src/host.rs
+++ b/crates/text/src/host.rs
@@ -74,6 +74,8 @@
     pub evacuate: Option<Duration>,
     /// Time after a job has been cancelled from which it must get no starts; `None` sets no bound.
     pub cancel: Option<Duration>,
+    /// Maximum number of reservations for wide steps at a time; zero for none.
+    pub reservations: u32,
 }
 
 const FIELDS: [&str; 18] = [
@@ -99,7 +101,7 @@
 
 impl Read for JobBounds {
     fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<JobBounds> {
-        let known = ["lease", "stop", "retention", "drain", "evacuate", "cancel"];
+        let known = ["lease", "stop", "retention", "drain", "evacuate", "cancel", "reservations"];
         let object = reader.object(value, path, &known)?;
         let lease = reader.required(object, path, "lease", "\"6s\"");
         let stop = reader.required(object, path, "stop", "\"200ms\"");
@@ -107,6 +109,7 @@
         let drain = reader.optional_or(object, path, "drain", None);
         let evacuate = reader.optional_or(object, path, "evacuate", None);
         let cancel = reader.optional_or(object, path, "cancel", None);
+        let reservations = reader.optional_or(object, path, "reservations", 0);
         Some(JobBounds {
             lease: lease?,
             stop: stop?,
@@ -114,6 +117,7 @@
             drain: drain?,
             evacuate: evacuate?,
             cancel: cancel?,
+            reservations: reservations?,
         })
     }
 }
