--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -17,6 +17,7 @@
 use crate::order::Rank;
 use crate::planner::task_mut;
 use crate::reclaim::Reclaim;
+use crate::reservations::PassReservations;
 use crate::room::Slot;
 use crate::spec::Need;
 use crate::spec::Spec;
@@ -40,6 +41,10 @@
     service: String,
     need: Need,
     label: Option<String>,
+    /// Number of tasks that do not fit together; one for a step that is not a gang.
+    count: u32,
+    /// When its runs would be expected to end; shorter ones may fit before a reservation.
+    ends: Time,
 }
 
 impl Planner {
@@ -47,11 +52,13 @@
     pub(crate) fn place(&mut self, now: Time) {
         let pending_steps = self.pending_steps(now);
         if pending_steps.is_empty() {
+            self.reservations.finish_pass(PassReservations::default());
             return;
         }
         let mut slots = self.slots(now);
         let mut unplaceable: Vec<Unplaceable> = Vec::new();
         let mut reclaim = Reclaim::default();
+        let mut reserved = PassReservations::default();
         let mut waiting = false;
         let mut barred = false;
         let mut all_urgent = true;
@@ -82,12 +89,21 @@
                 self.bar_unadvised(now, &mut slots, pending, advised);
                 barred = advised;
             }
+            let ends = self.bind_reservations(now, pending, step, &mut slots, &reserved);
             let known = |failed: &Unplaceable| {
                 failed.service == service
+                    && failed.ends <= ends
                     && failed.need.fits(&step.need)
+                    && failed.count <= if step.gang { step.count } else { 1 }
                     && (failed.label.is_none() || failed.label == step.label)
             };
-            let found = if !advised && unplaceable.iter().any(known) {
+            let known = !advised && unplaceable.iter().any(known);
+            if known && step_state.wait_noted && !urgent {
+                waiting = true;
+                self.reserve_ahead(now, pending, step, &mut slots, &mut reserved);
+                continue;
+            }
+            let found = if known {
                 Places::new()
             } else {
                 count_step_tasks(&mut slots, step_state, step);
@@ -115,10 +131,10 @@
             let missing =
                 step_state.tasks.iter().filter(|task| !task.done && task.stage == Stage::Idle);
             let missing = missing.count() - found.len();
-            let plain = !(advised || step.gang || step.rack.is_some() || step.spread.is_some());
-            if missing > 0 && plain {
+            if missing > 0 && !(advised || is_particular(now, step_state, step)) {
                 let (service, label) = (service.clone(), step.label.clone());
-                unplaceable.push(Unplaceable { service, need: step.need, label });
+                let count = if step.gang { step.count } else { 1 };
+                unplaceable.push(Unplaceable { service, need: step.need, label, count, ends });
             }
             self.note_place(now, pending, &slots, found.len(), missing);
             self.assign(pending, &spec, &slots, &found);
@@ -130,8 +146,10 @@
                 if urgent {
                     self.reclaim(now, pending, &spec, &mut slots, &service, &mut reclaim);
                 }
+                self.reserve_ahead(now, pending, step, &mut slots, &mut reserved);
             }
         }
+        self.reservations.finish_pass(reserved);
         if waiting {
             self.replan_at = self.replan_at.min(now + PLACEMENT_INTERVAL);
         }
@@ -149,10 +167,14 @@
         let Some(job) = self.jobs.get_mut(&pending.job) else { return };
         let age = millis(now.since(job.since));
         let step_state = &mut job.occurrences[pending.occurrence][pending.step];
+        if tasks == 0 && step_state.wait_noted {
+            return;
+        }
         let (job, step, rank) = (pending.job.clone(), pending.step, format!("{:?}", pending.rank));
         if tasks > 0 {
             self.out.push(Action::Note(Note::Placed { job, step, tasks, missing, rank, age }));
-        } else if !std::mem::replace(&mut step_state.wait_noted, true) {
+        } else {
+            step_state.wait_noted = true;
             let (usable, free) = (slots.len(), free_accelerators(slots));
             self.out.push(Action::Note(Note::Waits { job, step, missing, rank, usable, free }));
         }
@@ -160,9 +182,7 @@
 
     /// Whether a step is still held back to wait for workers near its data.
     fn prefers_near(&self, now: Time, step_state: &Step, step: &StepSpec) -> bool {
-        let patience =
-            Duration::from_millis(step.estimate_ms.saturating_mul(LOCALITY_WAIT_PERCENT) / 100);
-        step_state.ready_at.is_none_or(|since| now < since + patience)
+        near_until(step_state, step).is_none_or(|end| now < end)
     }
 
     /// Creates runs for tasks on the workers found for them.
@@ -250,6 +270,21 @@
     }
 }
 
+/// Up to when a step is held back to wait for workers near its data; `None` if it is not ready.
+pub(crate) fn near_until(step_state: &Step, step: &StepSpec) -> Option<Time> {
+    let patience =
+        Duration::from_millis(step.estimate_ms.saturating_mul(LOCALITY_WAIT_PERCENT) / 100);
+    step_state.ready_at.map(|since| since + patience)
+}
+
+/// Whether a step may have to wait for another reason than a lack of capacity, so that larger ones
+/// may fit.
+fn is_particular(now: Time, step_state: &Step, step: &StepSpec) -> bool {
+    let isolated = step.fills || step.target_ms > 0;
+    let particular_gang = step.one_rack || isolated || step_state.avoids_suspects(now);
+    step.rack.is_some() || step.spread.is_some() || step.gang && particular_gang
+}
+
 /// Free accelerators of some slots together.
 fn free_accelerators<'s>(slots: impl IntoIterator<Item = &'s Slot>) -> u64 {
     slots.into_iter().fold(0, |sum, slot| sum.saturating_add(slot.free.gpu))
@@ -392,8 +427,7 @@
     let mut last: Option<usize> = None;
     for (index, task) in (0u32..).zip(&step_state.tasks) {
         let best = best_slot(&trial_slots, step, task, last, |_| true)?;
-        trial_slots[best].free.remove(&step.need);
-        trial_slots[best].step_tasks += 1;
+        trial_slots[best].take_task(step);
         places.push((index, group[best]));
         last = Some(best);
     }
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -246,6 +246,8 @@
     pub advice_calls: u64,
     /// Number of starts refused because they lacked a valid ticket.
     pub refused_starts: u64,
+    /// Maximum number of reservations of the next owner.
+    pub reservations: usize,
     /// Jobs that were removed from the store.
     pub removed: BTreeSet<JobId>,
     /// Evacuated availability zones, and when the store acknowledged each evacuation, in ms.
@@ -339,6 +341,7 @@
             advising: BTreeSet::new(),
             advice_calls: 0,
             refused_starts: 0,
+            reservations: 0,
             removed: BTreeSet::new(),
             evacuations: BTreeMap::new(),
             blind_until: 0,
@@ -380,6 +383,7 @@
         let settings = Settings { bounds: self.bounds(), ..settings() };
         let mut planner = Planner::new(settings, Time::from_millis(self.now), stale_time);
         planner.preempt_gangs(self.whole_gangs);
+        planner.limit_reservations(self.reservations);
         self.owners.insert(self.owner, planner);
         let owner = self.owner;
         self.confirm_ownership();
--- a/crates/text/src/host.rs
+++ b/crates/text/src/host.rs
@@ -77,6 +77,8 @@
     /// Whether gangs are preempted as a whole, with their cost counted once and all the capacity
     /// that they free.
     pub preempt_gangs: bool,
+    /// Maximum number of reservations for wide steps at a time; zero for none.
+    pub reservations: u32,
 }
 
 const FIELDS: [&str; 18] = [
@@ -102,7 +104,16 @@
 
 impl Read for JobBounds {
     fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<JobBounds> {
-        let known = ["lease", "stop", "retention", "drain", "evacuate", "cancel", "preempt_gangs"];
+        let known = [
+            "lease",
+            "stop",
+            "retention",
+            "drain",
+            "evacuate",
+            "cancel",
+            "preempt_gangs",
+            "reservations",
+        ];
         let object = reader.object(value, path, &known)?;
         let lease = reader.required(object, path, "lease", "\"6s\"");
         let stop = reader.required(object, path, "stop", "\"200ms\"");
@@ -111,6 +122,7 @@
         let evacuate = reader.optional_or(object, path, "evacuate", None);
         let cancel = reader.optional_or(object, path, "cancel", None);
         let preempt_gangs = reader.optional_or(object, path, "preempt_gangs", false);
+        let reservations = reader.optional_or(object, path, "reservations", 0);
         Some(JobBounds {
             lease: lease?,
             stop: stop?,
@@ -119,6 +131,7 @@
             evacuate: evacuate?,
             cancel: cancel?,
             preempt_gangs: preempt_gangs?,
+            reservations: reservations?,
         })
     }
 }
