Check the number of reservations, and look up run times only where needed

Cause: any number of reservations was accepted as a setting. Each waiting step looked up its job and went over all held workers once a reservation existed. Change: jobs.reservations is at most 32. A step that is known not to fit is passed over before the held workers are looked at.

--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -89,7 +89,7 @@
                 self.bar_unadvised(now, &mut slots, pending, advised);
                 barred = advised;
             }
-            let ends = self.bind_reservations(now, pending, step, &mut slots, &reserved);
+            let ends = self.step_end(now, job, pending.step, &reserved);
             let known = |failed: &Unplaceable| {
                 failed.service == service
                     && failed.ends <= ends
@@ -106,6 +106,7 @@
             let found = if known {
                 Places::new()
             } else {
+                reserved.bind(&mut slots, ends);
                 count_step_tasks(&mut slots, step_state, step);
                 let prefer_near = self.prefers_near(now, step_state, step);
                 let avoid_suspects = step_state.avoids_suspects(now);
--- a/crates/batch/src/reservations.rs
+++ b/crates/batch/src/reservations.rs
@@ -18,6 +18,7 @@
 use crate::action::Action;
 use crate::action::Note;
 use crate::directory::millis;
+use crate::job::Job;
 use crate::job::Run;
 use crate::job::Stage;
 use crate::order::PendingStep;
@@ -124,6 +125,18 @@
     largest: Need,
 }
 
+impl PassReservations {
+    /// Applies the reservations made so far to runs that end at `ends`, which may use held capacity
+    /// only if it is not needed before.
+    pub fn bind(&self, slots: &mut [Slot], ends: Time) {
+        for &at in &self.holding {
+            if let Some(held) = &mut slots[at].held {
+                held.binds = ends > held.from;
+            }
+        }
+    }
+}
+
 impl Planner {
     /// Sets the maximum number of reservations for wide steps. It is zero before, which serves
     /// steps without any.
@@ -143,34 +156,26 @@
         self.reservations.run_times.record(&job.queue, step, estimate, now.since(began));
     }
 
-    /// Applies the reservations made so far to the placement of a step: notes on the slots whether
-    /// its runs would go on after the reservations begin. Returns when they would end.
-    pub(crate) fn bind_reservations(
+    /// When the runs of a step would end that are placed now; `now` before the first reservation,
+    /// since it does not matter then.
+    pub(crate) fn step_end(
         &self,
         now: Time,
-        pending: &PendingStep,
-        step: &StepSpec,
-        slots: &mut [Slot],
+        job: &Job,
+        step: usize,
         pass: &PassReservations,
     ) -> Time {
         if pass.holding.is_empty() {
             return now;
         }
-        let run_time = self.expected_run_time(pending, step);
-        let ends = run_time.map_or(Time::NEVER, |time| now + START_TIME + time);
-        for &at in &pass.holding {
-            if let Some(held) = &mut slots[at].held {
-                held.binds = ends > held.from;
-            }
-        }
-        ends
+        self.expected_run_time(job, step).map_or(Time::NEVER, |time| now + START_TIME + time)
     }
 
     /// Expected run time of a step's tasks; `None` if it is not known or they never end.
-    fn expected_run_time(&self, pending: &PendingStep, step: &StepSpec) -> Option<Duration> {
-        let job = self.jobs.get(&pending.job).filter(|_| !step.lasting)?;
-        let estimate = Duration::from_millis(step.estimate_ms);
-        self.reservations.run_times.expected(&job.queue, pending.step, estimate)
+    fn expected_run_time(&self, job: &Job, step: usize) -> Option<Duration> {
+        let spec = job.spec.steps.get(step).filter(|spec| !spec.lasting)?;
+        let estimate = Duration::from_millis(spec.estimate_ms);
+        self.reservations.run_times.expected(&job.queue, step, estimate)
     }
 
     /// Makes a reservation for a step that could not be placed fully, if it is wide and the limits
@@ -239,7 +244,7 @@
             worst: if step_state.avoids_suspects(now) { Tier::Slow } else { Tier::Suspect },
         };
         let mut found = reserve::search(now, now + HORIZON, &workers, &demand)?;
-        let run_time = self.expected_run_time(pending, step).unwrap_or_default();
+        let run_time = self.expected_run_time(job, pending.step).unwrap_or_default();
         if pending.rank != Rank::Late && found.begins + run_time > worthless_from(job, &self.policy)
         {
             return None;
--- a/crates/batch/tests/schedules/wide_steps.rs
+++ b/crates/batch/tests/schedules/wide_steps.rs
@@ -58,6 +58,27 @@
     }
 }
 
+/// Load: whole workers for tasks that start one by one, in the same stream. Each starts once a worker
+/// has been kept free for it.
+#[test]
+fn starved_single_tasks() {
+    for reservations in [0, RESERVATIONS] {
+        let mut world = world(7, 8, Faults::default(), reservations);
+        let whole = step(4, 8, 2_000);
+        world.run(10);
+        for number in 0..48 {
+            let small = step(14, 1, 3_000);
+            world.submit(&format!("f{number:015x}"), "patient", "b", vec![small]);
+            if number == 8 {
+                world.submit("00000000000000aa", "usual", "a", vec![whole.clone()]);
+            }
+            world.run(500);
+        }
+        let done = is_done(&world, &JobId("00000000000000aa".into()));
+        assert_eq!(done, reservations > 0, "{}", world.trace.join("\n"));
+    }
+}
+
 /// Load: the same, with a takeover while capacity is held. The next owner holds it again.
 #[test]
 fn takeover_of_reservation() {
--- a/crates/text/src/host.rs
+++ b/crates/text/src/host.rs
@@ -99,6 +99,24 @@
     "log_format",
 ];
 
+/// Maximum number of reservations that may be set. Each takes processor time in every placement
+/// pass.
+const MAX_RESERVATIONS: u32 = 32;
+
+/// Number of reservations for wide steps.
+struct Reservations(u32);
+
+impl Read for Reservations {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Reservations> {
+        let number = u32::read(reader, value, path)?;
+        if number > MAX_RESERVATIONS {
+            reader.report_invalid(value, path, &format!("at most {MAX_RESERVATIONS}"));
+            return None;
+        }
+        Some(Reservations(number))
+    }
+}
+
 impl Read for JobBounds {
     fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<JobBounds> {
         let known = ["lease", "stop", "retention", "drain", "evacuate", "cancel", "reservations"];
@@ -109,7 +127,8 @@
         let drain = reader.optional_or(object, path, "drain", None);
         let evacuate = reader.optional_or(object, path, "evacuate", None);
         let cancel = reader.optional_or(object, path, "cancel", None);
-        let reservations = reader.optional_or(object, path, "reservations", 0);
+        let none = Reservations(0);
+        let reservations = reader.optional_or(object, path, "reservations", none);
         Some(JobBounds {
             lease: lease?,
             stop: stop?,
@@ -117,7 +136,7 @@
             drain: drain?,
             evacuate: evacuate?,
             cancel: cancel?,
-            reservations: reservations?,
+            reservations: reservations?.0,
         })
     }
 }
