--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -110,24 +110,8 @@
                 count_step_tasks(&mut slots, step_state, step);
                 let prefer_near = self.prefers_near(now, step_state, step);
                 let avoid_suspects = step_state.avoids_suspects(now);
-                match step.gang {
-                    true => gang_places(
-                        &mut slots,
-                        step_state,
-                        step,
-                        &service,
-                        prefer_near,
-                        avoid_suspects,
-                    ),
-                    false => single_places(
-                        &mut slots,
-                        step_state,
-                        step,
-                        &service,
-                        prefer_near,
-                        avoid_suspects,
-                    ),
-                }
+                let find = if step.gang { gang_places } else { single_places };
+                find(&mut slots, step_state, step, &service, prefer_near, avoid_suspects)
             };
             let missing =
                 step_state.tasks.iter().filter(|task| !task.done && task.stage == Stage::Idle);
