--- a/crates/text/src/host.rs
+++ b/crates/text/src/host.rs
@@ -102,6 +102,24 @@
     "log_format",
 ];
 
+/// Maximum number of reservations that may be set. Each takes processor time in every placement
+/// pass.
+const MAX_RESERVATIONS: u32 = 32;
+
+/// Number of reservations for wide steps.
+struct Reservations(u32);
+
+impl Read for Reservations {
+    fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<Reservations> {
+        let number = u32::read(reader, value, path)?;
+        if number > MAX_RESERVATIONS {
+            reader.report_invalid(value, path, &format!("at most {MAX_RESERVATIONS}"));
+            return None;
+        }
+        Some(Reservations(number))
+    }
+}
+
 impl Read for JobBounds {
     fn read(reader: &mut Reader<'_>, value: &Value<'_>, path: &str) -> Option<JobBounds> {
         let known = [
@@ -122,7 +140,8 @@
         let evacuate = reader.optional_or(object, path, "evacuate", None);
         let cancel = reader.optional_or(object, path, "cancel", None);
         let preempt_gangs = reader.optional_or(object, path, "preempt_gangs", false);
-        let reservations = reader.optional_or(object, path, "reservations", 0);
+        let none = Reservations(0);
+        let reservations = reader.optional_or(object, path, "reservations", none);
         Some(JobBounds {
             lease: lease?,
             stop: stop?,
@@ -131,7 +150,7 @@
             evacuate: evacuate?,
             cancel: cancel?,
             preempt_gangs: preempt_gangs?,
-            reservations: reservations?,
+            reservations: reservations?.0,
         })
     }
 }
