Limit bodies and heads at the own front door, and document the limits

Cause: xitca-web reads heads of up to 1 MB for each connection, and the bodies of all calls together had no bound.

Change: heads are limited to 32 KB, and the bodies of calls in progress count towards an intake of 128 MB; a body beyond it is refused with 503 before the call is passed on. The web server gives no access to its connections, so their number is not limited here.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -31,6 +31,7 @@
 use crate::web;
 use crate::web::WebState;
 use crate::web::token::Token;
+use intake::Intake;
 use model::BackendId;
 use model::Incarnation;
 use net::PeerEvent;
@@ -279,6 +280,10 @@
             ledger: self.ledger,
             metrics: self.metrics,
             token: Token::new(settings.token.as_deref().unwrap_or_default()),
+            intake: Intake::new(web::body_limits(
+                usize::try_from(settings.limits.body.0).unwrap_or(usize::MAX),
+                settings.limits.requests as usize,
+            )),
             body_limit: usize::try_from(settings.limits.body.0).unwrap_or(usize::MAX),
             ready: AtomicBool::new(true),
             active: AtomicUsize::new(0),
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -49,6 +49,7 @@
     let path = &options.settings;
     let settings = read_host_settings(path)?;
     if options.mode == Mode::CheckHost {
+        node::check(&settings).map_err(Error::Host)?;
         println!("{}: settings are valid", path.display());
         return Ok(());
     }
--- a/crates/entry/src/web/body.rs
+++ b/crates/entry/src/web/body.rs
@@ -1,6 +1,10 @@
 //! Reads request bodies, headers and parameters, and checks the operator token.
 
+use std::future::poll_fn;
 use std::pin::pin;
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +18,8 @@
 use crate::web::WebState;
 use crate::web::problem::Fault;
 use crate::web::problem::Refusal;
+use intake::Lease;
+use intake::Port;
 
 /// Timeout for receiving a whole body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -22,15 +28,29 @@
 /// instead of a connection reset.
 const MAX_DISCARDED_BYTES: usize = 32 << 20;
 
-/// Reads the whole body, within the limits of length and time.
+/// Share of a call in the bytes of all calls, from the first byte of its body until it is answered.
+///
+/// The web server gives no access to its connections, so only bodies are counted.
+pub type LeaseSlot = Arc<OnceLock<Lease>>;
+
+/// Reads the whole body, within the limits of length, time and bytes of all calls.
 pub async fn read(ctx: &WebContext<'_, SharedState>) -> Result<Bytes, Refusal> {
     let limit = ctx.state().body_limit;
     let body = std::mem::take(&mut *ctx.body_borrow_mut());
     if matches!(body, RequestBody::None) {
         return Ok(Bytes::new());
     }
-    match tokio::time::timeout(BODY_TIMEOUT, collect(body, limit)).await {
-        Ok(read) => read,
+    let lease = ctx.state().intake.open(Port::Callers).ok_or_else(busy)?;
+    lease.begin_body();
+    match tokio::time::timeout(BODY_TIMEOUT, collect(body, limit, Some(&lease))).await {
+        Ok(read) => {
+            lease.pass_on().map_err(|_| busy())?;
+            if let Some(slot) = ctx.req().extensions().get::<LeaseSlot>() {
+                // A call has one body.
+                let _ = slot.set(lease);
+            }
+            read
+        }
         Err(_) => Err(Refusal::new(
             Fault::BodyIncomplete,
             format!("the body did not arrive within {} s", BODY_TIMEOUT.as_secs()),
@@ -43,20 +63,40 @@
     let body = std::mem::take(&mut *ctx.body_borrow_mut());
     if !matches!(body, RequestBody::None) {
         // The call has been answered already, so the result does not matter.
-        let _ = tokio::time::timeout(BODY_TIMEOUT, collect(body, 0)).await;
+        let _ = tokio::time::timeout(BODY_TIMEOUT, collect(body, 0, None)).await;
     }
 }
 
-async fn collect(body: RequestBody, limit: usize) -> Result<Bytes, Refusal> {
+fn busy() -> Refusal {
+    Refusal::new(Fault::Busy, "too many calls with bodies are in progress")
+}
+
+async fn collect(body: RequestBody, limit: usize, lease: Option<&Lease>) -> Result<Bytes, Refusal> {
     let mut body = pin!(body);
     let mut whole = BytesMut::new();
     let mut length = 0;
-    while let Some(part) = body.as_mut().data().await {
+    loop {
+        let mut data = body.as_mut();
+        let mut next = pin!(data.data());
+        let part = poll_fn(|cx| {
+            if lease.is_some_and(|lease| lease.refusal().is_some()) {
+                return Poll::Ready(Err(busy()));
+            }
+            let polled = next.as_mut().poll(cx);
+            if let (Poll::Pending, Some(lease)) = (&polled, lease) {
+                lease.park(cx.waker());
+            }
+            polled.map(Ok)
+        });
+        let Some(part) = part.await? else { break };
         let part = part.map_err(|error| {
             Refusal::new(Fault::BodyIncomplete, format!("the body was cut off: {error}"))
         })?;
         length += part.len();
         if length <= limit {
+            if let Some(lease) = lease {
+                lease.grow(part.len()).map_err(|_| busy())?;
+            }
             whole.extend_from_slice(&part);
         } else if length > MAX_DISCARDED_BYTES {
             break;
--- a/crates/entry/src/web/mod.rs
+++ b/crates/entry/src/web/mod.rs
@@ -41,6 +41,9 @@
 use crate::web::problem::Fault;
 use crate::web::problem::Refusal;
 use crate::web::token::Token;
+use intake::Intake;
+use intake::Limits;
+use intake::Vm;
 use wire::border;
 
 /// Maximum number of threads that run handlers.
@@ -50,6 +53,25 @@
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Maximum length of the head of a request, in bytes. The server's default of 1 MB would be held by
+/// each connection that sends an endless head.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+/// Bytes that the bodies of calls in progress may hold, unless one call needs more. Twice the default
+/// limit on stored answers.
+const MAX_HELD_BYTES: usize = 128 << 20;
+
+/// Returns the limits on the bodies of calls, at most `calls` of them at a time.
+pub fn body_limits(body_bytes: usize, calls: usize) -> Limits {
+    Limits {
+        held_bytes: MAX_HELD_BYTES.max(body_bytes),
+        connections: calls,
+        // The web server owns the connections.
+        connection_bytes: 0,
+        body_bytes,
+        ..Limits::new(Vm::default())
+    }
+}
+
 /// State shared by all handlers.
 #[derive(Debug)]
 pub struct WebState {
@@ -79,6 +101,8 @@
     pub metrics: Metrics,
     /// Token that operators authenticate with.
     pub token: Token,
+    /// Bytes that the bodies of calls in progress hold.
+    pub intake: Intake,
     /// Maximum length of a request body, in bytes.
     pub body_limit: usize,
     /// Whether new work is accepted; false once the entry VM is stopping.
@@ -176,6 +200,7 @@
         .worker_threads(worker_thread_count())
         .request_head_timeout(HEAD_TIMEOUT)
         .keep_alive_timeout(IDLE_TIMEOUT)
+        .max_read_buf_size::<MAX_HEAD_BYTES>()
         .listen(listener)?;
     Ok(server.run())
 }
@@ -200,6 +225,7 @@
 {
     let state = ctx.state().clone();
     let active = ActiveCall::begin(&state);
+    ctx.req_mut().extensions_mut().insert(body::LeaseSlot::default());
     let result = service.call(ctx.reborrow()).await;
     body::discard(&ctx).await;
     let mut response = match result {
--- a/crates/entry/tests/nodes/main.rs
+++ b/crates/entry/tests/nodes/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod kept_connections;
+mod long_heads;
 mod rolling_replacement;
 mod stage;
 mod store_outage;
--- a/crates/entry/tests/nodes/stage.rs
+++ b/crates/entry/tests/nodes/stage.rs
@@ -198,6 +198,11 @@
 }
 
 impl Process {
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         let pid = self.child.id().to_string();
--- a/crates/intake/src/connection.rs
+++ b/crates/intake/src/connection.rs
@@ -8,9 +8,6 @@
 
 use crate::limits::Limits;
 
-/// Bytes that a connection holds besides what it has read: its task, and the read buffer of the web
-/// server, which takes 8 to 20 KB.
-pub(crate) const CONNECTION_BYTES: usize = 24 << 10;
 /// Time for which a client may leave an answer unread before its connection may be closed to make
 /// room.
 const UNREAD_GRACE: Duration = Duration::from_secs(1);
@@ -91,13 +88,13 @@
 }
 
 impl Connection {
-    pub fn new(port: Port, now: Instant) -> Connection {
+    pub fn new(port: Port, held: usize, now: Instant) -> Connection {
         Connection {
             port,
             phase: Phase::Idle,
             since: now,
             touched: now,
-            held: CONNECTION_BYTES,
+            held,
             doomed: 0,
             work: 0,
             wire: 0,
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -13,7 +13,6 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
-use crate::connection::CONNECTION_BYTES;
 use crate::connection::Connection;
 use crate::connection::Phase;
 use crate::connection::Port;
@@ -108,8 +107,9 @@
         }
         let id = register.next_id;
         register.next_id += 1;
-        register.connections.insert(id, Connection::new(port, now));
-        register.held += CONNECTION_BYTES;
+        let held = register.limits.connection_bytes;
+        register.connections.insert(id, Connection::new(port, held, now));
+        register.held += held;
         // Health checks and scrapes are answered at any load; their connections are few.
         let is_room = register.make_room(now) || matches!(port, Port::Readiness | Port::Metrics);
         if !is_room {
@@ -247,7 +247,7 @@
     }
 
     /// Registers the task to wake when the connection is to end.
-    pub(crate) fn park(&self, waker: &Waker) {
+    pub fn park(&self, waker: &Waker) {
         self.update(|open| match &mut open.waker {
             Some(known) => known.clone_from(waker),
             None => open.waker = Some(waker.clone()),
@@ -284,12 +284,13 @@
     /// Records that everything has been written.
     pub(crate) fn flushed(&self) {
         let mut register = self.shared.lock();
+        let base = register.limits.connection_bytes;
         let Some(connection) = register.connections.get_mut(&self.id) else { return };
         if connection.phase != Phase::Answering {
             return;
         }
         connection.enter(Phase::Idle, Instant::now());
-        let kept = if connection.ending.is_some() { 0 } else { CONNECTION_BYTES };
+        let kept = if connection.ending.is_some() { 0 } else { base };
         let freed = connection.held - kept.min(connection.held);
         connection.held -= freed;
         // A refusal that has been written leaves nothing to wait for.
@@ -348,6 +349,22 @@
         }
     }
 
+    /// Records that the request has been read and is passed on; it is not interrupted from then on.
+    ///
+    /// # Errors
+    ///
+    /// The request was to end; it must be refused.
+    pub fn pass_on(&self) -> Result<(), Reason> {
+        let pass = |open: &mut Connection| match open.ending {
+            Some(reason) => Err(reason),
+            None => {
+                open.enter(Phase::Serving, Instant::now());
+                Ok(())
+            }
+        };
+        self.update(pass).unwrap_or(Ok(()))
+    }
+
     /// Begins to serve a request; `None` if there is no room yet.
     fn try_work(&self, bytes: usize) -> Option<Result<(), Reason>> {
         let now = Instant::now();
--- a/crates/intake/src/limits.rs
+++ b/crates/intake/src/limits.rs
@@ -5,7 +5,6 @@
 use rustix::process::Resource;
 use rustix::process::getrlimit;
 
-use crate::connection::CONNECTION_BYTES;
 use crate::connection::Port;
 
 /// Bytes that requests may hold if the memory of the VM is not known.
@@ -30,6 +29,9 @@
 const WIRE_FACTOR: usize = 8;
 /// Wire bytes of a body beyond that, for chunk extensions and trailers. hyper allows 16 KB of each.
 const WIRE_EXTRA: usize = 64 << 10;
+/// Bytes that a connection holds besides what it has read: its task, and the read buffer of the web
+/// server, which takes 8 to 20 KB.
+const CONNECTION_BYTES: usize = 24 << 10;
 /// Bytes that a request holds while it is served, besides its body: calls to the store and answers.
 const REQUEST_BYTES: usize = 64 << 10;
 /// Bytes that a request holds while it is served, per byte of its body: the body, the decoded job,
@@ -57,6 +59,8 @@
     pub held_bytes: usize,
     /// Number of connections of callers.
     pub connections: usize,
+    /// Bytes that a connection holds besides what it has read.
+    pub connection_bytes: usize,
     /// Size of the head of a request, in bytes.
     pub head_bytes: usize,
     /// Size of the body of a request, in bytes.
@@ -75,6 +79,7 @@
         let mut limits = Limits {
             held_bytes: DEFAULT_HELD_BYTES,
             connections: MAX_CONNECTIONS,
+            connection_bytes: CONNECTION_BYTES,
             head_bytes: 16 << 10,
             body_bytes: 256 << 10,
             head_time: Duration::from_secs(3),
@@ -97,7 +102,7 @@
 
     /// Returns the bytes that the largest request within the limits holds.
     pub fn largest_request(&self) -> usize {
-        let connection = CONNECTION_BYTES + self.buffer_bytes();
+        let connection = self.connection_bytes + self.buffer_bytes();
         connection.saturating_add(self.body_bytes).saturating_add(work_bytes(self.body_bytes))
     }
 
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -17,6 +17,15 @@
 /// The requests may hold at most this part of the VM's memory; the jobs need the rest.
 const MAX_MEMORY_PART: usize = 2;
 
+/// Checks the limits on clients.
+///
+/// # Errors
+///
+/// The limits contradict the memory of the VM or each other.
+pub fn check(settings: &HostSettings) -> Result<(), Error> {
+    limits(settings).map(drop)
+}
+
 /// Returns the limits of the settings.
 ///
 /// # Errors
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,5 +21,6 @@
 mod orders;
 mod peers;
 
+pub use clients::check;
 pub use error::Error;
 pub use run::run;
