--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,10 +18,12 @@
 pub mod web;
 
 mod claim;
+mod clients;
 mod commit;
 mod orders;
 mod peers;
 mod views;
 
+pub use clients::check;
 pub use error::Error;
 pub use run::run;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -33,6 +33,7 @@
     gauges: IntGaugeVec,
     evacuations: IntGaugeVec,
     preempted: IntCounterVec,
+    closed: IntCounterVec,
 }
 
 impl Metrics {
@@ -86,6 +87,13 @@
                 Opts::new("basilrack_preempted_total", "Preempted runs, and their cost in core-ms"),
                 &["what"],
             )?,
+            closed: IntCounterVec::new(
+                Opts::new(
+                    "basilrack_closed_total",
+                    "Connections closed and requests refused by the limits on clients, by reason",
+                ),
+                &["reason"],
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.answer_seconds.clone()))?;
@@ -96,6 +104,7 @@
         registry.register(Box::new(metrics.gauges.clone()))?;
         registry.register(Box::new(metrics.evacuations.clone()))?;
         registry.register(Box::new(metrics.preempted.clone()))?;
+        registry.register(Box::new(metrics.closed.clone()))?;
         Ok(metrics)
     }
 
@@ -129,6 +138,11 @@
         self.preempted.with_label_values(&["core_ms"]).inc_by(core_ms);
     }
 
+    /// Counts connections that were closed, or requests refused, by the limits on clients.
+    pub fn count_closed(&self, reason: &str, number: u64) {
+        self.closed.with_label_values(&[reason]).inc_by(number);
+    }
+
     /// Sets the gauge `name` to its current value.
     pub fn set_gauge(&self, name: &str, value: u64) {
         self.gauges.with_label_values(&[name]).set(i64::try_from(value).unwrap_or(i64::MAX));
