Test an owner that cannot read the evacuations

Cause: the store may refuse reads and watches while it accepts an owner's commits. Change: the simulated store can refuse the reads of a prefix; a test with real processes evacuates a zone then and expects no start until the reads are answered again.

--- a/crates/entry/tests/hosted/evacuations.rs
+++ b/crates/entry/tests/hosted/evacuations.rs
@@ -188,3 +188,23 @@
         assert_eq!(log_lines(&cluster, &parts).len(), 1, "{parts:?}");
     }
 }
+
+/// Guards against starts by an owner that cannot read the evacuations any more, while the store
+/// accepts its commits and renews its lease.
+#[tokio::test]
+async fn refused_reads() {
+    let cluster = start("evacuated-refused", 2, LONG_TASK).await;
+    submit(&cluster, 0, "00000000000000fa", 48).await;
+    cluster.until("the workers are full", async || cluster.started_tasks().len() == 16).await;
+    cluster.store.silence_watches("o");
+    cluster.store.refuse_reads(Some("o"));
+    cluster.store.put(KEY, &json!({}));
+    sleep(BOUND).await;
+    let (inside, all) = (starts_inside(&cluster), cluster.started_tasks().len());
+    sleep(LONG_TASK).await;
+    assert_eq!(starts_inside(&cluster), inside, "a task was started in the evacuated zone");
+    assert_eq!(cluster.started_tasks().len(), all, "the owner does not know the evacuations");
+    cluster.store.refuse_reads(None);
+    cluster.wait_completed(0, "00000000000000fa").await;
+    assert_eq!(starts_inside(&cluster), inside, "a task was started in the evacuated zone");
+}
--- a/crates/fake/src/hosted/store.rs
+++ b/crates/fake/src/hosted/store.rs
@@ -78,6 +78,8 @@
     range_reads: BTreeMap<String, u64>,
     /// How often the waiting watches of each prefix were silenced.
     silenced_watches: BTreeMap<String, u64>,
+    /// Prefix whose range reads and watches are answered with status 503.
+    refused_prefix: Option<String>,
 }
 
 /// A simulated store of the platform.
@@ -127,6 +129,12 @@
         *lock(&self.state).silenced_watches.entry(prefix.to_owned()).or_default() += 1;
     }
 
+    /// Answers range reads and watches of this prefix with status 503; `None` ends that. Watches that
+    /// wait already are answered as usual.
+    pub fn refuse_reads(&self, prefix: Option<&str>) {
+        lock(&self.state).refused_prefix = prefix.map(str::to_owned);
+    }
+
     /// Writes the configuration record, as an operator does.
     pub fn configure(&self, configuration: &HostedConfiguration<'_>) {
         self.put("op/config", &configuration.body());
@@ -328,7 +336,9 @@
             |name: &str| query_field(name).and_then(|text| text.parse().ok()).unwrap_or(0);
         let id = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
         let prefix = query_field("prefix").unwrap_or_default();
+        let refused = lock(&self.state).refused_prefix.as_ref() == Some(&prefix);
         let response = match path.as_str() {
+            "/-/kv-range" | "/-/kv-watch" if refused => status(StatusCode::SERVICE_UNAVAILABLE),
             "/-/kv-key" => self.get(&query_field("key").unwrap_or_default()),
             "/-/kv-range" => answer(
                 StatusCode::OK,
