--- a/crates/batch/src/order.rs
+++ b/crates/batch/src/order.rs
@@ -55,8 +55,8 @@
             for occurrence in 0..job.occurrences.len() {
                 for step in 0..job.occurrences[occurrence].len() {
                     let step_state = &job.occurrences[occurrence][step];
-                    let reserved = !step_state.idle() && !step_state.done();
-                    if !(step_state.waiting() || reserved) || !job.is_ready(occurrence, step) {
+                    let waits = step_state.waiting() || !step_state.idle() && !step_state.done();
+                    if !waits || !job.is_ready(occurrence, step) {
                         continue;
                     }
                     job.occurrences[occurrence][step].ready_at.get_or_insert(now);
@@ -115,6 +115,11 @@
     Duration::from_millis((stretched as u64).saturating_add(queue.objective_ms))
 }
 
+/// When a job becomes too late to earn anything.
+pub(crate) fn worthless_from(job: &Job, policy: &crate::Policy) -> Time {
+    job.since + objective(job, policy) * LATE_OBJECTIVES
+}
+
 /// Longest chain of dependent steps by their estimates, in ms.
 fn critical_path_ms(steps: &[StepSpec]) -> u64 {
     let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
--- a/crates/batch/src/pace.rs
+++ b/crates/batch/src/pace.rs
@@ -11,11 +11,13 @@
 use crate::action::Note;
 use crate::directory::millis;
 use crate::event::RenewalReport;
+use crate::job::Run;
 use crate::job::Stage;
 use crate::job::Task;
 use crate::spec::TaskKey;
 use crate::spec::WorkerId;
 use model::Time;
+use reserve::Progress;
 
 /// Minimum time over which the pace of a run is measured; progress is reported in whole percent.
 const MIN_SPAN: Duration = Duration::from_millis(800);
@@ -74,6 +76,36 @@
     }
 }
 
+impl Run {
+    /// Time until the run ends if it keeps its last pace; `None` if the pace is not known, or if the
+    /// run should have ended already.
+    pub fn time_left(&self, now: Time) -> Option<Duration> {
+        if self.percent >= WORK_ENDED {
+            return Some(Duration::ZERO);
+        }
+        let (since, percent) = self.pace.since?;
+        let pace = self.pace.last.filter(|pace| *pace > 0)?;
+        let needed = u64::from(WORK_ENDED.saturating_sub(percent)) * 1_000_000 / pace;
+        let end = since + Duration::from_millis(needed);
+        (end >= now).then(|| end.since(now))
+    }
+}
+
+impl RunPace {
+    /// Progress as it was last measured.
+    pub fn progress(&self) -> Option<Progress> {
+        let (at, percent) = self.since?;
+        let took = match (self.started, self.last) {
+            (Some(started), _) => Some(at.since(started)),
+            (None, Some(pace)) if pace > 0 => {
+                Some(Duration::from_millis(u64::from(percent) * 1_000_000 / pace))
+            }
+            (None, _) => None,
+        };
+        Some(Progress { at, percent, took })
+    }
+}
+
 /// Pace of a run beside the pace that is to be expected.
 #[derive(Clone, Copy, Debug)]
 struct Comparison {
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -8,8 +8,10 @@
 mod load;
 mod odd_workers;
 mod partitions;
+mod preemption;
 mod regressions;
 mod stale_views;
+mod wide_steps;
 mod worker;
 mod world;
 
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -246,12 +246,16 @@
     pub advice_calls: u64,
     /// Number of starts refused because they lacked a valid ticket.
     pub refused_starts: u64,
+    /// Maximum number of reservations of the next owner.
+    pub reservations: usize,
     /// Jobs that were removed from the store.
     pub removed: BTreeSet<JobId>,
     /// Evacuated availability zones, and when the store acknowledged each evacuation, in ms.
     pub evacuations: BTreeMap<String, u64>,
     /// Until when owners do not learn of evacuations, in ms.
     pub blind_until: u64,
+    /// Whether owners preempt gangs as a whole.
+    whole_gangs: bool,
 }
 
 pub fn settings() -> Settings {
@@ -337,14 +341,22 @@
             advising: BTreeSet::new(),
             advice_calls: 0,
             refused_starts: 0,
+            reservations: 0,
             removed: BTreeSet::new(),
             evacuations: BTreeMap::new(),
             blind_until: 0,
+            whole_gangs: false,
         };
         world.take_over(false);
         world
     }
 
+    /// Makes this and all further owners preempt gangs as a whole.
+    pub fn preempt_gangs(&mut self) {
+        self.whole_gangs = true;
+        self.owners.values_mut().for_each(|planner| planner.preempt_gangs(true));
+    }
+
     fn send(&mut self, delay: u64, message: Message) {
         self.message_number += 1;
         self.heap.push(Envelope { at: self.now + delay, number: self.message_number, message });
@@ -369,7 +381,9 @@
         self.log_line(format!("owner {}", self.owner));
         let stale_time = Duration::from_millis(STALE_OWNER_MS);
         let settings = Settings { bounds: self.bounds(), ..settings() };
-        let planner = Planner::new(settings, Time::from_millis(self.now), stale_time);
+        let mut planner = Planner::new(settings, Time::from_millis(self.now), stale_time);
+        planner.preempt_gangs(self.whole_gangs);
+        planner.limit_reservations(self.reservations);
         self.owners.insert(self.owner, planner);
         let owner = self.owner;
         self.confirm_ownership();
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -162,11 +162,12 @@
         };
         let mut tasks = JoinSet::new();
         tasks.spawn_local(renew_lease(Rc::clone(state), claim.lease, event_sender.clone()));
-        let planner = Planner::new(
+        let mut planner = Planner::new(
             planner_settings(&state.settings.jobs),
             state.clock.now(),
             SOLO_RENEWAL_TIME,
         );
+        planner.preempt_gangs(state.settings.jobs.preempt_gangs);
         let mut owner = Owner {
             state: Rc::clone(state),
             planner,
@@ -186,6 +187,7 @@
             pending_commit: None,
             tasks,
         };
+        owner.planner.limit_reservations(state.settings.jobs.reservations as usize);
         owner.planner.apply(claim.since, Event::Confirmed(claim.since));
         owner.restore().await?;
         Ok(owner)
@@ -310,6 +312,9 @@
                     if let Note::Placed { rank, age, .. } = &note {
                         metrics.observe_placement(rank, Duration::from_millis(*age));
                     }
+                    if let Note::Reclaims { stopped, cost, .. } = &note {
+                        metrics.count_preemption(stopped.len(), *cost);
+                    }
                     log_note(&note);
                 }
                 order => self.orders.send(&self.addresses, order),
@@ -335,6 +340,7 @@
         metrics.set_gauge("runs_orphaned", summary.orphaned_runs as u64);
         metrics.set_gauge("jobs_deferred", summary.deferred as u64);
         metrics.set_gauge("workers", summary.usable as u64);
+        metrics.set_gauge("reservations", summary.reservations as u64);
         self.stored_lengths = summary.waiting;
         self.lengths_checked = self.state.clock.now();
         let lengths = self.stored_lengths.clone();
@@ -388,15 +394,20 @@
             info!(job = &*job.0, step = step, missing = missing, rank = rank.as_str(),
                 workers = usable, accelerators = free; "{what}");
         }
-        Note::Reclaims { job, tasks, stopped } => {
-            let stopped: Vec<String> = stopped.iter().map(ToString::to_string).collect();
-            info!(job = &*job.0, tasks = tasks, stopped = stopped.join(" ").as_str(); "{what}");
+        Note::Reclaims { job, tasks, stopped, cost } => {
+            let names: Vec<String> = stopped.iter().map(ToString::to_string).collect();
+            info!(job = &*job.0, tasks = tasks, count = stopped.len(), core_ms = cost,
+                stopped = names.join(" ").as_str(); "{what}");
         }
         Note::HoldsStarts { view, holds, age, starts } => {
             let age = age.map_or("unknown".to_owned(), |age| age.to_string());
             info!(view = view.as_ref(), holds = holds, age_ms = age.as_str(), starts = starts;
                 "{what}");
         }
+        Note::Reserves { job, step, tasks, workers, wait } => {
+            info!(job = &*job.0, step = step, tasks = tasks, workers = workers, wait_ms = wait;
+                "{what}");
+        }
         Note::BacksOff { worker, why, span } => {
             info!(worker = &*worker.0, why = why, span_ms = span; "{what}");
         }
