Allow for timers of the store that end a wait early

An empty answer of the watch that comes a fraction of a millisecond before the end of the wait would confirm only the time of the call, so the view of evacuations would look two seconds older. Change: such an answer counts as held back for up to 50 ms less than it took.

--- a/crates/node/src/confirm.rs
+++ b/crates/node/src/confirm.rs
@@ -34,6 +34,9 @@
 const READ_TIMEOUT_MAX: Duration = Duration::from_millis(5_600);
 /// How long a poll waits for changes: the minimum, since the store takes whole milliseconds.
 const POLL_WAIT: Duration = Duration::from_millis(1);
+/// How much earlier than asked for the store may end a wait, since its timer and clock differ from
+/// ours.
+const TIMER_TOLERANCE: Duration = Duration::from_millis(50);
 /// Pause after a failed store call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -175,8 +178,7 @@
 ) -> Result<u64, StoreError> {
     let sent = state.clock.now();
     let (changes, revision) = state.store.watch(WATCHED_PREFIX, after, wait, timeout).await?;
-    // Without changes the store has waited to the end.
-    let held = if state.clock.now().since(sent) >= wait { wait } else { Duration::ZERO };
+    let held = held_time(state.clock.now().since(sent), wait);
     state.evacuations.borrow_mut().apply(&changes, revision, sent, held);
     for change in changes {
         match change {
@@ -199,6 +201,14 @@
     Ok(revision)
 }
 
+/// How long the store has held back an answer without changes that took `took`, at least.
+fn held_time(took: Duration, wait: Duration) -> Duration {
+    match took + TIMER_TOLERANCE >= wait {
+        true => took.min(wait).saturating_sub(TIMER_TOLERANCE),
+        false => Duration::ZERO,
+    }
+}
+
 fn as_millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
