--- a/crates/batch/tests/refused_starts.rs
+++ b/crates/batch/tests/refused_starts.rs
@@ -1,6 +1,7 @@
-//! Starts that a worker refuses.
+//! Starts that a worker refuses, or that are in doubt when its zone is evacuated.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,7 +38,7 @@
         id: WorkerId(format!("i-{number}").into()),
         service: "service".to_owned(),
         address: SocketAddr::from(([10, 0, 0, number], 8_000)),
-        zone: "north-a".to_owned(),
+        zone: format!("z{number}"),
         rack: "r0".to_owned(),
         labels: Vec::new(),
         capacity: Need { cpu: 8_000, memory: 8_000, gpu: 8 },
@@ -68,6 +69,8 @@
     now: Time,
     /// Workers and run numbers of the starts sent.
     starts: Vec<(WorkerId, u32)>,
+    /// Workers and run numbers of the stops sent.
+    stops: Vec<(WorkerId, u32)>,
 }
 
 impl Owner {
@@ -80,7 +83,7 @@
         };
         let now = Time::from_millis(1_000);
         let planner = Planner::new(settings, now, Duration::from_secs(2));
-        let mut owner = Owner { planner, now, starts: Vec::new() };
+        let mut owner = Owner { planner, now, starts: Vec::new(), stops: Vec::new() };
         owner.event(Event::Configured(Arc::new(policy())));
         owner.event(Event::Listed(vec![worker(1), worker(2)]));
         owner.event(Event::RestoreComplete);
@@ -110,6 +113,7 @@
                     actions.extend(self.planner.handle(self.now, Stamp(0), Event::Committed));
                 }
                 Action::Start { worker, run, .. } => self.starts.push((worker, run)),
+                Action::Stop { worker, run, .. } => self.stops.push((worker, run)),
                 _ => {}
             }
         }
@@ -166,3 +170,21 @@
     owner.event(Event::Tick);
     assert_eq!(owner.runs(), [1, 1, 2]);
 }
+
+/// Guards against the repetition of an unanswered start in a zone that has been evacuated since: the
+/// run is stopped at once and placed elsewhere.
+#[test]
+fn evacuated_zone() {
+    let mut owner = Owner::new();
+    let (id, run) = owner.starts[0].clone();
+    let zone = if id == worker(1).id { worker(1).zone } else { worker(2).zone };
+    owner.event(Event::Evacuated(BTreeSet::from([zone])));
+    assert_eq!(owner.stops, [(id.clone(), run)]);
+    owner.started(StartResult::Unknown);
+    assert_eq!(owner.starts.len(), 1, "the start was repeated");
+    owner.event(Event::Stopped(id.clone(), task(), run, true));
+    owner.report(id.clone(), Vec::new());
+    owner.event(Event::Tick);
+    assert_eq!(owner.runs(), [run, run + 1]);
+    assert_ne!(owner.starts[1].0, id);
+}
