--- a/crates/batch/src/order.rs
+++ b/crates/batch/src/order.rs
@@ -115,6 +115,12 @@
     Duration::from_millis((stretched as u64).saturating_add(queue.objective_ms))
 }
 
+/// Time by which a job's latency objective exceeds its critical path.
+pub(crate) fn slack(job: &Job, policy: &crate::Policy) -> Duration {
+    let path = Duration::from_millis(critical_path_ms(&job.spec.steps));
+    objective(job, policy).saturating_sub(path)
+}
+
 /// Longest chain of dependent steps by their estimates, in ms.
 fn critical_path_ms(steps: &[StepSpec]) -> u64 {
     let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
