--- a/crates/batch/src/order.rs
+++ b/crates/batch/src/order.rs
@@ -120,12 +120,6 @@
     job.since + objective(job, policy) * LATE_OBJECTIVES
 }
 
-/// Time by which a job's latency objective exceeds its critical path.
-pub(crate) fn slack(job: &Job, policy: &crate::Policy) -> Duration {
-    let path = Duration::from_millis(critical_path_ms(&job.spec.steps));
-    objective(job, policy).saturating_sub(path)
-}
-
 /// Longest chain of dependent steps by their estimates, in ms.
 fn critical_path_ms(steps: &[StepSpec]) -> u64 {
     let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
--- a/crates/batch/src/reclaim.rs
+++ b/crates/batch/src/reclaim.rs
@@ -19,7 +19,6 @@
 use crate::job::Task;
 use crate::order::PendingStep;
 use crate::order::Rank;
-use crate::order::slack;
 use crate::place::Places;
 use crate::room::Slot;
 use crate::spec::JobId;
@@ -40,13 +39,6 @@
 
 /// Minimum time between attempts to preempt runs for the same step.
 const RECLAIM_PAUSE: Duration = Duration::from_millis(200);
-/// Longest time for which an urgent step waits for capacity to become free by itself before a gang
-/// is stopped for it. On simulated fleets, a wait of 400 ms saved 13 to 32% of the lost gang runs, and
-/// 800 ms 37 to 49%.
-const MAX_GANG_GRACE: Duration = Duration::from_millis(800);
-/// Part of its job's slack for which a step waits at most, in percent. The rest is left for the
-/// stops and for a run time beyond the estimate.
-const GANG_GRACE_PERCENT: u32 = 50;
 
 /// Progress that a long-running task reports once it has finished its startup, in percent.
 const FULL_PROGRESS_PERCENT: u32 = 100;
@@ -64,8 +56,6 @@
     groups: preempt::Victims<Need>,
     /// Each group's run, or a gang's first one, in ascending order.
     keys: Vec<TaskKey>,
-    /// Groups that are whole gangs.
-    gangs: BTreeSet<usize>,
 }
 
 impl Amount for Need {
@@ -141,27 +131,9 @@
             false => preempt::plan_runs(&sites, &victims.groups, &request),
         };
         let Some(plan) = plan else { return };
-        let stops_gang = plan.stopped.iter().any(|(group, _)| victims.gangs.contains(group));
-        if stops_gang && now < self.gang_grace_end(pending) {
-            return;
-        }
         self.carry_out(now, pending, &missing, &plan, slots, found);
     }
 
-    /// Time before which no gang is stopped for a step: runs end all the time, and an urgent step is
-    /// the first to get what they free. It may wait for a part of its job's slack, unless its start
-    /// is guaranteed.
-    fn gang_grace_end(&self, pending: &PendingStep) -> Time {
-        let Some(job) = self.jobs.get(&pending.job) else { return Time::ZERO };
-        let step_state = &job.occurrences[pending.occurrence][pending.step];
-        let Some(ready_at) = step_state.ready_at.filter(|_| pending.rank != Rank::Guaranteed)
-        else {
-            return Time::ZERO;
-        };
-        let slack = slack(job, &self.policy).saturating_sub(self.settings.stop);
-        (ready_at + MAX_GANG_GRACE).min(job.since + slack * GANG_GRACE_PERCENT / 100)
-    }
-
     /// Reserves the places of a plan and stops the runs that it names.
     fn carry_out(
         &mut self,
@@ -256,7 +228,6 @@
     ) -> Victims {
         let mut groups = Vec::new();
         let mut keys = Vec::new();
-        let mut gangs = BTreeSet::new();
         for (id, job) in self.live.iter().filter_map(|id| Some((id, self.jobs.get(id)?))) {
             let priority = self.policy.queue(job).map_or(u32::MAX, |queue| queue.priority);
             let lower = match rank {
@@ -274,16 +245,13 @@
                             &indexes,
                             slots,
                         ));
-                        if indexes.len() > 1 {
-                            gangs.insert(keys.len());
-                        }
                         let (job, index) = (id.clone(), indexes[0]);
                         keys.push(TaskKey { job, occurrence, step, index });
                     }
                 }
             }
         }
-        Victims { groups: preempt::Victims::new(groups, slots.len()), keys, gangs }
+        Victims { groups: preempt::Victims::new(groups, slots.len()), keys }
     }
 
     /// Tasks of a step whose runs may be stopped, or are being stopped already, in groups that are
