Mark only steps with the same restrictions as unplaceable

Cause: a single task that avoids suspected workers, a filler or a task with a latency target was recorded as a need that fits nowhere, although it had left out workers. Equal and larger steps after it in the order were not placed on these workers as long as it waited.

Change: the record names what the step leaves out, and applies to later steps that leave out the same. So it also holds for gangs of these kinds, which were not recorded at all before.

--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -45,6 +45,12 @@
     count: u32,
     /// When its runs would be expected to end; shorter ones may fit before a reservation.
     ends: Time,
+    /// Whether it avoids suspected workers.
+    avoids_suspects: bool,
+    /// Whether it avoids workers with latency targets.
+    fills: bool,
+    /// Whether it avoids workers with fillers.
+    has_target: bool,
 }
 
 impl Planner {
@@ -90,12 +96,16 @@
                 barred = advised;
             }
             let ends = self.step_end(now, job, pending.step, &reserved);
+            let avoids_suspects = step_state.avoids_suspects(now);
             let known = |failed: &Unplaceable| {
                 failed.service == service
                     && failed.ends <= ends
                     && failed.need.fits(&step.need)
                     && failed.count <= if step.gang { step.count } else { 1 }
                     && (failed.label.is_none() || failed.label == step.label)
+                    && (!failed.avoids_suspects || avoids_suspects)
+                    && (!failed.fills || step.fills)
+                    && (!failed.has_target || step.target_ms > 0)
             };
             let known = !advised && unplaceable.iter().any(known);
             if known && step_state.wait_noted && !urgent {
@@ -109,17 +119,23 @@
                 reserved.bind(&mut slots, ends);
                 count_step_tasks(&mut slots, step_state, step);
                 let prefer_near = self.prefers_near(now, step_state, step);
-                let avoid_suspects = step_state.avoids_suspects(now);
                 let find = if step.gang { gang_places } else { single_places };
-                find(&mut slots, step_state, step, &service, prefer_near, avoid_suspects)
+                find(&mut slots, step_state, step, &service, prefer_near, avoids_suspects)
             };
             let missing =
                 step_state.tasks.iter().filter(|task| !task.done && task.stage == Stage::Idle);
             let missing = missing.count() - found.len();
-            if missing > 0 && !(advised || is_particular(now, step_state, step)) {
-                let (service, label) = (service.clone(), step.label.clone());
-                let count = if step.gang { step.count } else { 1 };
-                unplaceable.push(Unplaceable { service, need: step.need, label, count, ends });
+            if missing > 0 && !(advised || is_particular(step)) {
+                unplaceable.push(Unplaceable {
+                    service: service.clone(),
+                    need: step.need,
+                    label: step.label.clone(),
+                    count: if step.gang { step.count } else { 1 },
+                    ends,
+                    avoids_suspects,
+                    fills: step.fills,
+                    has_target: step.target_ms > 0,
+                });
             }
             self.note_place(now, pending, &slots, found.len(), missing);
             self.assign(pending, &spec, &slots, &found);
@@ -236,8 +252,8 @@
             }
         }
         if lost || self.waits_in_vain(now, pending, &reserved, &found) {
-            // A reserved worker has become unusable, or is not freed as expected: drop all reservations of the step, so that
-            // the next pass places it again.
+            // A reserved worker has become unusable, or is not freed as expected: drop all
+            // reservations of the step, so that the next pass places it again.
             let Some(job) = self.jobs.get_mut(&pending.job) else { return false };
             for task in &mut job.occurrences[pending.occurrence][pending.step].tasks {
                 if matches!(task.stage, Stage::Reserved(_)) {
@@ -262,12 +278,10 @@
     step_state.ready_at.map(|since| since + patience)
 }
 
-/// Whether a step may have to wait for another reason than a lack of capacity, so that larger ones
-/// may fit.
-fn is_particular(now: Time, step_state: &Step, step: &StepSpec) -> bool {
-    let isolated = step.fills || step.target_ms > 0;
-    let particular_gang = step.one_rack || isolated || step_state.avoids_suspects(now);
-    step.rack.is_some() || step.spread.is_some() || step.gang && particular_gang
+/// Whether the racks or the spread of a step's tasks may keep it waiting, so that steps which need
+/// more may fit.
+fn is_particular(step: &StepSpec) -> bool {
+    step.rack.is_some() || step.spread.is_some() || step.gang && step.one_rack
 }
 
 /// Free accelerators of some slots together.
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -11,6 +11,7 @@
 mod preemption;
 mod regressions;
 mod stale_views;
+mod unplaceable;
 mod wide_steps;
 mod worker;
 mod world;
