Do not wait for a run that never ends again and again

Cause: with `jobs.preempt_gangs`, an urgent step reserves the capacity of a run that is about to end. If the run does not end, the step gives the reservation up and plans anew. A run that has reported all of its work as done always counts as about to end and costs nothing, so the same plan was made each time, and the step waited although other runs could be stopped.

Change: once a step has waited in vain, its plans treat such runs like those of guaranteed steps: they do not count, or are stopped if nothing else helps.

Result: the new test `hung_end` (a hung run beside one that can be stopped) fails before, where the urgent task has not completed after 5.2 s, and passes now; all other tests of the crate pass.

--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -251,11 +251,14 @@
                 found.push((*index, at));
             }
         }
-        if lost || self.waits_in_vain(now, pending, &reserved, &found) {
+        let in_vain = self.waits_in_vain(now, pending, &reserved, &found);
+        if lost || in_vain {
             // A reserved worker has become unusable, or is not freed as expected: drop all
             // reservations of the step, so that the next pass places it again.
             let Some(job) = self.jobs.get_mut(&pending.job) else { return false };
-            for task in &mut job.occurrences[pending.occurrence][pending.step].tasks {
+            let step_state = &mut job.occurrences[pending.occurrence][pending.step];
+            step_state.end_missed |= in_vain;
+            for task in &mut step_state.tasks {
                 if matches!(task.stage, Stage::Reserved(_)) {
                     task.stage = Stage::Idle;
                 }
--- a/crates/batch/src/reclaim.rs
+++ b/crates/batch/src/reclaim.rs
@@ -122,10 +122,11 @@
             one_rack: step.gang && step.one_rack,
             rack: step.rack.as_deref(),
             avoid_suspects: step_state.avoids_suspects(now),
-            // The start of guaranteed steps must not depend on an end that is only expected.
-            ending: match pending.rank {
-                Rank::Guaranteed => Ending::Stopped,
-                _ => Ending::Awaited,
+            // The start of guaranteed steps must not depend on an end that is only expected, and
+            // another step must not wait again and again for a run that never ends.
+            ending: match pending.rank == Rank::Guaranteed || step_state.end_missed {
+                true => Ending::Stopped,
+                false => Ending::Awaited,
             },
         };
         if !found.victims.contains_key(&pending.rank) {
--- a/crates/batch/tests/schedules/preemption.rs
+++ b/crates/batch/tests/schedules/preemption.rs
@@ -134,6 +134,28 @@
     assert_eq!(world.stored_state(&urgent), JobState::Completed);
 }
 
+/// Load: an urgent task, a run that has reported all of its work as done but does not end, and one
+/// that has just begun. Guards against a task that waits for the first one again and again.
+#[test]
+fn hung_end() {
+    let mut world = World::new(46, 2, Faults::default(), policy(0));
+    world.preempt_gangs();
+    let hung = world.submit("00000000000000c1", "patient", "a", vec![step(1, 8, 6_000)]);
+    world.run(1_000);
+    world.submit("00000000000000c2", "patient", "a", vec![step(1, 8, 60_000)]);
+    world.run(2_000);
+    let works = world.workers.values_mut().flat_map(|fake| &mut fake.running);
+    for (_, work) in works.filter(|(key, _)| key.job == hung) {
+        (work.left, work.total) = (60_000, 60_000_000);
+    }
+    world.run(2_500);
+    let urgent = world.submit("00000000000000c3", "urgent", "a", vec![step(1, 8, 1_000)]);
+    world.run(200);
+    assert!(preempted(&world).is_empty(), "the run seemed about to end");
+    world.run(5_000);
+    assert_eq!(world.stored_state(&urgent), JobState::Completed, "{}", world.trace.join("\n"));
+}
+
 /// Load: a fleet full of a gang and an urgent task that is about to end, and one more urgent task.
 /// Guards against a gang that is stopped for a place which becomes free a moment later, and against
 /// a guaranteed task that waits for it.
