Move no long-running task to a place held for a wide step

Cause: out of an evacuated zone, a long-running task is stopped if another worker has room for it. Capacity held by reservations counted as room, but the placement that follows does not give it to a task without an end.

Change: the holds of the last placement pass are kept in memory and applied to the search for room.

Result, new test `lasting_beside_reservation`: the task did not run for 7,600 ms before, and for 1,000 ms at most now; all other tests of the crate pass.

--- a/crates/batch/src/evacuation.rs
+++ b/crates/batch/src/evacuation.rs
@@ -138,6 +138,7 @@
         let mut slots = self.slots(now);
         self.withhold_suspected(&mut slots);
         self.keep_headroom(now, &[], &mut slots);
+        self.reservations.bind_lasting(&mut slots);
         for key in &moving {
             self.take_room(&mut slots, key);
         }
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -58,7 +58,7 @@
     pub(crate) fn place(&mut self, now: Time) {
         let pending_steps = self.pending_steps(now);
         if pending_steps.is_empty() {
-            self.reservations.finish_pass(PassReservations::default());
+            self.reservations.finish_pass(PassReservations::default(), &[]);
             return;
         }
         let mut slots = self.slots(now);
@@ -150,7 +150,7 @@
                 self.reserve_ahead(now, pending, step, &mut slots, &mut reserved);
             }
         }
-        self.reservations.finish_pass(reserved);
+        self.reservations.finish_pass(reserved, &slots);
         if waiting {
             self.replan_at = self.replan_at.min(now + PLACEMENT_INTERVAL);
         }
--- a/crates/batch/src/reservations.rs
+++ b/crates/batch/src/reservations.rs
@@ -72,6 +72,8 @@
     noted: BTreeSet<StepKey>,
     /// Expected ends as last computed.
     fleet: Fleet,
+    /// Capacity held in the last pass, ordered by worker.
+    held: Vec<(WorkerId, Held)>,
 }
 
 impl Reservations {
@@ -80,13 +82,24 @@
         self.count
     }
 
-    /// Records the reservations of a pass that has ended.
-    pub fn finish_pass(&mut self, pass: PassReservations) {
+    /// Records the reservations of a pass that has ended, which `slots` hold.
+    pub fn finish_pass(&mut self, pass: PassReservations, slots: &[Slot]) {
         self.count = pass.count;
+        let held = slots.iter().filter_map(|slot| Some((slot.worker.clone(), slot.held?)));
+        self.held = held.collect();
         if let Some(fleet) = pass.fleet {
             self.fleet = fleet;
         }
     }
+
+    /// Holds the capacity of the last pass against runs without an end.
+    pub fn bind_lasting(&self, slots: &mut [Slot]) {
+        for (worker, held) in &self.held {
+            if let Ok(at) = slots.binary_search_by(|slot| slot.worker.cmp(worker)) {
+                slots[at].held = Some(Held { binds: true, ..*held });
+            }
+        }
+    }
 }
 
 /// Reservations of one placement pass.
--- a/crates/batch/tests/schedules/evacuations.rs
+++ b/crates/batch/tests/schedules/evacuations.rs
@@ -134,6 +134,37 @@
     }
 }
 
+/// Guards against a long-running task that is stopped for a place which is held for a wide gang, and
+/// then waits until the gang has ended.
+#[test]
+fn lasting_beside_reservation() {
+    let mut world = world(38);
+    world.reservations = 4;
+    world.take_over(false);
+    world.run(500);
+    let serving = world.submit("00000000000000cb", "patient", "a", vec![lasting(1, 2, 1)]);
+    world.run(1_500);
+    world.finish_startup();
+    let zone = ["north-a", "north-b", "south-a"].into_iter().find(|zone| world.runs_in(zone) > 0);
+    let zone = zone.expect("a zone with runs");
+    world.submit("00000000000000cc", "usual", "a", vec![step(24, 5, 6_000)]);
+    world.run(6_500);
+    let gang = StepSpec { gang: true, ..step(16, 8, 4_000) };
+    let gang = world.submit("00000000000000cd", "usual", "a", vec![gang]);
+    world.run(300);
+    world.evacuate(zone);
+    let mut missing = 0;
+    for _ in 0..400 {
+        world.run(50);
+        let mut running = world.workers.values().flat_map(|worker| worker.running.keys());
+        missing += u32::from(!running.any(|key| key.job == serving));
+    }
+    assert_eq!(count_lines(&world, "Reserves"), 1, "{}", world.trace.join("\n"));
+    assert_eq!(world.stored_state(&gang), JobState::Completed);
+    assert_eq!(world.runs_in(zone), 0, "the task stays in the evacuated zone");
+    assert!(missing <= 20, "the task did not run for {} ms", missing * 50);
+}
+
 /// With every zone evacuated all jobs wait. Afterwards the workers open one after the other, and
 /// nothing is preempted that was started meanwhile.
 #[test]
