Spend no searches for reservations on gangs larger than the fleet

Cause: a pass makes two searches for each reservation that may exist, in the order of placement. A few older gangs that need more workers than there are took all of them in each pass, so that no other wide step got a reservation until these gangs were too late to earn anything.

Change: a gang that would not fit on the empty fleet is not searched for, and is checked again after 2 s.

Result, new test `impossible_gangs` (one reservation, four such gangs): the gang that fits does not complete before, and completes with each of the four seeds now.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -149,6 +149,8 @@
     pub wait_noted: bool,
     /// No runs are preempted for the step before this time.
     pub reclaim_after: Time,
+    /// No reservation is searched for the step before this time.
+    pub search_after: Time,
     /// Whether it has waited in vain for runs that were expected to end by themselves.
     pub end_missed: bool,
     /// When a run of the step last failed; zero for never.
@@ -226,6 +228,7 @@
             ready_at: None,
             wait_noted: false,
             reclaim_after: Time::ZERO,
+            search_after: Time::ZERO,
             end_missed: false,
             failed_at: Time::ZERO,
             tickets: BTreeMap::new(),
@@ -256,6 +259,7 @@
             ready_at: None,
             wait_noted: false,
             reclaim_after: Time::ZERO,
+            search_after: Time::ZERO,
             end_missed: false,
             failed_at: Time::ZERO,
             tickets: BTreeMap::new(),
--- a/crates/batch/src/reservations.rs
+++ b/crates/batch/src/reservations.rs
@@ -46,6 +46,9 @@
 /// Searches in one pass for each reservation that may be made. Without this bound, a pass with many
 /// wide steps that fit nowhere within [`HORIZON`] would take too much processor time.
 const SEARCHES_PER_RESERVATION: usize = 2;
+/// Time for which no reservation is searched for a gang that is too large for the fleet, until it is
+/// checked again. Searches for a few such gangs would use up those of each pass.
+const TOO_LARGE_PAUSE: Duration = Duration::from_millis(2_000);
 /// No further reservation is made once the workers that hold capacity make up this part of the usable
 /// ones, in percent. Beyond it, the smaller tasks lose more than the wide steps gain.
 const MAX_HOLDING_PERCENT: usize = 20;
@@ -210,7 +213,11 @@
         let late = pending.rank == Rank::Late;
         pass.worthwhile_waits |= !late;
         let urgent = matches!(pending.rank, Rank::Guaranteed | Rank::Priority(0));
-        if urgent || late && pass.worthwhile_waits {
+        if urgent || late && pass.worthwhile_waits || self.is_search_paused(now, pending) {
+            return;
+        }
+        if step.gang && !self.fits_empty_fleet(pending, step, slots) {
+            self.pause_search(now, pending);
             return;
         }
         let fleet = pass.fleet.take().unwrap_or_else(|| self.fleet(now, slots));
@@ -225,6 +232,27 @@
         pass.fleet = Some(fleet);
     }
 
+    fn is_search_paused(&self, now: Time, pending: &PendingStep) -> bool {
+        let Some(job) = self.jobs.get(&pending.job) else { return false };
+        now < job.occurrences[pending.occurrence][pending.step].search_after
+    }
+
+    fn pause_search(&mut self, now: Time, pending: &PendingStep) {
+        let Some(job) = self.jobs.get_mut(&pending.job) else { return };
+        let step_state = &mut job.occurrences[pending.occurrence][pending.step];
+        step_state.search_after = now + TOO_LARGE_PAUSE;
+    }
+
+    /// Whether all tasks of a gang would fit if no other tasks were running.
+    fn fits_empty_fleet(&self, pending: &PendingStep, step: &StepSpec, slots: &[Slot]) -> bool {
+        let Some(job) = self.jobs.get(&pending.job) else { return false };
+        let Some(queue) = self.policy.queue(job) else { return false };
+        let most = step.spread.map_or(u64::MAX, u64::from);
+        let suited = slots.iter().filter(|slot| slot.suits_unbarred(step, &queue.service));
+        let copies = suited.map(|slot| slot.info.capacity.copies(&step.need).min(most));
+        copies.fold(0, u64::saturating_add) >= u64::from(step.count)
+    }
+
     /// Searches the reservation of a step that begins first.
     fn find_reservation(
         &self,
--- a/crates/batch/tests/schedules/wide_steps.rs
+++ b/crates/batch/tests/schedules/wide_steps.rs
@@ -58,6 +58,22 @@
     }
 }
 
+/// Load: the same, with older gangs that need more workers than there are. Guards against searches
+/// spent on them in each pass, which leave none for the gang that fits.
+#[test]
+fn impossible_gangs() {
+    for seed in 0..4 {
+        println!("seed {seed}");
+        let mut world = world(seed, 8, Faults::default(), 1);
+        for number in 0..4 {
+            let gang = StepSpec { gang: true, ..step(9, 8, 2_900) };
+            world.submit(&format!("{number:016x}"), "usual", "a", vec![gang]);
+        }
+        let gang = crowd(&mut world, 24_000, 4);
+        assert!(is_done(&world, &gang), "{}", world.trace.join("\n"));
+    }
+}
+
 /// Load: whole workers for tasks that start one by one, in the same stream. Each starts once a worker
 /// has been kept free for it.
 #[test]
