Shorten the watch of evacuations after an answer with changes

Cause: an answer with changes confirms only the time at which its call was sent. Change: the next watch waits for what is left of half of the bound.

--- a/crates/node/src/confirm.rs
+++ b/crates/node/src/confirm.rs
@@ -160,12 +160,23 @@
 
 /// Waits for changes after store revision `after`.
 async fn watch_changes(state: &State, after: u64) -> Result<u64, StoreError> {
-    let wait = confirmation_lifetime(state).saturating_sub(WATCH_MARGIN);
-    // The other half of the bound is left for a second attempt if the connection is silent.
-    let wait = wait.min(state.settings.jobs.evacuate.map_or(wait, |bound| bound / 2));
+    let longest = confirmation_lifetime(state).saturating_sub(WATCH_MARGIN);
+    let known = state.evacuations.borrow().confirmed_at();
+    let age = known.map_or(Duration::ZERO, |at| state.clock.now().since(at));
+    let wait = watch_wait(longest, state.settings.jobs.evacuate, age);
     fetch_changes(state, after, wait, wait + WATCH_MARGIN / 2).await
 }
 
+/// Time for which a watch waits for changes, at most `longest`, if the evacuations have to be known
+/// within `bound` and are `age` old.
+///
+/// The other half of the bound is left for a second attempt if the connection is silent. An answer
+/// with changes confirms only the time at which its call was sent, so the next watch waits for less.
+pub fn watch_wait(longest: Duration, bound: Option<Duration>, age: Duration) -> Duration {
+    let most = bound.map_or(longest, |bound| (bound / 2).saturating_sub(age));
+    longest.min(most).max(POLL_WAIT)
+}
+
 /// Reads changes after store revision `after` without waiting for new ones.
 async fn poll_changes(state: &State, after: u64) -> Result<u64, StoreError> {
     fetch_changes(state, after, POLL_WAIT, POLL_TIMEOUT).await
