--- a/crates/batch/src/views.rs
+++ b/crates/batch/src/views.rs
@@ -105,9 +105,8 @@
     /// Returns the latest time at which the start of a stored run may be sent, or `None` if it must
     /// not be issued now.
     ///
-    /// Without fresh views the start is held until they are. A run on a worker that drains, whose
-    /// availability zone is evacuated, or that the directory no longer lists is withdrawn, so that
-    /// its task gets another place. Nothing tells whether an unlisted worker drains.
+    /// Without fresh views the start is held until they are. A run on a worker that drains or whose
+    /// availability zone is evacuated is withdrawn, so that its task gets another place.
     pub(crate) fn clear_to_start(&mut self, now: Time, key: &TaskKey, number: u32) -> Option<Time> {
         self.views.held.remove(key);
         let job = self.jobs.get_mut(&key.job)?;
@@ -117,9 +116,8 @@
         if run.stopping.is_some() || run.confirmed.is_some() {
             return None;
         }
-        let closed =
-            |worker: &Worker| worker.drain_end.is_some() || worker.evacuated || !worker.listed;
-        if self.workers.get(&run.worker).is_some_and(closed) {
+        let gone = |worker: &Worker| worker.drain_end.is_some() || worker.evacuated;
+        if self.workers.get(&run.worker).is_some_and(gone) {
             self.stop_run(now, key);
             return None;
         }
