--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -35,13 +35,12 @@
 /// Placement of a step's tasks: index of the task, index of the slot.
 pub(crate) type Places = Vec<(u32, usize)>;
 
-/// Requirements of a step that could not be placed fully. In the same pass, steps that need at
-/// least as much cannot be placed either.
-struct Unplaceable {
+/// What a step requires of the workers in one placement pass.
+struct Requirements {
     service: String,
     need: Need,
     label: Option<String>,
-    /// Number of tasks that do not fit together; one for a step that is not a gang.
+    /// Number of tasks that have to fit together; one for a step that is not a gang.
     count: u32,
     /// When its runs would be expected to end; shorter ones may fit before a reservation.
     ends: Time,
@@ -53,6 +52,33 @@
     has_target: bool,
 }
 
+impl Requirements {
+    fn new(step: &StepSpec, service: &str, ends: Time, avoids_suspects: bool) -> Requirements {
+        Requirements {
+            service: service.to_owned(),
+            need: step.need,
+            label: step.label.clone(),
+            count: if step.gang { step.count } else { 1 },
+            ends,
+            avoids_suspects,
+            fills: step.fills,
+            has_target: step.target_ms > 0,
+        }
+    }
+
+    /// Whether workers that do not meet these requirements do not meet `other` either.
+    fn are_within(&self, other: &Requirements) -> bool {
+        self.service == other.service
+            && self.ends <= other.ends
+            && self.need.fits(&other.need)
+            && self.count <= other.count
+            && (self.label.is_none() || self.label == other.label)
+            && (!self.avoids_suspects || other.avoids_suspects)
+            && (!self.fills || other.fills)
+            && (!self.has_target || other.has_target)
+    }
+}
+
 impl Planner {
     /// Places waiting steps in order of urgency, and preempts runs for the most urgent ones.
     pub(crate) fn place(&mut self, now: Time) {
@@ -62,7 +88,8 @@
             return;
         }
         let mut slots = self.slots(now);
-        let mut unplaceable: Vec<Unplaceable> = Vec::new();
+        // Requirements of steps that could not be placed fully.
+        let mut unplaceable: Vec<Requirements> = Vec::new();
         let mut reclaim = Reclaim::default();
         let mut reserved = PassReservations::default();
         let mut waiting = false;
@@ -97,17 +124,8 @@
             }
             let ends = self.step_end(now, job, pending.step, &reserved);
             let avoids_suspects = step_state.avoids_suspects(now);
-            let known = |failed: &Unplaceable| {
-                failed.service == service
-                    && failed.ends <= ends
-                    && failed.need.fits(&step.need)
-                    && failed.count <= if step.gang { step.count } else { 1 }
-                    && (failed.label.is_none() || failed.label == step.label)
-                    && (!failed.avoids_suspects || avoids_suspects)
-                    && (!failed.fills || step.fills)
-                    && (!failed.has_target || step.target_ms > 0)
-            };
-            let known = !advised && unplaceable.iter().any(known);
+            let required = Requirements::new(step, &service, ends, avoids_suspects);
+            let known = !advised && unplaceable.iter().any(|failed| failed.are_within(&required));
             if known && step_state.wait_noted && !urgent {
                 waiting = true;
                 self.reserve_ahead(now, pending, step, &mut slots, &mut reserved);
@@ -126,16 +144,7 @@
                 step_state.tasks.iter().filter(|task| !task.done && task.stage == Stage::Idle);
             let missing = missing.count() - found.len();
             if missing > 0 && !(advised || is_particular(step)) {
-                unplaceable.push(Unplaceable {
-                    service: service.clone(),
-                    need: step.need,
-                    label: step.label.clone(),
-                    count: if step.gang { step.count } else { 1 },
-                    ends,
-                    avoids_suspects,
-                    fills: step.fills,
-                    has_target: step.target_ms > 0,
-                });
+                unplaceable.push(required);
             }
             self.note_place(now, pending, &slots, found.len(), missing);
             self.assign(pending, &spec, &slots, &found);
