--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -22,6 +22,8 @@
 
 /// Shortest pause between two sweeps; a deadline is met with this precision.
 const MIN_SWEEP_PAUSE: Duration = Duration::from_millis(50);
+/// Delay of a sweep from which the process counts as suspended meanwhile; a busy one is late by less.
+const MIN_FORGIVEN_PAUSE: Duration = Duration::from_secs(2);
 /// Number of times that a request waits for the tasks of connections that are to end.
 const MAX_YIELDS: u32 = 16;
 
@@ -45,6 +47,8 @@
     /// Bytes of connections that are to end, until their tasks have released them.
     doomed: usize,
     ended: BTreeMap<Reason, u64>,
+    /// Time at which the next sweep is due.
+    next_sweep: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -52,6 +56,8 @@
     register: Mutex<Register>,
     /// Wakes one request that waits for bytes.
     released: Notify,
+    /// Wakes the task that sweeps.
+    replaced: Notify,
 }
 
 impl Shared {
@@ -74,8 +80,10 @@
             held: 0,
             doomed: 0,
             ended: BTreeMap::new(),
+            next_sweep: None,
         };
-        Intake(Arc::new(Shared { register: Mutex::new(register), released: Notify::new() }))
+        let register = Mutex::new(register);
+        Intake(Arc::new(Shared { register, released: Notify::new(), replaced: Notify::new() }))
     }
 
     /// Returns the limits in force.
@@ -86,6 +94,7 @@
     /// Replaces the limits; open connections are judged by them from now on.
     pub fn set_limits(&self, limits: Limits) {
         self.0.lock().limits = limits;
+        self.0.replaced.notify_one();
     }
 
     /// Registers a new connection, and ends the oldest one that may be closed if there are too many.
@@ -105,25 +114,28 @@
             };
             register.end(oldest, Reason::Connections);
         }
-        let id = register.next_id;
-        register.next_id += 1;
         let held = register.limits.connection_bytes;
-        register.connections.insert(id, Connection::new(port, held, now));
         register.held += held;
+        // The new connection is not registered yet, so it does not give way itself.
+        let is_room = register.make_room(now);
         // Health checks and scrapes are answered at any load; their connections are few.
-        let is_room = register.make_room(now) || matches!(port, Port::Readiness | Port::Metrics);
-        if !is_room {
+        if !is_room && !matches!(port, Port::Readiness | Port::Metrics) {
+            register.held -= held;
             register.note(Reason::Bytes);
+            return None;
         }
+        let id = register.next_id;
+        register.next_id += 1;
+        register.connections.insert(id, Connection::new(port, held, now));
         drop(register);
-        let lease = Lease { shared: Arc::clone(&self.0), id };
-        is_room.then_some(lease)
+        Some(Lease { shared: Arc::clone(&self.0), id })
     }
 
     /// Ends all overdue connections, and returns the time until the next call.
     pub fn sweep(&self) -> Duration {
         let now = Instant::now();
         let mut register = self.0.lock();
+        register.forgive_pause(now);
         let mut next = now + register.limits.shortest_time();
         let mut overdue = Vec::new();
         for (id, connection) in &register.connections {
@@ -136,7 +148,15 @@
         for (id, reason) in overdue {
             register.end(id, reason);
         }
-        (next - now).max(MIN_SWEEP_PAUSE)
+        let pause = (next - now).max(MIN_SWEEP_PAUSE);
+        register.next_sweep = Some(now + pause);
+        pause
+    }
+
+    /// Waits until the limits have been replaced since the last call: a sweep that is due by the
+    /// former limits may be due earlier.
+    pub async fn limits_changed(&self) {
+        self.0.replaced.notified().await;
     }
 
     /// Returns what is held, and resets the counts of ended connections.
@@ -159,6 +179,20 @@
         *self.ended.entry(reason).or_default() += 1;
     }
 
+    /// Moves all deadlines if the process did not run when the last sweep was due: the clients may
+    /// have sent meanwhile what has not been read yet.
+    fn forgive_pause(&mut self, now: Instant) {
+        let due = self.next_sweep.unwrap_or(now);
+        let late = now.saturating_duration_since(due);
+        if late < MIN_FORGIVEN_PAUSE {
+            return;
+        }
+        for connection in self.connections.values_mut() {
+            connection.since = (connection.since + late).min(now);
+            connection.touched = (connection.touched + late).min(now);
+        }
+    }
+
     /// The connection that has been in its phase for longest, among those that may be closed.
     fn oldest(&self, now: Instant, fits: impl Fn(&Connection) -> bool) -> Option<u64> {
         let connections = self.connections.iter();
--- a/crates/intake/src/limits.rs
+++ b/crates/intake/src/limits.rs
@@ -102,7 +102,7 @@
 
     /// Returns the bytes that the largest request within the limits holds.
     pub fn largest_request(&self) -> usize {
-        let connection = self.connection_bytes + self.buffer_bytes();
+        let connection = self.connection_bytes.saturating_add(self.buffer_bytes());
         connection.saturating_add(self.body_bytes).saturating_add(work_bytes(self.body_bytes))
     }
 
@@ -120,9 +120,9 @@
         self.body_bytes.saturating_mul(WIRE_FACTOR).saturating_add(WIRE_EXTRA)
     }
 
-    /// Time for a whole body.
-    pub(crate) fn whole_body_time(&self) -> Duration {
-        self.body_time.unwrap_or(self.idle_time * BODY_IDLE_TIMES)
+    /// Returns the time for a whole body.
+    pub fn whole_body_time(&self) -> Duration {
+        self.body_time.unwrap_or(self.idle_time.saturating_mul(BODY_IDLE_TIMES))
     }
 
     /// The shortest of the times, after which a sweep is due at the latest.
--- a/crates/intake/tests/limits.rs
+++ b/crates/intake/tests/limits.rs
@@ -1,5 +1,6 @@
 //! Which connections end when clients reach a limit.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -112,3 +113,73 @@
     assert_eq!(idle.refusal(), Some(Reason::IdleTime));
     assert_eq!(body.refusal(), Some(Reason::BodyTime), "no byte has arrived since");
 }
+
+/// Guards against a new connection that is registered but closed at once without an answer, because
+/// it is the only one that can give way.
+#[tokio::test(start_paused = true)]
+async fn refused_connection() {
+    let intake = intake(10_000);
+    let mut served = Vec::new();
+    while let Some(lease) = intake.open(Port::Callers) {
+        assert_eq!(lease.refusal(), None, "a registered connection is not to end");
+        lease.begin_body();
+        lease.pass_on().expect("it was not to end");
+        served.push(lease);
+    }
+    let usage = intake.take_usage();
+    assert_eq!(usage.connections, served.len());
+    assert_eq!(usage.ended, BTreeMap::from([(Reason::Bytes, 1)]));
+    assert!(intake.open(Port::Readiness).is_some(), "health checks need no share of the bytes");
+    drop(served);
+    assert_eq!(intake.take_usage().held_bytes, 0);
+}
+
+/// Guards against connections that are all closed as overdue when a suspended process resumes, before
+/// it reads what their clients have sent meanwhile.
+#[tokio::test(start_paused = true)]
+async fn suspended_process() {
+    let intake = intake(1_000);
+    let (idle, body, answer) = (open(&intake), open(&intake), open(&intake));
+    body.begin_body();
+    answer.begin_answer();
+    advance(intake.sweep()).await;
+    let pause = intake.sweep();
+    advance(Duration::from_secs(60)).await;
+    intake.sweep();
+    let refusals = [idle.refusal(), body.refusal(), answer.refusal()];
+    assert_eq!(refusals, [None; 3], "the process was suspended for {pause:?} and longer");
+    for _ in 0..10 {
+        advance(intake.sweep()).await;
+    }
+    let refusals = [idle.refusal(), body.refusal(), answer.refusal()];
+    assert!(refusals.iter().all(Option::is_some), "they are overdue by now: {refusals:?}");
+}
+
+/// Guards against a shorter limit that is in force only after the longest pause of the former one.
+#[tokio::test(start_paused = true)]
+async fn shorter_limits() {
+    let hour = Duration::from_secs(3_600);
+    let long = Limits { head_time: hour, idle_time: hour, ..Limits::new(Vm::default()) };
+    let intake = Intake::new(long);
+    let idle = open(&intake);
+    assert_eq!(intake.sweep(), hour);
+    intake.set_limits(Limits::new(Vm::default()));
+    let changed = timeout(Duration::from_secs(1), intake.limits_changed()).await;
+    assert_eq!(changed, Ok(()), "the task that sweeps is woken");
+    for _ in 0..6 {
+        advance(intake.sweep()).await;
+    }
+    assert_eq!(idle.refusal(), Some(Reason::IdleTime));
+}
+
+/// Guards against sums and times that overflow.
+#[test]
+fn huge_limits() {
+    let limits = Limits {
+        head_bytes: usize::MAX,
+        body_bytes: usize::MAX,
+        idle_time: Duration::MAX,
+        ..Limits::new(Vm::default())
+    };
+    assert_eq!(limits.largest_request(), usize::MAX);
+}
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -5,7 +5,7 @@
 
 use log::info;
 use log::warn;
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::error::Error;
 use crate::state::State;
@@ -48,6 +48,10 @@
             "intake: too many connections for the descriptors; using fewer");
         limits.connections = most;
     }
+    if limits.connections == 0 || limits.whole_body_time().is_zero() {
+        let text = "intake.connections and intake.body must be more than zero; state larger ones";
+        return Err(Error::Intake(text.to_owned()));
+    }
     let memory = vm.memory_mb.map_or(usize::MAX, |memory| (memory as usize) << 20);
     if limits.held_bytes > memory / MAX_MEMORY_PART {
         return Err(Error::Intake(format!(
@@ -73,14 +77,14 @@
 }
 
 /// Puts the limits of changed settings into force.
-pub(crate) fn reload(state: &State, settings: &HostSettings) {
-    match limits(settings) {
-        Ok(limits) => {
-            *state.base_limits.borrow_mut() = limits;
-            set_limits(state);
-        }
-        Err(error) => warn!(error = error.to_string().as_str(); "reload: limits stay in force"),
-    }
+///
+/// # Errors
+///
+/// The limits contradict the memory of the VM or each other; the former ones stay in force.
+pub(crate) fn reload(state: &State, settings: &HostSettings) -> Result<(), Error> {
+    *state.base_limits.borrow_mut() = limits(settings)?;
+    set_limits(state);
+    Ok(())
 }
 
 /// Adds the operators' limits to those of the settings, and puts them into force.
@@ -115,7 +119,8 @@
     loop {
         let pause = state.intake.sweep();
         publish(&state);
-        sleep(pause).await;
+        // Whether deadlines have passed or the limits have changed, the next sweep is due.
+        let _ = timeout(pause, state.intake.limits_changed()).await;
     }
 }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -124,7 +124,10 @@
             return;
         }
     };
-    clients::reload(state, &settings);
+    if let Err(error) = clients::reload(state, &settings) {
+        warn!(error = error.to_string().as_str(); "reload: the limits on clients stay in force");
+        return;
+    }
     let (body, intake) = (state.settings.body, state.settings.intake.clone());
     let (memory_mb, descriptors) = (state.settings.memory_mb, state.settings.descriptors);
     let others = HostSettings { body, intake, memory_mb, descriptors, ..settings };
--- a/crates/node/tests/client_limits.rs
+++ b/crates/node/tests/client_limits.rs
@@ -29,6 +29,10 @@
     assert!(most.is_err_and(|error| error.contains("memory_mb")));
     let least = check(json!({ "intake": { "held": "1MB" } }));
     assert!(least.is_err_and(|error| error.contains("one request")));
+    for none in [json!({ "connections": 0 }), json!({ "body": "0s" })] {
+        let refused = check(json!({ "intake": none }));
+        assert!(refused.is_err_and(|error| error.contains("more than zero")));
+    }
     let served = json!({ "descriptors": 300, "intake": { "connections": 4_000 } });
     assert_eq!(check(served), Ok(()), "fewer connections still serve ordinary callers");
 }
