Refuse requests that have arrived on connections closed to make room

Cause: an idle connection that gave way was closed without reading, also if a request had arrived on it: its caller got no answer although nothing had run. The 503 to a connection that cannot be registered was lost: the runtime does not know yet that a new socket is writable, or closing it with unread bytes resets it.

Change: what has arrived (up to 4 KB) is discarded, and the 503 is written with a direct call, in both cases.

Tests: refused_request fails on the code before (connection reset) and passes; arrived_request is new and passes; limits passes (11).

--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -280,6 +280,11 @@
         self.update(|open| open.ending.filter(|_| !open.answers)).flatten()
     }
 
+    /// Whether no byte of a request has been read since the last answer.
+    pub(crate) fn is_unread(&self) -> bool {
+        self.update(|open| open.phase == Phase::Idle).unwrap_or(false)
+    }
+
     /// Registers the task to wake when the connection is to end.
     pub fn park(&self, waker: &Waker) {
         self.update(|open| match &mut open.waker {
--- a/crates/intake/src/socket.rs
+++ b/crates/intake/src/socket.rs
@@ -8,6 +8,10 @@
 use std::task::Poll;
 use std::task::ready;
 
+use rustix::net::RecvFlags;
+use rustix::net::SendFlags;
+use rustix::net::recv;
+use rustix::net::send;
 use rustix::net::sockopt::set_socket_recv_buffer_size;
 use rustix::net::sockopt::set_socket_send_buffer_size;
 use tokio::io::AsyncRead;
@@ -21,6 +25,8 @@
 
 /// Send buffer of a connection, in bytes. Answers to callers are shorter.
 const SEND_BYTES: usize = 16 << 10;
+/// Bytes that are read from a connection before it is refused: an ordinary head and its body.
+const DISCARDED_BYTES: usize = 4 << 10;
 /// Answer to a connection that cannot be registered.
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
     content-length: 0\r\nconnection: close\r\n\r\n";
@@ -39,8 +45,18 @@
 
 /// Answers a connection that cannot be registered, if its buffer takes the answer at once.
 pub fn refuse(stream: &TcpStream) {
-    // A client that does not get the answer sees the connection closed.
-    let _ = stream.try_write(REFUSAL);
+    discard(stream);
+    // Sent without the runtime, which does not know yet that a new connection is writable. A client
+    // that does not get the answer sees the connection closed.
+    let _ = send(stream, REFUSAL, SendFlags::DONTWAIT | SendFlags::NOSIGNAL);
+}
+
+/// Discards an ordinary request that has arrived, and returns whether there was one. Unread bytes
+/// would reset the connection when it is closed, and its client would lose the answer.
+fn discard(stream: &TcpStream) -> bool {
+    let mut discarded = [0; DISCARDED_BYTES];
+    let received = recv(stream, &mut discarded, RecvFlags::DONTWAIT);
+    received.is_ok_and(|(bytes, _)| bytes > 0)
 }
 
 /// A connection of a client, registered with an intake.
@@ -60,6 +76,14 @@
         self.lease.closing().map_or(Ok(()), |reason| Err(closed(reason)))
     }
 
+    /// Refuses a request that has arrived on a connection that is to be closed. Without an answer, its
+    /// caller could not know that nothing has run.
+    fn refuse_arrived(&self) {
+        if self.lease.is_unread() && discard(&self.stream) {
+            refuse(&self.stream);
+        }
+    }
+
     /// Records the outcome of a write.
     fn wrote<T>(&self, cx: &Context<'_>, outcome: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         match outcome {
@@ -81,7 +105,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.check()?;
+        if let Some(reason) = self.lease.closing() {
+            self.refuse_arrived();
+            return Poll::Ready(Err(closed(reason)));
+        }
         let before = buf.filled().len();
         let outcome = Pin::new(&mut self.stream).poll_read(cx, buf);
         if outcome.is_pending() {
--- a/crates/intake/tests/limits.rs
+++ b/crates/intake/tests/limits.rs
@@ -1,8 +1,13 @@
 //! Which connections end when clients reach a limit.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::advance;
 use tokio::time::timeout;
@@ -12,6 +17,7 @@
 use intake::Limits;
 use intake::Port;
 use intake::Reason;
+use intake::Socket;
 use intake::Vm;
 
 /// Bytes of a body; serving one takes more.
@@ -183,3 +189,41 @@
     };
     assert_eq!(limits.largest_request(), usize::MAX);
 }
+
+/// Guards against a request that has arrived on an idle connection and gets no answer when the
+/// connection is closed to make room.
+#[tokio::test]
+async fn arrived_request() {
+    let intake = intake(1);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let connecting = TcpStream::connect(listener.local_addr().expect("an address"));
+    let (client, accepted) = tokio::join!(connecting, listener.accept());
+    let (mut client, (stream, _)) = (client.expect("connected"), accepted.expect("accepted"));
+    let mut socket = Socket::new(stream, Rc::new(open(&intake)));
+    client.write_all(b"POST / HTTP/1.1\r\n\r\n").await.expect("sent");
+    client.shutdown().await.expect("sent");
+    let _newer = open(&intake);
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let mut byte = [0];
+    assert!(socket.read(&mut byte).await.is_err(), "the connection is to be closed");
+    drop(socket);
+    let mut answer = String::new();
+    client.read_to_string(&mut answer).await.expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+}
+
+/// Guards against a refusal that is not sent because the runtime does not know yet that the new
+/// connection is writable, or that is lost with the unread request.
+#[tokio::test]
+async fn refused_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let mut client =
+        TcpStream::connect(listener.local_addr().expect("an address")).await.expect("connected");
+    client.write_all(b"POST / HTTP/1.1\r\n\r\n").await.expect("sent");
+    let (stream, _) = listener.accept().await.expect("accepted");
+    intake::refuse(&stream);
+    drop(stream);
+    let mut answer = String::new();
+    client.read_to_string(&mut answer).await.expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+}
