--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -151,7 +151,7 @@
     pub reclaim_after: Time,
     /// No reservation is searched for the step before this time.
     pub search_after: Time,
-    /// Whether it has waited in vain for runs that were expected to end by themselves.
+    /// Whether it has waited for runs that were expected to end by themselves and did not.
     pub end_missed: bool,
     /// When a run of the step last failed; zero for never.
     pub failed_at: Time,
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -260,13 +260,13 @@
                 found.push((*index, at));
             }
         }
-        let in_vain = self.waits_in_vain(now, pending, &reserved, &found);
-        if lost || in_vain {
+        let end_missed_now = self.missed_expected_end(now, pending, &reserved, &found);
+        if lost || end_missed_now {
             // A reserved worker has become unusable, or is not freed as expected: drop all
             // reservations of the step, so that the next pass places it again.
             let Some(job) = self.jobs.get_mut(&pending.job) else { return false };
             let step_state = &mut job.occurrences[pending.occurrence][pending.step];
-            step_state.end_missed |= in_vain;
+            step_state.end_missed |= end_missed_now;
             for task in &mut step_state.tasks {
                 if matches!(task.stage, Stage::Reserved(_)) {
                     task.stage = Stage::Idle;
--- a/crates/batch/src/reclaim.rs
+++ b/crates/batch/src/reclaim.rs
@@ -186,7 +186,7 @@
 
     /// Whether a reservation of a step waits on for runs that were expected to end by themselves.
     /// `found` lists the tasks whose reserved capacity is free.
-    pub(crate) fn waits_in_vain(
+    pub(crate) fn missed_expected_end(
         &self,
         now: Time,
         pending: &PendingStep,
--- a/crates/intake/src/connection.rs
+++ b/crates/intake/src/connection.rs
@@ -74,7 +74,7 @@
     /// Bytes that it holds; zero once it is to end.
     pub held: usize,
     /// Bytes that it held when it was to end, until its task has released them.
-    pub doomed: usize,
+    pub closing: usize,
     /// Bytes of these that serving the current request takes.
     pub work: usize,
     /// Bytes of the current body that were read from the socket.
@@ -95,7 +95,7 @@
             since: now,
             touched: now,
             held,
-            doomed: 0,
+            closing: 0,
             work: 0,
             wire: 0,
             ending: None,
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -45,7 +45,7 @@
     connections: BTreeMap<u64, Connection>,
     held: usize,
     /// Bytes of connections that are to end, until their tasks have released them.
-    doomed: usize,
+    closing: usize,
     ended: BTreeMap<Reason, u64>,
     /// Time at which the next sweep is due.
     next_sweep: Option<Instant>,
@@ -78,7 +78,7 @@
             next_id: 0,
             connections: BTreeMap::new(),
             held: 0,
-            doomed: 0,
+            closing: 0,
             ended: BTreeMap::new(),
             next_sweep: None,
         };
@@ -172,7 +172,7 @@
 
 impl Register {
     fn is_settled(&self) -> bool {
-        self.held + self.doomed <= self.limits.held_bytes
+        self.held + self.closing <= self.limits.held_bytes
     }
 
     fn note(&mut self, reason: Reason) {
@@ -211,8 +211,8 @@
         }
         connection.ending = Some(reason);
         let held = std::mem::take(&mut connection.held);
-        connection.doomed += held;
-        (self.held, self.doomed) = (self.held - held, self.doomed + held);
+        connection.closing += held;
+        (self.held, self.closing) = (self.held - held, self.closing + held);
         if let Some(waker) = connection.waker.take() {
             waker.wake();
         }
@@ -468,8 +468,8 @@
         let mut register = self.shared.lock();
         let Some(connection) = register.connections.get_mut(&self.id) else { return };
         connection.enter(Phase::Answering, Instant::now());
-        let released = std::mem::take(&mut connection.doomed);
-        register.doomed -= released;
+        let released = std::mem::take(&mut connection.closing);
+        register.closing -= released;
     }
 }
 
@@ -478,7 +478,7 @@
         let mut register = self.shared.lock();
         if let Some(connection) = register.connections.remove(&self.id) {
             register.held -= connection.held;
-            register.doomed -= connection.doomed;
+            register.closing -= connection.closing;
         }
         drop(register);
         self.shared.released.notify_one();
--- a/crates/node/src/evacuation.rs
+++ b/crates/node/src/evacuation.rs
@@ -115,7 +115,7 @@
         self.updates += 1;
         let before = std::mem::replace(&mut self.zones, zones);
         for zone in before.keys().filter(|zone| !self.zones.contains_key(*zone)) {
-            info!(zone = zone.as_str(), revision = revision; "evacuation: taken back");
+            info!(zone = zone.as_str(), revision = revision; "evacuation: lifted");
         }
         for (zone, heard) in &self.zones {
             if before.get(zone) == Some(heard) {
@@ -127,8 +127,8 @@
                     warn!(revision = revision, fault = fault.as_str(); "evacuation: ignored");
                 }
                 Some(fault) => warn!(zone = zone, revision = revision, fault = fault.as_str();
-                    "evacuation: heard, though its value cannot be read"),
-                None => info!(zone = zone, revision = revision; "evacuation: heard"),
+                    "evacuation: received, though its value cannot be read"),
+                None => info!(zone = zone, revision = revision; "evacuation: received"),
             }
         }
     }
