--- a/crates/entry/tests/crowds/crowd.rs
+++ b/crates/entry/tests/crowds/crowd.rs
@@ -64,6 +64,12 @@
         self.settle().await;
     }
 
+    /// Address for peers, as the process has registered it in the store.
+    fn peers_address(&self) -> SocketAddr {
+        let value = self.cluster.store.value("p/entry-0").expect("a registration");
+        String::from_utf8(value).ok().and_then(|text| text.parse().ok()).expect("an address")
+    }
+
     /// Waits until the process has read what was sent: its memory no longer grows.
     async fn settle(&self) {
         let mut unchanged = 0;
@@ -84,6 +90,12 @@
         let descriptors = fs::read_dir(format!("/proc/{}/fd", vm.id())).expect("a process").count();
         println!("peak {peak} kB, private {private} kB, {descriptors} descriptors");
         self.cluster.wait_ready(0).await;
+        for port in [self.peers_address(), vm.metrics] {
+            let path = "/work/00000000000000c2";
+            let answers =
+                async || self.cluster.call(port, Method::GET, path, None, "").await.is_ok();
+            self.cluster.until("peers and scrapes are answered", answers).await;
+        }
         let path = "/work/00000000000000c2";
         let answers = async || self.cluster.ask(0, Method::POST, path, &job(1)).await.0 == 200;
         self.cluster.until("an ordinary request is answered", answers).await;
--- a/crates/intake/src/limits.rs
+++ b/crates/intake/src/limits.rs
@@ -8,7 +8,7 @@
 use crate::connection::Port;
 
 /// Bytes that requests may hold if the memory of the VM is not known.
-const DEFAULT_HELD_BYTES: usize = 20 << 20;
+const DEFAULT_HELD_BYTES: usize = 16 << 20;
 /// The requests hold at most this part of the VM's memory. The kernel's buffers of the connections
 /// take as much at most; the rest is for jobs, workers and the program.
 const MEMORY_SHARE: usize = 5;
