--- a/crates/entry/tests/hosted/cluster.rs
+++ b/crates/entry/tests/hosted/cluster.rs
@@ -31,6 +31,10 @@
 pub const KEY: &str = "key-of-a";
 /// Maximum size of a request body.
 pub const BODY_BYTES: usize = 4_096;
+/// Environment variable with the memory of the VMs in MB; without it, the setting is not stated.
+pub const MEMORY_VARIABLE: &str = "ENTRY_MEMORY_MB";
+/// Environment variable with the descriptors of the VMs; without it, the setting is not stated.
+pub const DESCRIPTORS_VARIABLE: &str = "ENTRY_DESCRIPTORS";
 /// Timeout for an awaited condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -287,6 +291,13 @@
             "drain": "3s", "cancel": "3s", "evacuate": "5s",
         },
     });
+    for (setting, variable) in
+        [("memory_mb", MEMORY_VARIABLE), ("descriptors", DESCRIPTORS_VARIABLE)]
+    {
+        if let Some(number) = number_from(variable) {
+            text[setting] = json!(number);
+        }
+    }
     if let Some(advice) = advice {
         text["advice"] = json!(advice.to_string());
     }
@@ -294,6 +305,12 @@
     Vm { name: name.to_owned(), callers, readiness, metrics, settings, child: None }
 }
 
+/// Returns the number in an environment variable; `None` if it is not set.
+pub fn number_from(variable: &str) -> Option<usize> {
+    let text = std::env::var(variable).ok()?;
+    Some(text.parse().expect("a number in the environment variable"))
+}
+
 /// Sends a signal to a process by its id.
 pub fn send_signal(id: u32, signal: &str) {
     let sent = Command::new("kill").arg(signal).arg(id.to_string()).status().expect("kill runs");
