Review case 6: no entry VM can take over what the owner bears

Cause: a takeover reads all stored jobs into memory before the planner gets the first, so it needs more memory than the owner that got them one by one.

--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -995,6 +995,8 @@
     }
 }
 
+/// `memoryMb` of the small sites.
+const MEMORY_MB: u64 = 260;
 const HOST: &str = "mill.example";
 const KEY: &str = "key-of-mill";
 
@@ -1049,7 +1051,7 @@
             r#"{{
   "vm": "front-north-a-{number}", "zone": "north-a", "region": "north",
   "callers": "{callers}", "readiness": "{readiness}", "peers": "{peers}", "metrics": "{metrics}",
-  "store": "{}", "cpu": 0.25, "link_mbps": 1000.0, "memory_mb": 260, "descriptors": 4100,
+  "store": "{}", "cpu": 0.25, "link_mbps": 1000.0, "memory_mb": {MEMORY_MB}, "descriptors": 4100,
   "ownership": "1200ms", "apply": "3000ms", "grace": "6s",
   "jobs": {{ "lease": "6000ms", "stop": "200ms", "drain": "3000ms", "cancel": "3000ms",
     "preempt_gangs": true, "reservations": 4, "retention": "120s" }}
@@ -1079,6 +1081,49 @@
         self.children.push((format!("entry-{number}"), child));
     }
 
+    /// Ends the entry VMs that hold more memory than `memoryMb`, as the platform does, and starts
+    /// them again after a short delay. Returns their names.
+    fn enforce_memory(&mut self) -> Vec<String> {
+        let mut ended = Vec::new();
+        for (name, child) in &self.children {
+            let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
+            let status = status.unwrap_or_default();
+            let line = status.lines().find(|line| line.starts_with("RssAnon:"));
+            let kb = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+            let kb = kb.unwrap_or(0);
+            if name.starts_with("entry-") && kb > MEMORY_MB * 1_024 {
+                self.note(&format!("platform: {name} holds {kb} kB, more than its memory"));
+                ended.push(name.clone());
+            }
+        }
+        for name in &ended {
+            self.kill(name);
+        }
+        if !ended.is_empty() {
+            pause(500);
+        }
+        for name in &ended {
+            self.restart_entry(name);
+        }
+        ended
+    }
+
+    fn restart_entry(&mut self, name: &str) {
+        self.run_entry(name.trim_start_matches("entry-").parse().unwrap_or(1));
+        self.note(&format!("platform starts {name} again"));
+    }
+
+    /// Name of the entry VM that owns the jobs, by the log of its last take-over.
+    fn owner(&self) -> Option<String> {
+        let taken = |number: usize| {
+            let log = self.folder.join(format!("entry-{number}.log"));
+            let log = fs::read_to_string(log).unwrap_or_default();
+            let line = log.lines().rfind(|line| line.contains("ownership: taken over"))?.to_owned();
+            Some((line.get(..45)?.to_owned(), format!("entry-{number}")))
+        };
+        (1..=self.entries.len()).filter_map(taken).max().map(|(_, name)| name)
+    }
+
     /// Starts an executor that listens on `own` and is listed with `listed`.
     fn start_executor(&mut self, id: &str) {
         let (own, listed, labels, gpu) = self.executors[id].clone();
@@ -1636,6 +1681,77 @@
     all.outcome(&broken)
 }
 
+/// The owner of many large jobs is killed.
+fn case_takeover(record: &Path) -> i32 {
+    let mut all = Deployment::start("takeover", record, 3);
+    for number in 1..=6 {
+        all.add_executor(&format!("w{number}"), &["a", "r1-1"], 8);
+    }
+    all.wait_ready();
+    // Jobs for tonight, each of 4,000 steps, at the rate of a small site for 74 s.
+    let mut steps = String::new();
+    for step in 0..4_000 {
+        steps.push_str(if step > 0 { "," } else { "" });
+        steps.push_str(r#"{"count":1,"cpu":1000,"memMb":1000,"gpu":1,"estimateMs":100}"#);
+    }
+    let due = unix_ms() + 6 * 3_600 * 1_000;
+    let body = format!(
+        r#"{{"spec":"work=100","steps":[{steps}],"firstRunMs":{due},"intervalMs":1000,"repeatCount":1}}"#
+    );
+    let mut ends: BTreeMap<String, u32> = BTreeMap::new();
+    let origin = Instant::now();
+    for number in 0..JOBS {
+        all.submit(number as usize, &format!("/c/{:016x}", 0x6000 + number), &body);
+        for name in all.enforce_memory() {
+            *ends.entry(name).or_default() += 1;
+        }
+        thread::sleep(Duration::from_millis(400 * (number + 1)).saturating_sub(origin.elapsed()));
+    }
+    let Some(owner) = all.owner().filter(|_| ends.is_empty()) else {
+        all.note("driver: a process ended before the disruption, or there is no owner");
+        return 2;
+    };
+    all.note(&format!("driver: {owner} owns the jobs"));
+    if all.trouble {
+        all.kill(&owner);
+        pause(1_000);
+        all.restart_entry(&owner);
+    }
+    let urgent = "00000000000000c1";
+    if !all.submit(1, &format!("/a/{urgent}"), &job(1, 300, "")) {
+        all.note("driver: the urgent job was not accepted");
+        return 2;
+    }
+    // `finish_s` after the end of the traffic, and 3 s more.
+    let over = Instant::now() + Duration::from_millis(14_000 + 3_300);
+    let often = |ends: &BTreeMap<String, u32>| ends.values().filter(|count| **count >= 3).count();
+    while Instant::now() < over {
+        for name in all.enforce_memory() {
+            *ends.entry(name).or_default() += 1;
+        }
+        pause(10);
+    }
+    let counts: Vec<String> = ends.iter().map(|(name, count)| format!("{name} {count} times")).collect();
+    let counts = counts.join(", ");
+    all.note(&format!("driver: processes that went over their memory: {counts}"));
+    let mut broken = Vec::new();
+    if starts(&all, urgent) == 0 && room_used(&all) * 2 < room(&all) {
+        broken.push(format!(
+            "LOST: job {urgent} of priority 0 has not begun 17 s after the end of the traffic; {} of {} \
+             GPUs are in use",
+            room_used(&all),
+            room(&all)
+        ));
+    }
+    if often(&ends) >= 2 {
+        broken.push(format!("Fault: processes held more than {MEMORY_MB} MB: {counts}"));
+    }
+    all.outcome(&broken)
+}
+
+/// Large jobs of the case with the take-over.
+const JOBS: u64 = 185;
+
 /// Entries of another writer, with a service that the manifest does not name.
 fn case_odd_entries(record: &Path) -> i32 {
     let mut all = Deployment::start("odd-entries", record, 3);
@@ -1732,6 +1848,7 @@
                 "hopeless" => case_hopeless(&record),
                 "store-outage" => case_store_outage(&record),
                 "waiting" => case_waiting(&record),
+                "takeover" => case_takeover(&record),
                 "odd-entries" => case_odd_entries(&record),
                 "lost-rack" => case_lost_rack(&record),
                 _ => 2,
