--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -1,19 +1,36 @@
 //! Stand-ins of the second review: the platform's store, executors, a delaying proxy, clients, and
 //! the drivers of the cases. Standard library only; `review/build-2.sh` builds it.
 //!
-//! `standins-2 case N FOLDER` runs case N and writes `FOLDER/record.txt`. The store, the executors
+//! `standins-2 case NAME FOLDER` runs a case and writes `FOLDER/record.txt`. The store, the executors
 //! and the proxy run as processes of their own, started by the driver with the other subcommands.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::fs::{self, OpenOptions};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fs;
+use std::fs::OpenOptions;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 // ---------------------------------------------------------------- JSON
 
@@ -493,13 +510,15 @@
 fn run_store(listener: TcpListener) {
     let shared = Arc::new((Mutex::new(Kv { revision: 1, ..Kv::default() }), Condvar::new()));
     let for_timer = Arc::clone(&shared);
-    thread::spawn(move || loop {
-        thread::sleep(Duration::from_millis(10));
-        let mut kv = lock(&for_timer.0);
-        let before = kv.revision;
-        kv.expire();
-        if kv.revision != before {
-            for_timer.1.notify_all();
+    thread::spawn(move || {
+        loop {
+            thread::sleep(Duration::from_millis(10));
+            let mut kv = lock(&for_timer.0);
+            let before = kv.revision;
+            kv.expire();
+            if kv.revision != before {
+                for_timer.1.notify_all();
+            }
         }
     });
     serve(listener, move |request| {
@@ -600,7 +619,8 @@
                     if !events.is_empty() || now >= end {
                         let revision = kv.revision;
                         drop(kv);
-                        let fields = vec![("events", J::Arr(events)), ("storeRevision", n(revision))];
+                        let fields =
+                            vec![("events", J::Arr(events)), ("storeRevision", n(revision))];
                         return Some((200, obj(fields).text()));
                     }
                     kv = changed.wait_timeout(kv, end - now).unwrap_or_else(|e| e.into_inner()).0;
@@ -712,7 +732,8 @@
     }
     fn advance(&mut self) {
         let lapsed = self.clock() >= self.deadline;
-        let done = |running: &Running| running.work.is_some_and(|work| running.since.elapsed() >= work);
+        let done =
+            |running: &Running| running.work.is_some_and(|work| running.since.elapsed() >= work);
         let ended: Vec<(String, &'static str)> = self
             .running
             .iter()
@@ -730,7 +751,11 @@
         self.deadline = self.deadline.max(deadline.min(self.clock() + HOLD_MAX_MS));
     }
     fn refuse(&self, reason: &str) -> (u16, String) {
-        (409, obj(vec![("clockMs", n(self.clock())), ("reason", s(reason)), ("born", n(self.born))]).text())
+        (
+            409,
+            obj(vec![("clockMs", n(self.clock())), ("reason", s(reason)), ("born", n(self.born))])
+                .text(),
+        )
     }
     fn fine(&self) -> (u16, String) {
         (200, obj(vec![("clockMs", n(self.clock())), ("born", n(self.born))]).text())
@@ -775,7 +800,8 @@
             J::Arr(vec![s(task), n(running.run), s(""), n(percent.min(100) as u64), n(1_000)])
         });
         let ended = self.ended.iter().take(500);
-        let ended = ended.map(|(k, task, run, how)| J::Arr(vec![n(*k), s(task), n(*run), s(how), s("")]));
+        let ended =
+            ended.map(|(k, task, run, how)| J::Arr(vec![n(*k), s(task), n(*run), s(how), s("")]));
         obj(vec![
             ("clockMs", n(self.clock())),
             ("born", n(self.born)),
@@ -829,8 +855,11 @@
             let born = lock(&beat).born;
             let clock = lock(&beat).clock();
             let labels = place.labels.iter().map(|label| s(label)).collect();
-            let capacity =
-                obj(vec![("cpu", n(place.gpu * 4_000)), ("memMb", n(place.gpu * 16_000)), ("gpu", n(place.gpu))]);
+            let capacity = obj(vec![
+                ("cpu", n(place.gpu * 4_000)),
+                ("memMb", n(place.gpu * 16_000)),
+                ("gpu", n(place.gpu)),
+            ]);
             let entry = obj(vec![
                 ("service", s("mill")),
                 ("address", s(&place.listed.to_string())),
@@ -849,9 +878,11 @@
             thread::sleep(HEARTBEAT);
         }
     });
-    thread::spawn(move || loop {
-        thread::sleep(Duration::from_millis(5));
-        lock(&timer).advance();
+    thread::spawn(move || {
+        loop {
+            thread::sleep(Duration::from_millis(5));
+            lock(&timer).advance();
+        }
     });
     serve(listener, move |request| {
         let expected = request.headers.get("x-basilrack-expect-instance");
@@ -921,7 +952,11 @@
                 // Spread over the whole range that the pages name.
                 let delay = 2_500 + (*count / nth * 2_711) % 9_000;
                 let json = request.json();
-                let what = format!("{} run {}", json.get("task").str(), json.get("run").u64().unwrap_or(0));
+                let what = format!(
+                    "{} run {}",
+                    json.get("task").str(),
+                    json.get("run").u64().unwrap_or(0)
+                );
                 note(&record, &format!("proxy to {target} withholds start {what} for {delay} ms"));
                 let record = record.clone();
                 thread::spawn(move || {
@@ -1207,7 +1242,9 @@
 
     fn state(&self, entry: usize, path: &str) -> String {
         let answer = self.ask(entry, "GET", path, "");
-        answer.filter(|(status, _)| *status == 200).map_or(String::new(), |(_, body)| body.get("state").str().to_owned())
+        answer
+            .filter(|(status, _)| *status == 200)
+            .map_or(String::new(), |(_, body)| body.get("state").str().to_owned())
     }
 
     fn wait_state(&self, path: &str, wanted: &str, limit: Duration) -> bool {
@@ -1232,7 +1269,11 @@
         for text in broken {
             self.note(&format!("driver BROKEN {text}"));
         }
-        self.note(if broken.is_empty() { "driver: the rule held" } else { "driver: the rule was broken" });
+        self.note(if broken.is_empty() {
+            "driver: the rule held"
+        } else {
+            "driver: the rule was broken"
+        });
         i32::from(!broken.is_empty())
     }
 }
@@ -1245,7 +1286,8 @@
     body: &str,
 ) -> Option<(u16, J)> {
     let headers = [("Host", HOST), ("X-Api-Key", KEY), ("X-Basilrack-Deadline-Ms", "3000")];
-    let answer = call(address, method, path, &headers, body.as_bytes(), Duration::from_millis(3_000));
+    let answer =
+        call(address, method, path, &headers, body.as_bytes(), Duration::from_millis(3_000));
     let answer = answer.map(|(status, body)| {
         let body = std::str::from_utf8(&body).ok().and_then(J::parse).unwrap_or(J::Null);
         (status, body)
@@ -1416,7 +1458,9 @@
                 }
                 if let Some((other, run)) = running.get(&task) {
                     if *other != executor {
-                        broken.push(format!("TWICE: {task} runs on {executor} and, as run {run}, on {other}"));
+                        broken.push(format!(
+                            "TWICE: {task} runs on {executor} and, as run {run}, on {other}"
+                        ));
                     }
                 }
                 running.insert(task, (executor, run));
@@ -1467,12 +1511,15 @@
     }
     let done = all.wait_state(&format!("/b/{plain}"), "completed", Duration::from_secs(30));
     let state = all.state(1, &format!("/c/{lasting}"));
-    let failed = run_events(&all).iter().filter(|event| event.2 == "end" && event.5 == "failed").count();
+    let failed =
+        run_events(&all).iter().filter(|event| event.2 == "end" && event.5 == "failed").count();
     let mut broken = Vec::new();
     if !done {
         let state = all.state(1, &format!("/b/{plain}"));
         if state == "failed" {
-            broken.push(format!("LOST: job {plain} is shown as failed; executors listed {failed} ends `failed`"));
+            broken.push(format!(
+                "LOST: job {plain} is shown as failed; executors listed {failed} ends `failed`"
+            ));
         }
     }
     if state == "failed" {
@@ -1607,14 +1654,17 @@
             scope.spawn(move || {
                 all_ref.submit(number as usize, &format!("/c/{:016x}", 0x2000 + number), body);
             });
-            thread::sleep(Duration::from_millis(400 * (number + 1)).saturating_sub(origin.elapsed()));
+            thread::sleep(
+                Duration::from_millis(400 * (number + 1)).saturating_sub(origin.elapsed()),
+            );
         }
     });
     // A job that comes and one that is cancelled, more than `contactMs` after the store is back.
     pause(4_000);
     let urgent = "00000000000000e1";
     all.submit(0, &format!("/a/{urgent}"), &job(2, 1_000, ""));
-    let acked = matches!(all.ask(1, "DELETE", &format!("/b/{long}"), ""), Some((200..300 | 410, _)));
+    let acked =
+        matches!(all.ask(1, "DELETE", &format!("/b/{long}"), ""), Some((200..300 | 410, _)));
     // cancel_ms, stopTimeoutMs and a second more.
     pause(3_000 + 200 + 1_000);
     let mut broken = Vec::new();
@@ -1731,7 +1781,8 @@
         }
         pause(10);
     }
-    let counts: Vec<String> = ends.iter().map(|(name, count)| format!("{name} {count} times")).collect();
+    let counts: Vec<String> =
+        ends.iter().map(|(name, count)| format!("{name} {count} times")).collect();
     let counts = counts.join(", ");
     all.note(&format!("driver: processes that went over their memory: {counts}"));
     let mut broken = Vec::new();
@@ -1841,7 +1892,8 @@
             PathBuf::from(arg(5)),
         ),
         "case" => {
-            let record = fs::canonicalize(arg(2)).expect("the folder of the case").join("record.txt");
+            let record =
+                fs::canonicalize(arg(2)).expect("the folder of the case").join("record.txt");
             let run = || match arg(1) {
                 "late-order" => case_late_order(&record),
                 "flapping" => case_flapping(&record),
