Refuse calls to the former incarnation of a restarted worker

Cause: nothing distinguishes a call to the former incarnation from one to the next. Both have the same id and got the same fencing token, and the next one remembers neither runs nor tokens; its clock is behind the end of the lease that the start carries.

Change: calls to a worker carry a higher token once it misses a renewal, and again once another incarnation has answered. The token is the store revision of the owner's last transaction: it is higher than the claim's and lower than that of any later claim, and needs no call to the store unless the worker has seen it already. So the next renewal makes the worker refuse all earlier calls, whatever became of their runs, late renewals included. Refusals of own earlier calls no longer end the ownership. While an unanswered start may still be on its way (12 s), the worker is called also if it is idle, and each 250 ms while it is silent.

Result: late_calls (ended, abandoned, cancelled and preempted runs, two restarts, renewals), late_orders_and_restarts and restarts (real processes) fail on the code before: the start is taken, and goes over a worker's capacity.

--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -35,6 +35,8 @@
         saved: String,
         /// Ticket of the advice service; `None` where the queue needs none.
         ticket: Option<String>,
+        /// Fencing token.
+        token: u64,
         /// Latest time at which it may be sent. Later, the views of the outside world on which it
         /// is based are too old, and [`StartResult::NotSent`](crate::StartResult::NotSent) is
         /// reported instead.
@@ -56,6 +58,8 @@
         task: TaskKey,
         /// Number of the run.
         run: u32,
+        /// Fencing token.
+        token: u64,
     },
     /// Renew the lease of all runs on a worker, and ask for its active runs and ends.
     Renew {
@@ -67,6 +71,8 @@
         seen: u64,
         /// How long the worker may delay its answer until a run ends, in ms.
         wait: u64,
+        /// Fencing token.
+        token: u64,
     },
     /// Log a decision.
     Note(Note),
@@ -176,6 +182,13 @@
         /// Whether it answers orders.
         heeds: bool,
     },
+    /// Calls to a worker carry a higher fencing token from now on.
+    RaisesToken {
+        /// The worker.
+        worker: WorkerId,
+        /// The token.
+        token: u64,
+    },
     /// A new owner has restored the stored jobs and adopts their runs.
     Adopts {
         /// Number of jobs that have not ended, or still have runs.
--- a/crates/batch/src/calls.rs
+++ b/crates/batch/src/calls.rs
@@ -50,7 +50,8 @@
                 run.stop_sent = Some(now);
                 let worker = run.worker.clone();
                 let run = self.run_number(key);
-                self.out.push(Action::Stop { worker, task: key.clone(), run });
+                let token = self.token(&worker);
+                self.out.push(Action::Stop { worker, task: key.clone(), run, token });
             }
         }
         for key in unsent {
@@ -73,8 +74,8 @@
                 continue;
             }
             worker.probe_sent = now;
-            let (worker, task, run) = (id.clone(), task.clone(), *run);
-            self.out.push(Action::Stop { worker, task, run });
+            let (task, run, token) = (task.clone(), *run, worker.fence.token);
+            self.out.push(Action::Stop { worker: id.clone(), task, run, token });
         }
     }
 
@@ -96,20 +97,25 @@
             let doubtful = !worker.reachable || worker.missed_calls > 0;
             let unheard = (worker.clock.is_none() || doubtful) && worker.listed;
             let unacked = worker.stored_end > worker.acked_end;
-            if !(busy || unheard || unacked || worker.foreign_runs > 0) {
+            let doubtful_start = worker.listed && worker.fence.doubtful(now);
+            let unfenced = worker.listed && worker.fence.is_open();
+            let wanted = busy || unheard || unacked || worker.foreign_runs > 0;
+            if !(wanted || doubtful_start || unfenced) {
                 continue;
             }
             let storing = worker.heard_end > worker.stored_end;
             let pause = match (worker.missed_calls, storing) {
-                (0, false) => Duration::ZERO,
                 (0, true) => RENEWAL_PAUSE,
+                (0, false) if !worker.fence.due => Duration::ZERO,
+                _ if doubtful_start || worker.fence.due => RENEWAL_RETRY_PAUSE,
                 (silent, _) => RENEWAL_RETRY_PAUSE * 2u32.pow(silent.min(MAX_RETRY_DOUBLINGS)),
             };
             if worker.renewal_sent + pause > now && worker.renewal_sent != Time::ZERO {
                 continue;
             }
-            let wait = busy
+            let wait = (busy || doubtful_start)
                 && !unheard
+                && !unfenced
                 && !storing
                 && worker.foreign_runs == 0
                 && worker.missed_calls == 0;
@@ -125,11 +131,13 @@
             worker.acking_end = if acknowledges { worker.stored_end } else { 0 };
             worker.renewing = true;
             worker.renewal_sent = now;
+            worker.fence.sent = worker.fence.token;
             self.out.push(Action::Renew {
                 worker: id.clone(),
                 deadline,
                 seen: worker.acking_end,
                 wait: if wait { MAX_RENEWAL_WAIT_MS.min(millis(lease) / 3) } else { 0 },
+                token: worker.fence.token,
             });
         }
     }
--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::fence::Fence;
 use crate::spec::JobId;
 use crate::spec::Need;
 use crate::spec::TaskKey;
@@ -48,6 +49,8 @@
     pub incarnation: u64,
     /// When it last answered, with the worker's clock at that time in ms.
     pub clock: Option<(Time, u64)>,
+    /// Fencing token of the calls to it.
+    pub fence: Fence,
     /// Latest lease end sent during this ownership, in ms of the worker's clock.
     pub deadline: u64,
     /// When leases from former owners have expired, for a worker that has not answered this owner.
@@ -122,9 +125,10 @@
 const CLOCK_MARGIN_MS: u64 = 100;
 
 impl Worker {
-    pub fn new(info: Arc<WorkerInfo>, inherited_end: Time) -> Worker {
+    pub fn new(info: Arc<WorkerInfo>, inherited_end: Time, token: u64) -> Worker {
         Worker {
             incarnation: 0,
+            fence: Fence::new(token),
             info,
             listed: true,
             clock: None,
--- a/crates/batch/src/event.rs
+++ b/crates/batch/src/event.rs
@@ -81,7 +81,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "snake_case")]
 pub enum Refusal {
-    /// It has seen a higher fencing token.
+    /// It has seen a higher fencing token, of which [`Event::Fenced`] tells.
     Fence,
     /// It has already stopped or ended this run or a later one.
     Old,
@@ -138,8 +138,13 @@
     Renewed(WorkerId, RenewalReport),
     /// A worker did not answer a lease renewal.
     RenewalFailed(WorkerId),
-    /// A worker has seen a higher fencing token, or the ownership's lease has expired.
+    /// A transaction of this owner has been stored at this revision, the first of which is that of
+    /// the claim. The revisions serve as fencing tokens.
+    Stored(u64),
+    /// The ownership's lease has expired.
     Deposed,
+    /// A worker refused a call that carried this fencing token, since it has seen a higher one.
+    Fenced(WorkerId, u64),
     /// A renewal was answered by another incarnation under the worker's address.
     Replaced(WorkerId),
     /// Result of a start: worker, task, run number and result.
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -16,6 +16,7 @@
 mod directory;
 mod evacuation;
 mod event;
+mod fence;
 mod headroom;
 mod job;
 mod lost;
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -88,6 +88,10 @@
     commit: Option<Commit>,
     /// No commit is started before this time.
     commit_after: Time,
+    /// Store revision of the owner's last transaction, as far as it is known.
+    pub(crate) revision: u64,
+    /// Whether a commit is due even if it has nothing to store, since a fencing token waits for it.
+    pub(crate) revision_wanted: bool,
     pub(crate) out: Vec<Action>,
     pub(crate) advisor: Advisor,
     /// When leases from former owners have expired on workers that have not answered this owner.
@@ -170,6 +174,8 @@
             restored: false,
             commit: None,
             commit_after: Time::ZERO,
+            revision: 0,
+            revision_wanted: false,
             out: Vec::new(),
             advisor: Advisor::default(),
             inherited_end,
@@ -221,7 +227,8 @@
 
     /// Latest time of the next decision if no event arrives before.
     pub fn next_wakeup(&self) -> Time {
-        let commit = self.commit.is_none() && !self.dirty.is_empty();
+        let changes = !self.dirty.is_empty() || self.revision_wanted;
+        let commit = self.commit.is_none() && changes;
         self.replan_at.min(if commit { self.commit_after } else { Time::NEVER })
     }
 
@@ -285,9 +292,14 @@
             Event::Evacuated(zones) => self.set_evacuated(now, zones),
             Event::Renewed(worker, report) => self.renewal_answered(now, &worker, &report),
             Event::RenewalFailed(worker) => self.renewal_failed(now, &worker),
+            Event::Stored(revision) => self.transaction_stored(revision),
             Event::Deposed => self.out.push(Action::Resign),
+            Event::Fenced(worker, token) => self.fenced(&worker, token),
             Event::Replaced(worker) => self.replaced(now, &worker),
             Event::Started(worker, task, run, result) => {
+                if result == StartResult::Unknown {
+                    self.note_doubtful_start(now, &worker);
+                }
                 if result != StartResult::NotSent {
                     self.record_answer(&worker, &task, run, result != StartResult::Unknown);
                 }
@@ -310,7 +322,7 @@
             unseen.remove(&info.id);
             let worker = self.workers.entry(info.id.clone()).or_insert_with(|| {
                 self.replan = true;
-                Worker::new(Arc::new(info.clone()), self.inherited_end)
+                Worker::new(Arc::new(info.clone()), self.inherited_end, self.revision)
             });
             let drain_end = info.drain_left.map(|left| now + left);
             worker.drain_end = match (worker.drain_end, drain_end) {
@@ -385,10 +397,11 @@
             let occurrence = &job.occurrences[key.occurrence as usize];
             debug_assert!(occurrence.len() > key.step as usize);
             let need = job.spec.steps[key.step as usize].need;
-            let inherited_end = self.inherited_end;
+            let (inherited_end, token) = (self.inherited_end, self.revision);
             let worker = self.workers.entry(run.worker.clone()).or_insert_with(|| {
                 // The directory no longer lists the worker, but its leases may not have expired.
-                let mut worker = Worker::new(Arc::new(unlisted(&run.worker)), inherited_end);
+                let info = Arc::new(unlisted(&run.worker));
+                let mut worker = Worker::new(info, inherited_end, token);
                 worker.listed = false;
                 worker
             });
@@ -529,9 +542,11 @@
 
     /// Starts a commit of all changed jobs, unless one is in flight or the pause is not over.
     fn start_commit(&mut self, now: Time) {
-        if self.commit.is_some() || self.dirty.is_empty() || now < self.commit_after {
+        let changes = !self.dirty.is_empty() || self.revision_wanted;
+        if self.commit.is_some() || !changes || now < self.commit_after {
             return;
         }
+        self.revision_wanted = false;
         let dirty = std::mem::take(&mut self.dirty);
         let mut records = Vec::with_capacity(dirty.len());
         let mut starts = Vec::new();
@@ -599,6 +614,7 @@
         let Some(worker) = self.workers.get_mut(&run.worker) else { return };
         let Some(deadline) = worker.lease_deadline(extend_from, lease) else { return };
         let (id, incarnation) = (run.worker.clone(), worker.incarnation);
+        let token = worker.fence.token;
         worker.deadline = worker.deadline.max(deadline);
         run.deadline = run.deadline.max(deadline);
         run.first_sent.get_or_insert(now);
@@ -612,6 +628,7 @@
             deadline,
             saved,
             ticket,
+            token,
             send_by,
         });
     }
@@ -632,6 +649,9 @@
         if worker.missed_calls >= MAX_MISSED_CALLS {
             worker.reachable = false;
         }
+        if worker.missed_calls == 1 && worker.has_answered() {
+            self.raise_token(id);
+        }
     }
 }
 
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -45,6 +45,7 @@
             worker.start_incarnation(report.incarnation);
             if known {
                 self.note_crash(id);
+                self.raise_token(id);
             }
             self.stop_unconfirmed(now, id);
         }
@@ -57,6 +58,7 @@
         worker.inherited_end = Time::ZERO;
         worker.clock = Some((now, report.clock));
         worker.acked_end = worker.acked_end.max(worker.acking_end);
+        worker.fence.answered = worker.fence.sent;
         self.settle_losses(now, id, report.incarnation);
         let Some(worker) = self.workers.get_mut(id) else { return };
         let ended: Vec<&End> =
@@ -73,8 +75,8 @@
                 continue;
             }
             foreign_runs += 1;
-            let (task, run) = (listed.task.clone(), listed.run);
-            self.out.push(Action::Stop { worker: id.clone(), task, run });
+            let (task, run, token) = (listed.task.clone(), listed.run, self.token(id));
+            self.out.push(Action::Stop { worker: id.clone(), task, run, token });
         }
         if let Some(worker) = self.workers.get_mut(id) {
             if worker.foreign_runs > 0 && foreign_runs == 0 {
@@ -386,10 +388,8 @@
 
     /// Stops runs with unanswered starts after the worker has restarted as another incarnation.
     ///
-    /// A start that was in flight during the restart may have reached the new incarnation, so the
-    /// worker's reports decide about each run as usual. A start that is still in flight carries a
-    /// lease end on the former incarnation's clock, which the new clock will not reach soon, so it
-    /// would be accepted; only a stop prevents that.
+    /// A start that was in flight during the restart may have reached the new incarnation before
+    /// the fencing token was raised, so the worker's reports decide about each run as usual.
     fn stop_unconfirmed(&mut self, now: Time, id: &WorkerId) {
         let Some(keys) = self.runs.get(id) else { return };
         for key in keys {
@@ -467,7 +467,6 @@
                 }
             }
             StartResult::NotSent => self.start_not_sent(now, key, number),
-            StartResult::Refused(Refusal::Fence) => self.out.push(Action::Resign),
             StartResult::Refused(reason) => {
                 let (worker, unanswered) = (run.worker.clone(), run.unanswered_starts);
                 if run.confirmed.is_some() {
@@ -477,7 +476,7 @@
                     self.drop_ticket(&key.job, key.occurrence, key.step, &worker);
                 }
                 match (reason, self.workers.get_mut(&worker)) {
-                    (Refusal::Ticket, _) => {}
+                    (Refusal::Ticket | Refusal::Fence, _) => {}
                     (Refusal::Late, Some(worker)) => worker.clock = None,
                     (Refusal::Reborn, Some(worker)) => worker.listed = false,
                     _ => self.back_off(now, &worker, WORKER_BACKOFF, "the worker refused a start"),
--- a/crates/batch/tests/ends.rs
+++ b/crates/batch/tests/ends.rs
@@ -35,10 +35,12 @@
     }
 }
 
-/// A planner with one worker, at a given time in ms.
+/// A planner with one worker, at a given time in ms, whose commits succeed at once.
 struct Owner {
     planner: Planner,
     now: u64,
+    /// Store revision of its last transaction.
+    revision: u64,
 }
 
 impl Owner {
@@ -50,7 +52,7 @@
             bounds: ViewBounds::default(),
         };
         let planner = Planner::new(settings, Time::from_millis(1_000), Duration::from_secs(2));
-        let mut owner = Owner { planner, now: 1_000 };
+        let mut owner = Owner { planner, now: 1_000, revision: 0 };
         owner.handle(Event::Configured(Arc::default()));
         owner.handle(Event::Listed(vec![worker()]));
         owner
@@ -60,7 +62,13 @@
     fn handle(&mut self, event: Event) -> Option<u64> {
         self.now += 1_000;
         let now = Time::from_millis(self.now);
-        let actions = self.planner.handle(now, Stamp(self.now), event);
+        let mut actions = self.planner.handle(now, Stamp(self.now), event);
+        if actions.iter().any(|action| matches!(action, Action::Commit(_))) {
+            self.revision += 1;
+            for event in [Event::Stored(self.revision), Event::Committed] {
+                actions.extend(self.planner.handle(now, Stamp(self.now), event));
+            }
+        }
         actions.into_iter().find_map(|action| match action {
             Action::Renew { seen, .. } => Some(seen),
             _ => None,
--- /dev/null
+++ b/crates/batch/tests/schedules/late_calls.rs
@@ -0,0 +1,168 @@
+//! Calls that reach a worker after it has restarted under its id.
+
+use crate::load::step;
+use crate::worker::FakeWorker;
+use crate::worker::Work;
+use crate::world::Faults;
+use crate::world::World;
+use crate::world::policy;
+use crate::world::worker_id;
+use batch::JobId;
+use batch::JobState;
+use batch::Refusal;
+use batch::StartResult;
+use batch::TaskKey;
+use batch::WorkerId;
+
+/// Time for which a crashed worker is away, in ms.
+const DOWN_MS: u64 = 600;
+/// Earliest time at which an unanswered call is carried out, in ms.
+const DELAY_MS: u64 = 2_000;
+/// How much longer a delayed start's lease lasts on the clock of the former incarnation, in ms.
+const LEASE_MS: u64 = 3_000;
+
+/// A start that is still on its way to a worker which has had the run.
+struct LateStart {
+    worker: WorkerId,
+    task: TaskKey,
+    work: Work,
+    token: u64,
+    deadline: u64,
+}
+
+impl LateStart {
+    /// Another copy of the start of a run that is active.
+    fn of_job(world: &World, job: &JobId) -> LateStart {
+        let runs = |(id, fake): (&WorkerId, &FakeWorker)| {
+            let (task, work) = fake.running.iter().find(|(task, _)| task.job == *job)?;
+            Some(LateStart {
+                worker: id.clone(),
+                task: task.clone(),
+                work: work.clone(),
+                token: fake.token,
+                deadline: fake.clock(world.now) + LEASE_MS,
+            })
+        };
+        world.workers.iter().find_map(runs).expect("a run of the job")
+    }
+
+    /// Delivers the start to whichever incarnation answers now.
+    fn arrive(&self, world: &mut World) -> StartResult {
+        let now = world.now;
+        let work = Work { since: now, ..self.work.clone() };
+        let fake = world.workers.get_mut(&self.worker).expect("a known worker");
+        assert!(fake.up && fake.called_at.is_some(), "the worker has not been called");
+        fake.start(now, self.token, &self.task, self.deadline, work)
+    }
+
+    /// Restarts the worker, and lets the start arrive afterwards.
+    fn arrive_after_restart(&self, world: &mut World) -> StartResult {
+        world.crash(&self.worker, DOWN_MS);
+        world.run(DOWN_MS + DELAY_MS);
+        self.arrive(world)
+    }
+}
+
+const FENCED: StartResult = StartResult::Refused(Refusal::Fence);
+
+/// A world whose first job, of tasks that take about `estimate_ms`, is running.
+fn running_job(workers: usize, count: u32, estimate_ms: u64) -> (World, JobId) {
+    let mut world = World::new(11, workers, Faults::default(), policy(0));
+    let steps = vec![step(count, 1, estimate_ms)];
+    let job = world.submit("00000000000000aa", "patient", "a", steps);
+    world.run(400);
+    (world, job)
+}
+
+/// Guards against a task that runs again after its end was acknowledged.
+#[test]
+fn ended_run() {
+    let (mut world, job) = running_job(1, 1, 1_000);
+    let late = LateStart::of_job(&world, &job);
+    world.run(4_000);
+    assert_eq!(world.stored_state(&job), JobState::Completed);
+    world.submit("00000000000000ab", "patient", "a", vec![step(4, 1, 60_000)]);
+    world.run(500);
+    assert_eq!(late.arrive_after_restart(&mut world), FENCED);
+}
+
+/// Guards against a task that runs twice: its run was given up while the worker was out of reach,
+/// which restarts later.
+#[test]
+fn abandoned_run() {
+    let (mut world, job) = running_job(2, 1, 40_000);
+    let late = LateStart::of_job(&world, &job);
+    world.workers.get_mut(&late.worker).expect("there").deaf_until = world.now + 15_000;
+    world.run(17_000);
+    assert_ne!(LateStart::of_job(&world, &job).worker, late.worker, "the task runs elsewhere");
+    assert_eq!(late.arrive_after_restart(&mut world), FENCED);
+}
+
+/// Guards against a task that starts after its job was cancelled.
+#[test]
+fn cancelled_run() {
+    let (mut world, job) = running_job(1, 1, 60_000);
+    let late = LateStart::of_job(&world, &job);
+    world.cancel(&job);
+    world.run(2_000);
+    assert_eq!(world.stored_state(&job), JobState::Cancelled);
+    assert_eq!(late.arrive_after_restart(&mut world), FENCED);
+}
+
+/// Guards against a preempted run that starts again beside the urgent ones.
+#[test]
+fn preempted_run() {
+    let (mut world, job) = running_job(1, 8, 60_000);
+    let late = LateStart::of_job(&world, &job);
+    let steps = vec![step(8, 1, 30_000)];
+    world.submit("00000000000000ab", "urgent", "a", steps);
+    world.run(3_000);
+    assert!(!world.workers[&late.worker].running.contains_key(&late.task), "it was preempted");
+    assert_eq!(late.arrive_after_restart(&mut world), FENCED);
+}
+
+/// Guards against starts of an incarnation that reach the next but one.
+#[test]
+fn second_restart() {
+    let (mut world, job) = running_job(1, 1, 60_000);
+    let first = LateStart::of_job(&world, &job);
+    world.crash(&first.worker, DOWN_MS);
+    world.run(DOWN_MS + DELAY_MS);
+    let second = LateStart::of_job(&world, &job);
+    assert!(second.work.run > first.work.run);
+    world.cancel(&job);
+    world.submit("00000000000000ab", "patient", "a", vec![step(4, 1, 60_000)]);
+    world.run(2_000);
+    world.crash(&first.worker, DOWN_MS);
+    world.run(DOWN_MS + DELAY_MS);
+    assert_eq!(first.arrive(&mut world), FENCED);
+    assert_eq!(second.arrive(&mut world), FENCED);
+}
+
+/// Guards against a restored run that starts again on a worker which restarts: the start is one of
+/// the former owner.
+#[test]
+fn restored_run() {
+    let (mut world, job) = running_job(2, 1, 60_000);
+    let late = LateStart::of_job(&world, &job);
+    world.take_over(false);
+    world.run(1_000);
+    assert_eq!(late.arrive_after_restart(&mut world), FENCED);
+}
+
+/// Guards against ends that are never reported, and leases that last too long: a renewal that was
+/// sent to the former incarnation acknowledges them and extends the leases.
+#[test]
+fn late_renewal() {
+    let (mut world, job) = running_job(1, 4, 1_000);
+    let token = world.workers[&worker_id(0)].token;
+    world.run(4_000);
+    assert_eq!(world.stored_state(&job), JobState::Completed);
+    world.crash(&worker_id(0), DOWN_MS);
+    world.run(DOWN_MS + DELAY_MS);
+    let now = world.now;
+    let fake = world.workers.get_mut(&worker_id(0)).expect("there");
+    assert!(fake.called_at.is_some(), "the worker has not been called");
+    assert_eq!(fake.answer_renewal(now, token, Some(60_000), 4), None);
+    assert!(!fake.stop(token, &TaskKey { job, occurrence: 0, step: 0, index: 0 }, 1));
+}
--- a/crates/batch/tests/schedules/load.rs
+++ b/crates/batch/tests/schedules/load.rs
@@ -1,10 +1,15 @@
 //! Generator of typical jobs.
 
+use std::sync::Arc;
+
 use rand::RngExt;
 use rand::rngs::StdRng;
 
 use batch::Need;
+use batch::Spec;
 use batch::StepSpec;
+use batch::Submission;
+use model::Stamp;
 
 /// A step of `count` tasks with `gpu` accelerators each and a run time estimate in ms.
 pub fn step(count: u32, gpu: u64, estimate_ms: u64) -> StepSpec {
@@ -12,6 +17,18 @@
     StepSpec { count, need, estimate_ms, ..StepSpec::default() }
 }
 
+/// A job of one step as it is stored.
+pub fn submission(queue: &str, step: StepSpec) -> Submission {
+    Submission {
+        queue: queue.to_owned(),
+        admitted: None,
+        account: None,
+        taken: Stamp(1),
+        cancelled: false,
+        spec: Arc::new(Spec { steps: vec![step], ..Spec::default() }),
+    }
+}
+
 /// A random job: its queue and its steps.
 pub fn random_steps(rng: &mut StdRng) -> (&'static str, Vec<StepSpec>) {
     let gpu = [1, 2, 4, 8, 8][rng.random_range(0..5)];
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -3,8 +3,10 @@
 mod advice;
 mod crashing;
 mod evacuations;
+mod fencing;
 mod large_fleet;
 mod lasting;
+mod late_calls;
 mod load;
 mod odd_workers;
 mod partitions;
@@ -109,6 +111,14 @@
     run_seeds(200_000, Faults { late: true, ..Faults::default() });
 }
 
+/// Guards against tasks that run twice because a worker carries out a start that was sent to its
+/// former incarnation.
+#[test]
+fn late_orders_and_restarts() {
+    let faults = Faults { takeovers: true, crashes: true, late: true, ..Faults::default() };
+    run_seeds(250_020, Faults { late_in_transit: true, ..faults });
+}
+
 #[test]
 fn cuts_and_crashes() {
     run_seeds(300_000, Faults { cuts: true, crashes: true, ..Faults::default() });
--- a/crates/batch/tests/schedules/odd_workers.rs
+++ b/crates/batch/tests/schedules/odd_workers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::load::step;
+use crate::load::submission;
 use crate::world::Faults;
 use crate::world::World;
 use crate::world::policy;
@@ -16,8 +17,6 @@
 use batch::Need;
 use batch::Planner;
 use batch::RenewalReport;
-use batch::Spec;
-use batch::Submission;
 use batch::WorkerId;
 use model::Stamp;
 use model::Time;
@@ -63,15 +62,7 @@
         ended: Vec::new(),
         truncated: false,
     };
-    let spec = Spec { steps: vec![step(1, 1, 500)], ..Spec::default() };
-    let submission = Submission {
-        queue: "usual".to_owned(),
-        admitted: None,
-        account: None,
-        taken: Stamp(1),
-        cancelled: false,
-        spec: Arc::new(spec),
-    };
+    let submission = submission("usual", step(1, 1, 500));
     let events = [
         Event::Configured(Arc::new(policy(0))),
         Event::Listed(vec![entry]),
--- a/crates/batch/tests/schedules/worker.rs
+++ b/crates/batch/tests/schedules/worker.rs
@@ -55,6 +55,8 @@
     /// Rate by which its clock runs slow, in parts per thousand.
     pub clock_slow: u64,
     pub token: u64,
+    /// When the first renewal reached this incarnation, in ms.
+    pub called_at: Option<u64>,
     pub deadline: u64,
     pub running: BTreeMap<TaskKey, Work>,
     pub ended: Vec<End>,
@@ -92,6 +94,7 @@
             started: now,
             clock_slow,
             token: 0,
+            called_at: None,
             deadline: 0,
             running: BTreeMap::new(),
             ended: Vec::new(),
@@ -187,6 +190,7 @@
             return None;
         }
         self.token = token;
+        self.called_at.get_or_insert(now);
         if let Some(deadline) = deadline {
             self.extend_lease(now, deadline);
         }
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -74,6 +74,8 @@
 /// Time within which owners take note of a worker's shrunk capacity, in ms: `contactMs` and one
 /// heartbeat.
 const SHRINK_TIMEOUT_MS: u64 = 5_500;
+/// Maximum duration of a call and its answer, in ms.
+const ROUND_TRIP_MS: u64 = 70;
 /// How long an owner goes on extending leases without access to the store, in ms.
 const STALE_OWNER_MS: u64 = 2_000;
 
@@ -97,6 +99,9 @@
     pub cuts: bool,
     pub crashes: bool,
     pub late: bool,
+    /// Late orders wait on their way to the worker instead of inside it, so that its restart does
+    /// not lose them.
+    pub late_in_transit: bool,
     pub refusals: bool,
     pub failures: bool,
     pub leaving: bool,
@@ -118,6 +123,7 @@
             cuts: true,
             crashes: true,
             late: true,
+            late_in_transit: false,
             refusals: true,
             failures: true,
             leaving: true,
@@ -154,6 +160,7 @@
 struct Renewal {
     deadline: Option<u64>,
     seen: u64,
+    token: u64,
 }
 
 struct Envelope {
@@ -206,6 +213,8 @@
     pub odd_entries: BTreeMap<WorkerId, WorkerInfo>,
     owners: BTreeMap<u64, Planner>,
     owner: u64,
+    /// Store revision of the last claim or commit.
+    revision: u64,
     pub reads: views::Reads,
     /// When each worker announced that it drains, in ms.
     drained_at: BTreeMap<WorkerId, u64>,
@@ -316,6 +325,7 @@
             odd_entries: BTreeMap::new(),
             owners: BTreeMap::new(),
             owner: 0,
+            revision: 0,
             reads: views::Reads::default(),
             drained_at: BTreeMap::new(),
             jobs: BTreeMap::new(),
@@ -384,6 +394,8 @@
         let mut planner = Planner::new(settings, Time::from_millis(self.now), stale_time);
         planner.preempt_gangs(self.whole_gangs);
         planner.limit_reservations(self.reservations);
+        self.revision += 1;
+        planner.apply(Time::from_millis(self.now), Event::Stored(self.revision));
         self.owners.insert(self.owner, planner);
         let owner = self.owner;
         self.confirm_ownership();
@@ -552,7 +564,6 @@
                         self.log_line(format!("late {action:?}"));
                         self.send(600, Message::Event { owner, event: failed_call(&action) });
                     }
-                    // A late order waits inside the worker, so it is lost if the worker restarts.
                     let incarnation = called_worker(&action)
                         .filter(|_| late)
                         .map(|id| self.workers[id].incarnation);
@@ -602,7 +613,7 @@
         if self.faults.cancelled_takeovers && ended && self.rng.random_bool(0.5) {
             return;
         }
-        if incarnation.is_some_and(|incarnation| self.workers[&id].incarnation != incarnation) {
+        if incarnation.is_some_and(|incarnation| self.is_lost(&id, incarnation)) {
             return;
         }
         let order = !matches!(action, Action::Renew { .. });
@@ -617,7 +628,7 @@
         }
         let back = self.delay();
         match action {
-            Action::Start { worker, task, run, deadline, ticket, .. } => {
+            Action::Start { worker, task, run, deadline, ticket, token, .. } => {
                 if !self.accepts_ticket(&task, ticket.as_deref()) {
                     self.refused_starts += 1;
                     let result = StartResult::Refused(Refusal::Ticket);
@@ -628,7 +639,7 @@
                 let work = self.new_work(&worker, &task, run);
                 let running = self.workers[&worker].running.get(&task).map(|present| present.run);
                 let fake = self.workers.get_mut(&worker).expect("reachable");
-                let result = fake.start(now, owner, &task, deadline, work);
+                let result = fake.start(now, token, &task, deadline, work);
                 if result == StartResult::Taken && running != Some(run) {
                     self.check_start(owner, &worker, &task, run);
                     // A late order waits inside the worker, which is no fault of the owner.
@@ -638,27 +649,31 @@
                     }
                 }
                 if answered {
+                    if result == StartResult::Refused(Refusal::Fence) {
+                        let event = Event::Fenced(worker.clone(), token);
+                        self.send(back, Message::Event { owner, event });
+                    }
                     self.send(
                         back,
                         Message::Event { owner, event: Event::Started(worker, task, run, result) },
                     );
                 }
             }
-            Action::Stop { worker, task, run } => {
+            Action::Stop { worker, task, run, token } => {
                 let fake = self.workers.get_mut(&worker).expect("reachable");
-                let done = fake.stop(owner, &task, run);
+                let done = fake.stop(token, &task, run);
                 let event = match done {
                     true => Event::Stopped(worker, task, run, true),
-                    false => Event::Deposed,
+                    false => Event::Fenced(worker, token),
                 };
                 if answered {
                     self.send(back, Message::Event { owner, event });
                 }
             }
-            Action::Renew { worker, deadline, seen, wait } => {
+            Action::Renew { worker, deadline, seen, wait, token } => {
                 let until = now + wait;
                 let incarnation = self.workers[&worker].incarnation;
-                let renewal = Renewal { deadline, seen };
+                let renewal = Renewal { deadline, seen, token };
                 self.send(
                     0,
                     Message::RenewalAnswer { owner, worker, sent, until, incarnation, renewal },
@@ -668,6 +683,16 @@
         }
     }
 
+    /// Whether a late order to an incarnation of a worker no longer arrives.
+    ///
+    /// No owner can prevent the effect of an order that reaches the next incarnation before any
+    /// answer of that incarnation has reached an owner, and been followed by a call.
+    fn is_lost(&self, id: &WorkerId, incarnation: u64) -> bool {
+        let fake = &self.workers[id];
+        let noticed = fake.called_at.is_some_and(|at| at + ROUND_TRIP_MS < self.now);
+        fake.incarnation != incarnation && !(self.faults.late_in_transit && noticed)
+    }
+
     /// Whether a start carries a valid ticket, if its queue needs one.
     fn accepts_ticket(&self, task: &TaskKey, ticket: Option<&str>) -> bool {
         if !self.policy.queues[&self.jobs[&task.job].submission.queue].advised {
@@ -693,9 +718,14 @@
             self.send(600, Message::Event { owner, event: Event::RenewalFailed(worker) });
             return;
         }
-        let Some(mut report) = fake.answer_renewal(now, owner, renewal.deadline, renewal.seen)
+        let Some(mut report) =
+            fake.answer_renewal(now, renewal.token, renewal.deadline, renewal.seen)
         else {
-            self.send(1, Message::Event { owner, event: Event::Deposed });
+            for event in
+                [Event::Fenced(worker.clone(), renewal.token), Event::RenewalFailed(worker)]
+            {
+                self.send(1, Message::Event { owner, event });
+            }
             return;
         };
         if report.ended.is_empty() && now < until {
@@ -788,8 +818,11 @@
             }
             self.records.insert(id, record);
         }
+        self.revision += 1;
         let delay = self.delay();
-        self.send(delay, Message::Event { owner, event: Event::Committed });
+        for event in [Event::Stored(self.revision), Event::Committed] {
+            self.send(delay, Message::Event { owner, event });
+        }
     }
 
     /// Lets `ms` milliseconds pass.
@@ -1081,7 +1114,7 @@
         Action::Start { worker, task, run, .. } => {
             Event::Started(worker.clone(), task.clone(), *run, StartResult::Unknown)
         }
-        Action::Stop { worker, task, run } => {
+        Action::Stop { worker, task, run, .. } => {
             Event::Stopped(worker.clone(), task.clone(), *run, false)
         }
         Action::Renew { worker, .. } => Event::RenewalFailed(worker.clone()),
--- a/crates/entry/tests/hosted/main.rs
+++ b/crates/entry/tests/hosted/main.rs
@@ -6,6 +6,7 @@
 mod large_jobs;
 mod odd_entries;
 mod queue_lengths;
+mod restarts;
 mod soak;
 
 use std::cell::Cell;
--- a/crates/fake/src/hosted/worker.rs
+++ b/crates/fake/src/hosted/worker.rs
@@ -68,6 +68,12 @@
     /// Highest ended or stopped run by task; starts of lower or equal runs are refused.
     highest_runs: BTreeMap<String, u64>,
     starts: Vec<RunStarted>,
+    /// Number of further starts to withhold.
+    withholds: usize,
+    /// Bodies of the starts that were withheld.
+    withheld: Vec<Value>,
+    /// Number of `hold` calls to this incarnation.
+    holds: usize,
 }
 
 /// A simulated worker of the platform.
@@ -85,19 +91,7 @@
     ///
     /// No loopback port is free.
     pub fn start(id: &str, run_time: Duration) -> io::Result<HostedWorker> {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let state = Arc::new(Mutex::new(State {
-            born_ms: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
-            origin: Instant::now(),
-            token: 0,
-            deadline_ms: 0,
-            run_time,
-            running: BTreeMap::new(),
-            ended: Vec::new(),
-            next_ended: 1,
-            highest_runs: BTreeMap::new(),
-            starts: Vec::new(),
-        }));
+        let state = Arc::new(Mutex::new(State::new(run_time)));
         let handler = WorkerHandler { state: Arc::clone(&state), id: id.to_owned() };
         let server = Server::start(handler, None)?;
         Ok(HostedWorker { server, state, id: id.to_owned() })
@@ -142,6 +136,43 @@
         state.running.keys().cloned().collect()
     }
 
+    /// Does not answer the next `count` starts, and keeps them back.
+    pub fn withhold_starts(&self, count: usize) {
+        lock(&self.state).withholds = count;
+    }
+
+    /// Carries out the starts that were kept back. Returns the status of each answer.
+    pub fn release_starts(&self) -> Vec<u16> {
+        let mut state = lock(&self.state);
+        state.advance();
+        let withheld = std::mem::take(&mut state.withheld);
+        withheld
+            .iter()
+            .map(|body| state.carry_out("/-/run-start", body).status().as_u16())
+            .collect()
+    }
+
+    /// Ends everything that runs, as a crash does, and refuses connections until the restart.
+    pub fn crash(&self) {
+        self.server.set_accepting(false);
+        let mut state = lock(&self.state);
+        let (starts, withheld) =
+            (std::mem::take(&mut state.starts), std::mem::take(&mut state.withheld));
+        *state = State { starts, withheld, ..State::new(state.run_time) };
+    }
+
+    /// Accepts connections again after a crash, as another incarnation.
+    pub fn restart(&self) {
+        let mut state = lock(&self.state);
+        (state.born_ms, state.origin) = (unix_ms(), Instant::now());
+        self.server.set_accepting(true);
+    }
+
+    /// Returns the number of `hold` calls to the present incarnation.
+    pub fn holds(&self) -> usize {
+        lock(&self.state).holds
+    }
+
     /// Stalls all open connections permanently without closing them.
     pub fn silence(&self) {
         self.server.silence();
@@ -154,6 +185,46 @@
 }
 
 impl State {
+    fn new(run_time: Duration) -> State {
+        State {
+            born_ms: unix_ms(),
+            origin: Instant::now(),
+            token: 0,
+            deadline_ms: 0,
+            run_time,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            next_ended: 1,
+            highest_runs: BTreeMap::new(),
+            starts: Vec::new(),
+            withholds: 0,
+            withheld: Vec::new(),
+            holds: 0,
+        }
+    }
+
+    /// Carries out a call other than a `hold`.
+    fn carry_out(&mut self, path: &str, body: &Value) -> Response<Body> {
+        if let Some(refusal) = self.fence(body) {
+            return refusal;
+        }
+        match path {
+            "/-/run-start" => self.start(body),
+            "/-/run-stop" => self.stop(body),
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    /// Refuses a call with a lower token than the highest one seen, and records a higher one.
+    fn fence(&mut self, body: &Value) -> Option<Response<Body>> {
+        let token = body["fencingToken"].as_u64().unwrap_or(0);
+        if token < self.token {
+            return Some(self.refuse("fence"));
+        }
+        self.token = token;
+        None
+    }
+
     fn clock_ms(&self) -> u64 {
         u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
@@ -260,23 +331,23 @@
         {
             let mut state = lock(&self.state);
             state.advance();
-            let token = body["fencingToken"].as_u64().unwrap_or(0);
-            if token < state.token {
-                return Ok(state.refuse("fence"));
+            if path == "/-/run-start" && state.withholds > 0 {
+                state.withholds -= 1;
+                state.withheld.push(body);
+                return Err(CloseConnection);
             }
-            state.token = token;
-            match path.as_str() {
-                "/-/run-start" => return Ok(state.start(&body)),
-                "/-/run-stop" => return Ok(state.stop(&body)),
-                "/-/hold" => {
-                    if let Some(deadline_ms) = body["deadlineMs"].as_u64() {
-                        state.renew(deadline_ms);
-                    }
-                    let seen = body["lastSeen"].as_u64().unwrap_or(0);
-                    state.ended.retain(|(number, ..)| *number > seen);
-                }
-                _ => return Ok(status(StatusCode::NOT_FOUND)),
+            if path != "/-/hold" {
+                return Ok(state.carry_out(&path, &body));
+            }
+            if let Some(refusal) = state.fence(&body) {
+                return Ok(refusal);
             }
+            state.holds += 1;
+            if let Some(deadline_ms) = body["deadlineMs"].as_u64() {
+                state.renew(deadline_ms);
+            }
+            let seen = body["lastSeen"].as_u64().unwrap_or(0);
+            state.ended.retain(|(number, ..)| *number > seen);
         }
         let end = Instant::now() + Duration::from_millis(body["waitMs"].as_u64().unwrap_or(0));
         loop {
@@ -292,6 +363,12 @@
     }
 }
 
+/// Milliseconds since the Unix epoch.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -22,6 +22,7 @@
 use batch::Advice;
 use batch::Event;
 use batch::Outcome;
+use batch::Refusal;
 use batch::RenewalReport;
 use batch::StartResult;
 use batch::StepKey;
@@ -30,6 +31,7 @@
 use platform::advice::advise;
 use platform::worker::Renewal;
 use platform::worker::StartOrder;
+use platform::worker::StopOrder;
 use platform::worker::WorkerClient;
 use platform::worker::WorkerError;
 
@@ -51,7 +53,7 @@
 /// Sends orders and returns their results to the planner as events.
 #[derive(Clone, Debug)]
 pub struct OrderSender {
-    /// Client of the workers, with the owner's fencing token.
+    /// Client of the workers.
     pub workers: WorkerClient,
     /// Clock of the process.
     pub clock: Clock,
@@ -80,13 +82,14 @@
     pub fn send(&self, addresses: &BTreeMap<WorkerId, SocketAddr>, action: Action) {
         let sender = self.clone();
         match action {
-            Action::Start { worker, task, run, spec, deadline, saved, ticket, send_by } => {
+            Action::Start { worker, task, run, spec, deadline, saved, ticket, token, send_by } => {
                 let Some(&address) = addresses.get(&worker) else { return };
                 spawn_local(async move {
                     let (payload, saved) = (spec.payload.as_str(), saved.as_str());
                     let _permit = sender.payload_permit(payload.len()).await;
                     let ticket = ticket.as_deref();
-                    let start = StartOrder { task: &task, run, payload, deadline, saved, ticket };
+                    let start =
+                        StartOrder { task: &task, run, payload, deadline, saved, ticket, token };
                     let sent = sender.clock.now();
                     // The views may have become too old during the wait, or the zone evacuated.
                     let may_send = sent <= send_by && !sender.closed.contains(&worker);
@@ -109,35 +112,38 @@
                     };
                     log!(level, task = task.to_string().as_str(), run = run, worker = &*worker.0,
                         result = format!("{result:?}").as_str(); "start");
+                    if result == StartResult::Refused(Refusal::Fence) {
+                        sender.send_event(Event::Fenced(worker.clone(), token));
+                    }
                     sender.send_event(Event::Started(worker, task, run, result));
                 });
             }
-            Action::Stop { worker, task, run } => {
+            Action::Stop { worker, task, run, token } => {
                 let Some(&address) = addresses.get(&worker) else { return };
                 spawn_local(async move {
                     let sent = sender.clock.now();
-                    let result =
-                        sender.workers.stop(&worker, address, &task, run, ORDER_TIMEOUT).await;
+                    let stop = StopOrder { task: &task, run, token };
+                    let result = sender.workers.stop(&worker, address, &stop, ORDER_TIMEOUT).await;
                     let outcome = if result.is_ok() { "done" } else { "failed" };
                     sender.metrics.observe_order("stop", outcome, sender.clock.now().since(sent));
                     let level = if result.is_ok() { Level::Debug } else { Level::Info };
                     log!(level, task = task.to_string().as_str(), run = run, worker = &*worker.0,
                         result = format!("{result:?}").as_str(); "stop");
                     if result == Err(WorkerError::Fenced) {
-                        sender.send_event(Event::Deposed);
+                        sender.send_event(Event::Fenced(worker, token));
                     } else {
                         sender.send_event(Event::Stopped(worker, task, run, result.is_ok()));
                     }
                 });
             }
-            Action::Renew { worker, deadline, seen, wait } => {
+            Action::Renew { worker, deadline, seen, wait, token } => {
                 let Some(&address) = addresses.get(&worker) else {
                     sender.send_event(Event::RenewalFailed(worker));
                     return;
                 };
                 spawn_local(async move {
-                    let event = sender.renew(worker, address, Renewal { deadline, seen, wait });
-                    let event = event.await;
+                    let renewal = Renewal { deadline, seen, wait, token };
+                    let event = sender.renew(worker, address, renewal).await;
                     sender.send_event(event);
                 });
             }
@@ -219,7 +225,10 @@
                 };
                 Event::Renewed(worker, report)
             }
-            Err(WorkerError::Fenced) => Event::Deposed,
+            Err(WorkerError::Fenced) => {
+                self.send_event(Event::Fenced(worker.clone(), renewal.token));
+                Event::RenewalFailed(worker)
+            }
             Err(WorkerError::Replaced) => Event::Replaced(worker),
             Err(WorkerError::Failed(error)) => {
                 info!(worker = &*worker.0, error = error.as_str(); "renewal failed");
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -140,7 +140,7 @@
     ) -> Result<Owner, OwnershipLost> {
         let (event_sender, events) = mpsc::unbounded_channel();
         let (commit_sender, commit_results) = mpsc::unbounded_channel();
-        let workers = WorkerClient::new(caller.clone(), claim.token);
+        let workers = WorkerClient::new(caller.clone());
         let (clock, metrics) = (state.clock.clone(), state.metrics.clone());
         let evacuations = EvacuationFollower::default();
         let orders = OrderSender {
@@ -189,6 +189,7 @@
         };
         owner.planner.limit_reservations(state.settings.jobs.reservations as usize);
         owner.planner.apply(claim.since, Event::Confirmed(claim.since));
+        owner.planner.apply(claim.since, Event::Stored(claim.token));
         owner.restore().await?;
         Ok(owner)
     }
@@ -357,7 +358,9 @@
         result: Result<RecordWriter, OwnershipLost>,
     ) -> Result<(), OwnershipLost> {
         let writer = result?;
-        self.planner.apply(self.state.clock.now(), Event::Confirmed(writer.confirmed_at));
+        let now = self.state.clock.now();
+        self.planner.apply(now, Event::Confirmed(writer.confirmed_at));
+        self.planner.apply(now, Event::Stored(writer.sequence));
         self.writer = Some(writer);
         if std::mem::take(&mut self.planner_commit) {
             self.handle_event(Event::Committed)?;
@@ -418,6 +421,9 @@
         Note::AnswersOrders { worker, heeds } => {
             info!(worker = &*worker.0, heeds = heeds; "{what}");
         }
+        Note::RaisesToken { worker, token } => {
+            info!(worker = &*worker.0, token = token; "{what}");
+        }
         Note::Adopts { jobs, runs, ended_runs, stopping } => {
             info!(jobs = jobs, runs = runs, ended_runs = ended_runs, stopping = stopping; "{what}");
         }
