Call an idle worker whose entry states another incarnation

Cause: an owner does not call an idle worker that has answered once. If the worker restarts between two reads of the directory, the new incarnation has seen no fencing token and would carry out a start of a former owner.

Change: a listing with a later incarnation than the known one causes one call at once, for each incarnation that the entry states, since an entry of another writer may state any.

--- a/crates/batch/src/calls.rs
+++ b/crates/batch/src/calls.rs
@@ -98,9 +98,10 @@
             let unheard = (worker.clock.is_none() || doubtful) && worker.listed;
             let unacked = worker.stored_end > worker.acked_end;
             let doubtful_start = worker.listed && worker.fence.doubtful(now);
+            let restarted = worker.seems_restarted();
             let unfenced = worker.listed && worker.fence.is_open();
             let wanted = busy || unheard || unacked || worker.foreign_runs > 0;
-            if !(wanted || doubtful_start || unfenced) {
+            if !(wanted || doubtful_start || restarted || unfenced) {
                 continue;
             }
             let storing = worker.heard_end > worker.stored_end;
@@ -110,12 +111,14 @@
                 _ if doubtful_start || worker.fence.due => RENEWAL_RETRY_PAUSE,
                 (silent, _) => RENEWAL_RETRY_PAUSE * 2u32.pow(silent.min(MAX_RETRY_DOUBLINGS)),
             };
-            if worker.renewal_sent + pause > now && worker.renewal_sent != Time::ZERO {
+            let paused = worker.renewal_sent + pause > now && worker.renewal_sent != Time::ZERO;
+            if paused && !restarted {
                 continue;
             }
             let wait = (busy || doubtful_start)
                 && !unheard
                 && !unfenced
+                && !restarted
                 && !storing
                 && worker.foreign_runs == 0
                 && worker.missed_calls == 0;
@@ -132,6 +135,7 @@
             worker.renewing = true;
             worker.renewal_sent = now;
             worker.fence.sent = worker.fence.token;
+            worker.fence.listed = worker.info.incarnation.unwrap_or(0);
             self.out.push(Action::Renew {
                 worker: id.clone(),
                 deadline,
--- a/crates/batch/src/fence.rs
+++ b/crates/batch/src/fence.rs
@@ -14,7 +14,8 @@
 //! raise waits for a further transaction.
 //!
 //! What remains is the time until the restarted worker is called for the first time. It is kept
-//! short while an unanswered start may still be on its way.
+//! short while an unanswered start may still be on its way. An idle worker is also called when its
+//! entry in the directory states another incarnation.
 
 use std::time::Duration;
 
@@ -42,6 +43,8 @@
     pub answered: u64,
     /// Until when an unanswered start may still be carried out.
     pub doubtful_until: Time,
+    /// Incarnation that the worker's entry stated when the last renewal was sent; zero for none.
+    pub listed: u64,
 }
 
 impl Fence {
@@ -61,6 +64,16 @@
     }
 }
 
+impl Worker {
+    /// Whether its entry states a later incarnation than the one that last answered, and it has not
+    /// been called since. An entry of another writer may state any, so it is called once for each.
+    pub fn seems_restarted(&self) -> bool {
+        let listed = self.info.incarnation.unwrap_or(0);
+        let later = self.incarnation > 0 && listed > self.incarnation;
+        self.listed && later && listed != self.fence.listed
+    }
+}
+
 impl Planner {
     /// Records the store revision of a transaction of this owner.
     pub(crate) fn transaction_stored(&mut self, revision: u64) {
--- a/crates/batch/tests/schedules/fencing.rs
+++ b/crates/batch/tests/schedules/fencing.rs
@@ -247,6 +247,21 @@
     assert_eq!(owner.renewals, [], "an idle worker without late starts is not called");
 }
 
+/// An entry that states a later incarnation than the worker itself is asked about once.
+#[test]
+fn later_entry() {
+    let mut owner = Owner::new();
+    for incarnation in [SECOND, u64::MAX, u64::MAX] {
+        owner.entry.incarnation = Some(incarnation);
+        owner.event(Event::Listed(vec![owner.entry.clone()]));
+        owner.report(FIRST, Vec::new());
+        owner.pass(1_000);
+    }
+    let renewals = owner.renewals.len();
+    // One at the takeover, and one for each of the two statements.
+    assert_eq!(renewals, 3, "{:?}", owner.renewals);
+}
+
 /// Guards against an owner that resigns because of a worker that was not listed for a while: calls
 /// with the token of the claim would be refused.
 #[test]
--- a/crates/batch/tests/schedules/late_calls.rs
+++ b/crates/batch/tests/schedules/late_calls.rs
@@ -150,6 +150,22 @@
     assert_eq!(late.arrive_after_restart(&mut world), FENCED);
 }
 
+/// Guards against starts of a former owner on an idle worker that restarts between two reads of the
+/// directory: the owner had no reason to call the worker.
+#[test]
+fn idle_worker() {
+    let (mut world, job) = running_job(1, 1, 1_000);
+    let late = LateStart::of_job(&world, &job);
+    world.run(4_000);
+    world.take_over(false);
+    world.run(4_000);
+    assert_eq!(world.stored_state(&job), JobState::Completed);
+    let now = world.now;
+    world.workers.get_mut(&late.worker).expect("there").restart(now);
+    world.run(DELAY_MS);
+    assert_eq!(late.arrive(&mut world), FENCED);
+}
+
 /// Guards against ends that are never reported, and leases that last too long: a renewal that was
 /// sent to the former incarnation acknowledges them and extends the leases.
 #[test]
