Confirm the configuration only up to the call if its answer has a change

Cause: a watch that returns a change is answered at once, but the configuration counted as confirmed up to the arrival of the answer. On a slow link the store may have accepted a newer one in the meantime.

Change: such an answer confirms the time at which its call was sent, as it does for evacuations already; an answer without changes confirms the time for which the store has provably held it back.

The expression before, the shorter of the time taken and the wait, gives 30 to 2,000 ms where the test requires none.

--- a/crates/node/src/confirm.rs
+++ b/crates/node/src/confirm.rs
@@ -191,7 +191,7 @@
 ) -> Result<u64, StoreError> {
     let sent = state.clock.now();
     let (changes, revision) = state.store.watch(WATCHED_PREFIX, after, wait, timeout).await?;
-    let held = held_time(state.clock.now().since(sent), wait);
+    let held = held_time(state.clock.now().since(sent), wait, !changes.is_empty());
     state.evacuations.borrow_mut().apply(&changes, revision, sent, held);
     for change in changes {
         match change {
@@ -207,16 +207,15 @@
             _ => {}
         }
     }
-    // The store answers when the wait ends or, at a change, earlier. Either way the answer is at
-    // most as old as the time since then.
-    let waited = state.clock.now().since(sent).min(wait);
-    state.confirmed_at.set(state.confirmed_at.get().max(sent + waited));
+    state.confirmed_at.set(state.confirmed_at.get().max(sent + held));
     Ok(revision)
 }
 
-/// How long the store has held back an answer without changes that took `took`, at least.
-fn held_time(took: Duration, wait: Duration) -> Duration {
-    match took + TIMER_TOLERANCE >= wait {
+/// How long the store has held back an answer that took `took`, at least.
+///
+/// An answer with changes is not held back, and may have been on its way for almost all of the time.
+pub fn held_time(took: Duration, wait: Duration, changed: bool) -> Duration {
+    match !changed && took + TIMER_TOLERANCE >= wait {
         true => took.min(wait).saturating_sub(TIMER_TOLERANCE),
         false => Duration::ZERO,
     }
--- a/crates/node/tests/watch_waits.rs
+++ b/crates/node/tests/watch_waits.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use node::confirm::held_time;
 use node::confirm::watch_wait;
 
 /// Bound on starts after an evacuation.
@@ -28,3 +29,16 @@
         "without a bound the age does not matter"
     );
 }
+
+/// Guards against a configuration that counts as confirmed after the store has sent its answer: an
+/// answer with a change was taken to be as recent as its arrival, however long it was on its way.
+#[test]
+fn changed_answer() {
+    let wait = Duration::from_millis(2_000);
+    for took in [30, 500, 1_990, 2_300].map(Duration::from_millis) {
+        assert_eq!(held_time(took, wait, true), Duration::ZERO, "{took:?}");
+        assert!(held_time(took, wait, false) < took.min(wait));
+    }
+    let cut_short = Duration::from_millis(800);
+    assert_eq!(held_time(cut_short, wait, false), Duration::ZERO, "the watch was cut");
+}
