Confirm the configuration for each request that is passed to a peer

Cause: the log says that two peers answered. Each VM keeps its own order of configurations, and may rely on a confirmation for 2.6 s, so that two peers in turn can differ by that time.

Change: a peer confirms the configuration anew for each request that is passed to it. This VM confirms its own anew while a peer may be serving a request for it, for 0.9 s after an answer was lost, and does not rely on a confirmation from before the last answer. A version that is carried along would not cover lost answers.

--- a/crates/entry/tests/hosted/cluster.rs
+++ b/crates/entry/tests/hosted/cluster.rs
@@ -70,6 +70,14 @@
         self.child = Some(child);
     }
 
+    /// Makes the process use the store at another address from its next start on.
+    pub fn set_store(&self, address: &str) {
+        let text = fs::read_to_string(&self.settings).expect("settings");
+        let mut settings: Value = serde_json::from_str(&text).expect("settings in JSON");
+        settings["store"] = json!(address);
+        fs::write(&self.settings, settings.to_string()).expect("settings");
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/crates/entry/tests/hosted/main.rs
+++ b/crates/entry/tests/hosted/main.rs
@@ -5,6 +5,7 @@
 mod evacuations;
 mod large_jobs;
 mod odd_entries;
+mod passed_requests;
 mod queue_lengths;
 mod restarts;
 mod soak;
--- a/crates/fake/src/hosted/mod.rs
+++ b/crates/fake/src/hosted/mod.rs
@@ -10,5 +10,6 @@
 pub use bodies::hosted_job;
 pub use store::HostedStore;
 pub use store::HostedStoreFaults;
+pub use store::HostedStorePort;
 pub use worker::HostedWorker;
 pub use worker::RunStarted;
--- a/crates/fake/src/hosted/store.rs
+++ b/crates/fake/src/hosted/store.rs
@@ -89,6 +89,24 @@
     state: Arc<Mutex<State>>,
 }
 
+/// A further address of a store, for clients that lose their path to it.
+#[derive(Debug)]
+pub struct HostedStorePort {
+    server: Server,
+}
+
+impl HostedStorePort {
+    /// Returns the address.
+    pub fn address(&self) -> Address {
+        self.server.address()
+    }
+
+    /// Accepts connections, or refuses them and closes those that are open.
+    pub fn set_accepting(&self, accepting: bool) {
+        self.server.set_accepting(accepting);
+    }
+}
+
 impl HostedStore {
     /// Starts an empty store on a free loopback port.
     ///
@@ -107,6 +125,16 @@
         self.server.address()
     }
 
+    /// Serves the same items at a further address.
+    ///
+    /// # Errors
+    ///
+    /// No loopback port is free.
+    pub fn open_port(&self) -> io::Result<HostedStorePort> {
+        let handler = StoreHandler { state: Arc::clone(&self.state) };
+        Ok(HostedStorePort { server: Server::start(handler, None)? })
+    }
+
     /// Replaces the injected faults.
     pub fn set_faults(&self, faults: HostedStoreFaults) {
         lock(&self.state).faults = faults;
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -33,6 +33,7 @@
 pub use hosted::HostedConfiguration;
 pub use hosted::HostedStore;
 pub use hosted::HostedStoreFaults;
+pub use hosted::HostedStorePort;
 pub use hosted::HostedWorker;
 pub use hosted::RunStarted;
 pub use hosted::hosted_job;
--- a/crates/node/src/confirm.rs
+++ b/crates/node/src/confirm.rs
@@ -16,6 +16,7 @@
 use crate::state::OWNER_KEY;
 use crate::state::State;
 use crate::state::WATCHED_PREFIX;
+use model::Time;
 use platform::configuration;
 use platform::store::Change;
 use platform::store::Item;
@@ -75,13 +76,16 @@
     }
 }
 
-/// Polls the store for changes of the configuration unless the last confirmation is recent enough.
+/// Time since which the configuration has to be confirmed for a caller's request that is served now.
+pub fn confirmed_since(state: &State) -> Time {
+    state.passed.get().confirmed_since(state.clock.now(), confirmation_lifetime(state))
+}
+
+/// Polls the store for changes of the configuration unless it was confirmed at `since` or later.
 ///
 /// Returns whether the active configuration is confirmed to be the latest.
-pub async fn ensure_confirmed(state: &State) -> bool {
-    if state.configuration_age() < confirmation_lifetime(state)
-        && state.active_configuration().is_some()
-    {
+pub async fn ensure_confirmed(state: &State, since: Time) -> bool {
+    if state.confirmed_at.get() > since && state.active_configuration().is_some() {
         return true;
     }
     let result = match state.watched_revision.get() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod directory;
 pub mod error;
 pub mod evacuation;
+pub mod freshness;
 pub mod metrics;
 pub mod outage;
 pub mod owner;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -2,7 +2,8 @@
 //! the store.
 //!
 //! Each VM registers its address in the store under a lease. The peer serves a forwarded request as
-//! if it came from the caller, but never forwards it again.
+//! if it came from the caller, but never forwards it again, and by a configuration that it confirms
+//! for this request.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,6 +21,7 @@
 use crate::state::PEER_PREFIX;
 use crate::state::State;
 use model::Time;
+use net::CallError;
 use net::Reply;
 use net::call::Call;
 use platform::store::Item;
@@ -204,6 +206,30 @@
     chosen
 }
 
+/// Records a call to a peer until it is dropped, also if the caller leaves before the answer.
+struct PassedCall<'s> {
+    state: &'s State,
+    /// Whether the peer can no longer act on the request.
+    answered: bool,
+}
+
+impl<'s> PassedCall<'s> {
+    fn begin(state: &'s State) -> PassedCall<'s> {
+        let mut passed = state.passed.get();
+        passed.begin();
+        state.passed.set(passed);
+        PassedCall { state, answered: false }
+    }
+}
+
+impl Drop for PassedCall<'_> {
+    fn drop(&mut self) {
+        let mut passed = self.state.passed.get();
+        passed.end(self.state.clock.now(), self.answered);
+        self.state.passed.set(passed);
+    }
+}
+
 /// Sends the request to one peer; the error says whether the peer may have received it.
 async fn call_peer(
     state: &State,
@@ -222,7 +248,11 @@
     }
     let (method, body) = (request.method.clone(), request.body.clone());
     let call = Call { method, path: &request.path, headers, body, limit };
-    match state.caller.call(peer, call).await {
+    let mut passed = PassedCall::begin(state);
+    let result = state.caller.call(peer, call).await;
+    passed.answered = !matches!(result, Err(CallError::NoAnswer(_)));
+    drop(passed);
+    match result {
         Ok(reply) => {
             info!(path = request.path.as_str(), peer = peer.to_string().as_str(),
                 status = reply.status; "passed on");
@@ -231,7 +261,7 @@
         Err(error) => {
             info!(path = request.path.as_str(), peer = peer.to_string().as_str(),
                 error = error.to_string().as_str(); "passing on failed");
-            Err(matches!(error, net::CallError::NoAnswer(_)))
+            Err(matches!(error, CallError::NoAnswer(_)))
         }
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::Clock;
 use crate::evacuation::Evacuations;
+use crate::freshness::PassedRequests;
 use crate::metrics::Metrics;
 use crate::outage::Outage;
 use batch::Policy;
@@ -84,6 +85,8 @@
     pub poll_store: Notify,
     /// Addresses of the other entry VMs.
     pub peers: RefCell<Vec<SocketAddr>>,
+    /// Requests that were passed to peers.
+    pub passed: Cell<PassedRequests>,
     /// Peers that failed to serve a forwarded request, with the time until which they are skipped.
     pub failed_peers: RefCell<BTreeMap<SocketAddr, Time>>,
     /// HTTP client for calls to peers.
@@ -125,6 +128,7 @@
             store_returned: Notify::new(),
             poll_store: Notify::new(),
             peers: RefCell::new(Vec::new()),
+            passed: Cell::new(PassedRequests::default()),
             failed_peers: RefCell::new(BTreeMap::new()),
             caller,
             metrics,
--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -34,6 +34,7 @@
 use crate::clients;
 use crate::commit::Sequence;
 use crate::confirm::apply_configuration;
+use crate::confirm::confirmed_since;
 use crate::confirm::ensure_confirmed;
 use crate::outage::Choice;
 use crate::peers;
@@ -286,11 +287,15 @@
     Ok(Admitted { active, queue, account, suffix })
 }
 
-/// Admits a request by a recently confirmed configuration.
-async fn admit_confirmed(state: &State, head: &RequestHead) -> Result<Admitted, Answer> {
+/// Admits a request by a configuration that was confirmed at `since` or later.
+async fn admit_confirmed(
+    state: &State,
+    head: &RequestHead,
+    since: Time,
+) -> Result<Admitted, Answer> {
     let unconfirmed =
         || Answer::forwardable(StatusCode::SERVICE_UNAVAILABLE, "configuration not confirmed");
-    if !ensure_confirmed(state).await {
+    if !ensure_confirmed(state, since).await {
         return Err(unconfirmed());
     }
     admit(state.active_configuration().ok_or_else(unconfirmed)?, head)
@@ -333,7 +338,8 @@
         if state.store_lost.get().is_some() {
             return Answer::forwardable(StatusCode::SERVICE_UNAVAILABLE, "store is away");
         }
-        return serve_locally(state, &request, lease).await;
+        let since = state.clock.now();
+        return serve_locally(state, &request, lease, since).await;
     }
     serve_caller(state, &request, lease, started).await
 }
@@ -369,7 +375,8 @@
         let choice = state.outage().choose(state.clock.now(), started, request.deadline, forwarded);
         match choice {
             Choice::Serve => {
-                let local = serve_locally(state, request, lease).await;
+                let since = confirmed_since(state);
+                let local = serve_locally(state, request, lease, since).await;
                 if !local.forwardable {
                     return settled(local, doubt);
                 }
@@ -425,14 +432,20 @@
     }
 }
 
-/// Serves a request with this VM's own calls to the store.
-async fn serve_locally(state: &State, request: &peers::Request, lease: &Lease) -> Answer {
+/// Serves a request with this VM's own calls to the store, by a configuration that was confirmed at
+/// `since` or later.
+async fn serve_locally(
+    state: &State,
+    request: &peers::Request,
+    lease: &Lease,
+    since: Time,
+) -> Answer {
     let head = RequestHead {
         host: request.host.clone(),
         path: request.path.clone(),
         key: request.key.clone(),
     };
-    let admitted = match admit_confirmed(state, &head).await {
+    let admitted = match admit_confirmed(state, &head, since).await {
         Ok(admitted) => admitted,
         Err(answer) => return answer,
     };
