Keep the clock of a worker that has refused a start as late

Cause: such a refusal made the planner forget the worker's clock, from which the end of all its leases is computed. If the worker then went silent before the next answer, its leases counted as expired and its runs were given up and started again elsewhere while they went on. Found by reading; nobody has reported it.

Change: the clock is kept and marked as doubtful, which only holds up further starts.

All tests of batch pass.

--- a/crates/batch/src/calls.rs
+++ b/crates/batch/src/calls.rs
@@ -95,7 +95,7 @@
             let busy = self.runs.get(id).is_some_and(|keys| !keys.is_empty());
             // A worker gets no runs until it has answered.
             let doubtful = !worker.reachable || worker.missed_calls > 0;
-            let unheard = (worker.clock.is_none() || doubtful) && worker.listed;
+            let unheard = (!worker.clock_known() || doubtful) && worker.listed;
             let unacked = worker.stored_end > worker.acked_end;
             let doubtful_start = worker.listed && worker.fence.doubtful(now);
             let restarted = worker.seems_restarted();
--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -49,6 +49,9 @@
     pub incarnation: u64,
     /// When it last answered, with the worker's clock at that time in ms.
     pub clock: Option<(Time, u64)>,
+    /// Whether it has refused a start as late, so that its clock has to be read again before the
+    /// next one.
+    pub clock_doubtful: bool,
     /// Fencing token of the calls to it.
     pub fence: Fence,
     /// Latest lease end sent during this ownership, in ms of the worker's clock.
@@ -132,6 +135,7 @@
             info,
             listed: true,
             clock: None,
+            clock_doubtful: false,
             deadline: 0,
             inherited_end,
             reachable: false,
@@ -174,13 +178,18 @@
         }
     }
 
+    /// Whether its clock is known well enough to start runs.
+    pub fn clock_known(&self) -> bool {
+        self.clock.is_some() && !self.clock_doubtful
+    }
+
     /// Whether it accepts new runs.
     pub fn usable(&self, now: Time) -> bool {
         self.listed
             && self.drain_end.is_none()
             && self.is_open(now)
             && self.reachable
-            && self.clock.is_some()
+            && self.clock_known()
             && self.foreign_runs == 0
             && !self.ignores_orders()
             && self.backoff_until <= now
@@ -222,7 +231,7 @@
     /// End of a lease of length `lease` from `at`, in ms of the worker's clock, which may run slow;
     /// `None` while its clock is unknown.
     pub fn lease_deadline(&self, at: Time, lease: Duration) -> Option<u64> {
-        let (heard, clock) = self.clock?;
+        let (heard, clock) = self.clock.filter(|_| !self.clock_doubtful)?;
         let passed = millis(at.since(heard));
         let passed = passed - passed.saturating_mul(CLOCK_SLOW_PERMILLE) / 1_000;
         let clock = clock.saturating_sub(millis(heard.since(at)));
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -50,13 +50,14 @@
             self.stop_unconfirmed(now, id);
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
-        if !worker.reachable || worker.clock.is_none() {
+        if !worker.reachable || !worker.clock_known() {
             self.replan = true;
         }
         worker.reachable = true;
         worker.missed_calls = 0;
         worker.inherited_end = Time::ZERO;
         worker.clock = Some((now, report.clock));
+        worker.clock_doubtful = false;
         worker.acked_end = worker.acked_end.max(worker.acking_end);
         worker.fence.answered = worker.fence.sent;
         self.settle_losses(now, id, report.incarnation);
@@ -477,7 +478,7 @@
                 }
                 match (reason, self.workers.get_mut(&worker)) {
                     (Refusal::Ticket | Refusal::Fence, _) => {}
-                    (Refusal::Late, Some(worker)) => worker.clock = None,
+                    (Refusal::Late, Some(worker)) => worker.clock_doubtful = true,
                     (Refusal::Reborn, Some(worker)) => worker.listed = false,
                     _ => self.back_off(now, &worker, WORKER_BACKOFF, "the worker refused a start"),
                 }
--- a/crates/batch/tests/schedules/fencing.rs
+++ b/crates/batch/tests/schedules/fencing.rs
@@ -5,6 +5,7 @@
 
 use crate::load::step;
 use crate::load::submission;
+use crate::worker::LEASE_MS;
 use crate::world::Faults;
 use crate::world::World;
 use crate::world::policy;
@@ -14,10 +15,12 @@
 use batch::End;
 use batch::Event;
 use batch::JobId;
+use batch::Note;
 use batch::Outcome;
 use batch::Planner;
 use batch::Refusal;
 use batch::RenewalReport;
+use batch::RunReport;
 use batch::StartResult;
 use batch::TaskKey;
 use batch::WorkerInfo;
@@ -43,6 +46,8 @@
     /// Renewals, with the time at which they were sent in ms, and their token.
     renewals: Vec<(u64, u64)>,
     commits: usize,
+    /// Number of runs given up.
+    given_up: usize,
     resigned: bool,
 }
 
@@ -60,6 +65,7 @@
             starts: Vec::new(),
             renewals: Vec::new(),
             commits: 0,
+            given_up: 0,
             resigned: false,
         };
         owner.event(Event::Stored(CLAIM));
@@ -89,6 +95,7 @@
                         self.starts.push((self.now, task, run, token));
                     }
                     Action::Renew { token, .. } => self.renewals.push((self.now, token)),
+                    Action::Note(Note::GivesUp { .. }) => self.given_up += 1,
                     Action::Resign => self.resigned = true,
                     _ => {}
                 }
@@ -106,11 +113,16 @@
 
     /// The worker answers as one of its incarnations, with no runs and these ends.
     fn report(&mut self, incarnation: u64, ended: Vec<End>) {
+        self.report_runs(incarnation, Vec::new(), ended);
+    }
+
+    /// The worker answers as one of its incarnations.
+    fn report_runs(&mut self, incarnation: u64, running: Vec<RunReport>, ended: Vec<End>) {
         let report = RenewalReport {
             sent: Time::from_millis(self.now),
             clock: self.now,
             incarnation,
-            running: Vec::new(),
+            running,
             ended,
             truncated: false,
         };
@@ -281,3 +293,23 @@
     let (_, last) = *owner.renewals.last().expect("a renewal");
     assert!(last >= token, "{last}");
 }
+
+/// Guards against a task that runs twice: after a start had been refused as late, its worker went
+/// silent, and all other runs there were given up at once instead of after their leases.
+#[test]
+fn late_refusal() {
+    let mut owner = Owner::new();
+    let first = owner.submit("00000000000000aa");
+    owner.started(&first, StartResult::Taken);
+    let running = RunReport { task: first.0, run: first.1, saved: String::new(), percent: 1 };
+    owner.report_runs(FIRST, vec![running], Vec::new());
+    let second = owner.submit("00000000000000ab");
+    owner.started(&second, StartResult::Refused(Refusal::Late));
+    for _ in 0..2 {
+        owner.renewal_failed();
+        owner.pass(1_000);
+    }
+    assert_eq!(owner.given_up, 0, "its lease has not expired");
+    owner.pass(LEASE_MS);
+    assert_eq!(owner.given_up, 1);
+}
