--- a/crates/batch/tests/schedules/odd_workers.rs
+++ b/crates/batch/tests/schedules/odd_workers.rs
@@ -217,7 +217,7 @@
 fn taken_address() {
     let (mut world, job) = busy_workers(20_000);
     let address = world.entry(&worker_id(0)).address;
-    world.workers.get_mut(&worker_id(0)).expect("there").cut_until = u64::MAX;
+    world.workers.get_mut(&worker_id(0)).expect("there").cut_until = world.now + 1_000_000;
     world.moved.insert(worker_id(1), address);
     world.run(4_000);
     assert_eq!(world.starts, 16);
