--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -1,5 +1,6 @@
 //! Output actions of a planner.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::job::JobState;
@@ -23,6 +24,8 @@
     Start {
         /// The worker.
         worker: WorkerId,
+        /// Its address.
+        address: SocketAddr,
         /// The task.
         task: TaskKey,
         /// Number of the run.
@@ -54,6 +57,8 @@
     Stop {
         /// The worker.
         worker: WorkerId,
+        /// Its address.
+        address: SocketAddr,
         /// The task.
         task: TaskKey,
         /// Number of the run.
@@ -65,6 +70,8 @@
     Renew {
         /// The worker.
         worker: WorkerId,
+        /// Its address.
+        address: SocketAddr,
         /// End of the lease on the worker's clock, in ms; `None` leaves the lease unchanged.
         deadline: Option<u64>,
         /// Sequence number up to which the worker may discard ends.
@@ -219,6 +226,14 @@
         /// the third.
         losses: usize,
     },
+    /// An entry of the directory names no worker to use, since its service is not configured; logged
+    /// once for each change.
+    IgnoresEntry {
+        /// The worker whose entry it replaces.
+        worker: WorkerId,
+        /// The service.
+        service: String,
+    },
     /// A run is given up as lost; its task is scheduled again unless its job has ended.
     GivesUp {
         /// The task.
--- a/crates/batch/src/calls.rs
+++ b/crates/batch/src/calls.rs
@@ -9,6 +9,7 @@
 use crate::planner::MAX_MISSED_CALLS;
 use crate::planner::stage_mut;
 use crate::spec::TaskKey;
+use crate::spec::WorkerId;
 use model::Time;
 
 /// Maximum time that a worker may delay its answer to a renewal until a run ends, in ms; the
@@ -29,6 +30,7 @@
     /// Sends stops for runs that are to be stopped, again if unanswered for a while.
     pub(crate) fn send_stops(&mut self, now: Time) {
         let mut unsent = Vec::new();
+        let mut stops = Vec::new();
         for key in &self.stopping {
             let Some(Stage::Placed(run)) =
                 self.jobs.get_mut(&key.job).map(|job| stage_mut(job, key))
@@ -48,12 +50,13 @@
             }
             if run.stop_sent.is_none_or(|at| at + STOP_RETRY_PAUSE <= now) {
                 run.stop_sent = Some(now);
-                let worker = run.worker.clone();
-                let run = self.run_number(key);
-                let token = self.token(&worker);
-                self.out.push(Action::Stop { worker, task: key.clone(), run, token });
+                stops.push((run.worker.clone(), key.clone()));
             }
         }
+        for (worker, key) in stops {
+            let run = self.run_number(&key);
+            self.push_stop(worker, key, run);
+        }
         for key in unsent {
             self.clear_run(now, &key);
         }
@@ -74,11 +77,21 @@
                 continue;
             }
             worker.probe_sent = now;
-            let (task, run, token) = (task.clone(), *run, worker.fence.token);
-            self.out.push(Action::Stop { worker: id.clone(), task, run, token });
+            let (task, run) = (task.clone(), *run);
+            let (address, token) = (worker.addresses.current, worker.fence.token);
+            self.out.push(Action::Stop { worker: id.clone(), address, task, run, token });
         }
     }
 
+    /// Sends a stop, unless it is not known where the worker is.
+    pub(crate) fn push_stop(&mut self, worker: WorkerId, task: TaskKey, run: u32) {
+        let Some(known) = self.workers.get(&worker).filter(|known| known.addresses.known()) else {
+            return;
+        };
+        let (address, token) = (known.addresses.current, known.fence.token);
+        self.out.push(Action::Stop { worker, address, task, run, token });
+    }
+
     pub(crate) fn run_number(&self, key: &TaskKey) -> u32 {
         self.task(key).map_or(0, |task| task.run)
     }
@@ -89,7 +102,7 @@
         let lease = self.settings.lease;
         let extend_from = now.min(self.extend_until);
         for (id, worker) in &mut self.workers {
-            if worker.renewing || worker.info.address.port() == 0 {
+            if worker.renewing || !worker.addresses.known() {
                 continue;
             }
             let busy = self.runs.get(id).is_some_and(|keys| !keys.is_empty());
@@ -135,10 +148,12 @@
             worker.acking_end = if acknowledges { worker.stored_end } else { 0 };
             worker.renewing = true;
             worker.renewal_sent = now;
+            worker.addresses.call();
             worker.fence.sent = worker.fence.token;
             worker.fence.listed = worker.info.incarnation.unwrap_or(0);
             self.out.push(Action::Renew {
                 worker: id.clone(),
+                address: worker.addresses.current,
                 deadline,
                 seen: worker.acking_end,
                 wait: if wait { MAX_RENEWAL_WAIT_MS.min(millis(lease) / 3) } else { 0 },
--- a/crates/batch/src/directory.rs
+++ b/crates/batch/src/directory.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::address::Addresses;
 use crate::fence::Fence;
 use crate::spec::JobId;
 use crate::spec::Need;
@@ -52,6 +53,8 @@
     /// Whether it has refused a start as late, so that its clock has to be read again before the
     /// next one.
     pub clock_doubtful: bool,
+    /// Where it is called.
+    pub addresses: Addresses,
     /// Fencing token of the calls to it.
     pub fence: Fence,
     /// Latest lease end sent during this ownership, in ms of the worker's clock.
@@ -131,6 +134,7 @@
     pub fn new(info: Arc<WorkerInfo>, inherited_end: Time, token: u64) -> Worker {
         Worker {
             incarnation: 0,
+            addresses: Addresses::new(info.address),
             fence: Fence::new(token),
             info,
             listed: true,
@@ -218,6 +222,16 @@
         self.suspicions = 0;
     }
 
+    /// Whether it answers, so that its entry need not say where it is.
+    pub fn in_contact(&self) -> bool {
+        self.reachable && self.missed_calls == 0
+    }
+
+    /// Whether an entry is older than what the worker itself has answered.
+    pub fn outdates(&self, entry: &WorkerInfo) -> bool {
+        entry.incarnation.is_some_and(|incarnation| incarnation < self.incarnation)
+    }
+
     /// Whether it has answered this owner, and so refuses orders of former owners.
     pub fn has_answered(&self) -> bool {
         self.inherited_end == Time::ZERO
--- a/crates/batch/src/event.rs
+++ b/crates/batch/src/event.rs
@@ -93,7 +93,7 @@
     Ticket,
     /// It is unhealthy.
     Unwell,
-    /// Another incarnation of the worker answered.
+    /// Another worker answered.
     Reborn,
     /// It rejected the order as malformed.
     Malformed,
@@ -145,7 +145,7 @@
     Deposed,
     /// A worker refused a call that carried this fencing token, since it has seen a higher one.
     Fenced(WorkerId, u64),
-    /// A renewal was answered by another incarnation under the worker's address.
+    /// A renewal was answered by another worker, which has the address now.
     Replaced(WorkerId),
     /// Result of a start: worker, task, run number and result.
     Started(WorkerId, TaskKey, u32, StartResult),
--- a/crates/batch/src/fence.rs
+++ b/crates/batch/src/fence.rs
@@ -102,11 +102,6 @@
         }
     }
 
-    /// Fencing token of the calls to a worker.
-    pub(crate) fn token(&self, id: &WorkerId) -> u64 {
-        self.workers.get(id).map_or(self.revision, |worker| worker.fence.token)
-    }
-
     /// Records that a start got no answer.
     pub(crate) fn note_doubtful_start(&mut self, now: Time, id: &WorkerId) {
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -10,6 +10,7 @@
 //!   outlived every lease that was ever sent for it.
 
 mod action;
+mod address;
 mod advice;
 mod calls;
 mod crash;
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -51,6 +51,10 @@
     pub(crate) settings: Settings,
     pub(crate) policy: Arc<Policy>,
     pub(crate) workers: Workers,
+    /// Services that a configuration or a job's queue has named.
+    services: BTreeSet<String>,
+    /// Services in entries of the directory that name no worker to use.
+    ignored_entries: BTreeMap<WorkerId, String>,
     pub(crate) jobs: BTreeMap<JobId, Job>,
     /// Tasks with a run, by worker.
     pub(crate) runs: BTreeMap<WorkerId, BTreeSet<TaskKey>>,
@@ -155,6 +159,8 @@
             settings,
             policy: Arc::default(),
             workers: BTreeMap::new(),
+            services: BTreeSet::new(),
+            ignored_entries: BTreeMap::new(),
             jobs: BTreeMap::new(),
             runs: BTreeMap::new(),
             stopping: BTreeSet::new(),
@@ -270,6 +276,7 @@
     pub fn apply(&mut self, now: Time, event: Event) {
         match event {
             Event::Configured(policy) => {
+                self.services.extend(policy.service_names().map(str::to_owned));
                 self.policy = policy;
                 self.replan = true;
             }
@@ -294,7 +301,7 @@
             Event::Stored(revision) => self.transaction_stored(revision),
             Event::Deposed => self.out.push(Action::Resign),
             Event::Fenced(worker, token) => self.fenced(&worker, token),
-            Event::Replaced(worker) => self.replaced(now, &worker),
+            Event::Replaced(worker) => self.misdirected(now, &worker),
             Event::Started(worker, task, run, result) => {
                 if result == StartResult::Unknown {
                     self.note_doubtful_start(now, &worker);
@@ -317,12 +324,17 @@
     /// Updates the workers from the directory, and drops idle ones that it no longer lists.
     fn listed(&mut self, now: Time, infos: Vec<WorkerInfo>) {
         let mut unseen: BTreeSet<WorkerId> = self.workers.keys().cloned().collect();
-        for info in infos {
+        for info in self.named_workers(infos) {
             unseen.remove(&info.id);
+            let busy = self.runs.get(&info.id).is_some_and(|keys| !keys.is_empty());
             let worker = self.workers.entry(info.id.clone()).or_insert_with(|| {
                 self.replan = true;
                 Worker::new(Arc::new(info.clone()), self.inherited_end, self.revision)
             });
+            if worker.outdates(&info) {
+                continue;
+            }
+            worker.addresses.list(info.address, busy && worker.in_contact());
             let drain_end = info.drain_left.map(|left| now + left);
             worker.drain_end = match (worker.drain_end, drain_end) {
                 (Some(known), Some(listed)) => Some(known.min(listed)),
@@ -347,11 +359,28 @@
             }
         }
         for id in self.taken_addresses() {
-            self.replaced(now, &id);
+            self.settle_losses(now, &id, u64::MAX);
         }
         self.mark_evacuated(now);
     }
 
+    /// Entries that name a worker to use; the others are logged.
+    fn named_workers(&mut self, infos: Vec<WorkerInfo>) -> Vec<WorkerInfo> {
+        // Without a configuration it is not known which services there are.
+        let is_named =
+            |info: &WorkerInfo| self.services.is_empty() || self.services.contains(&info.service);
+        let (named, ignored): (Vec<_>, Vec<_>) = infos.into_iter().partition(is_named);
+        let before = std::mem::take(&mut self.ignored_entries);
+        for WorkerInfo { id, service, .. } in ignored {
+            if before.get(&id) != Some(&service) {
+                let (worker, service) = (id.clone(), service.clone());
+                self.out.push(Action::Note(Note::IgnoresEntry { worker, service }));
+            }
+            self.ignored_entries.insert(id, service);
+        }
+        named
+    }
+
     fn accepted(&mut self, now: Time, id: JobId, submission: &Submission) {
         if submission.is_tombstone() {
             self.keep_tombstone(now, id);
@@ -361,6 +390,7 @@
             return;
         }
         self.note_isolation(submission);
+        self.note_service(submission);
         self.jobs.insert(id.clone(), Job::new(submission, now));
         self.live.insert(id.clone());
         self.replan = true;
@@ -381,6 +411,13 @@
         self.needs_isolation |= steps.any(|step| step.fills || step.target_ms > 0);
     }
 
+    /// Remembers the service of a job, whose queue later configurations may lack.
+    fn note_service(&mut self, submission: &Submission) {
+        if let Some(queue) = &submission.admitted {
+            self.services.insert(queue.service.clone());
+        }
+    }
+
     /// Adds a stored job at a takeover, with the runs that its record names.
     fn restored(&mut self, now: Time, id: JobId, submission: &Submission, record: Option<&Record>) {
         if submission.is_tombstone() {
@@ -388,6 +425,7 @@
             return;
         }
         self.note_isolation(submission);
+        self.note_service(submission);
         let mut job = Job::new(submission, now);
         if let Some(record) = record {
             job.restore(record, now);
@@ -616,7 +654,7 @@
         let Some(worker) = self.workers.get_mut(&run.worker) else { return };
         let Some(deadline) = worker.lease_deadline(extend_from, lease) else { return };
         let (id, incarnation) = (run.worker.clone(), worker.incarnation);
-        let token = worker.fence.token;
+        let (address, token) = (worker.addresses.current, worker.fence.token);
         worker.deadline = worker.deadline.max(deadline);
         run.deadline = run.deadline.max(deadline);
         run.first_sent.get_or_insert(now);
@@ -624,6 +662,7 @@
         let ticket = step_mut(job, key).ticket(&id, incarnation, now).map(str::to_owned);
         self.out.push(Action::Start {
             worker: id,
+            address,
             task: key.clone(),
             run: number,
             spec,
@@ -643,9 +682,10 @@
         self.jobs.get(&key.job)?.task(key)
     }
 
-    fn renewal_failed(&mut self, now: Time, id: &WorkerId) {
+    pub(crate) fn renewal_failed(&mut self, now: Time, id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.renewing = false;
+        worker.addresses.fail();
         worker.note_silence(now);
         worker.missed_calls += 1;
         if worker.missed_calls >= MAX_MISSED_CALLS {
--- a/crates/batch/src/policy.rs
+++ b/crates/batch/src/policy.rs
@@ -67,6 +67,12 @@
 }
 
 impl Policy {
+    /// Names of the services, including those that only a queue names.
+    pub fn service_names(&self) -> impl Iterator<Item = &str> {
+        let of_queues = self.queues.values().map(|queue| queue.service.as_str());
+        self.services.keys().map(String::as_str).chain(of_queues)
+    }
+
     /// Finds the queue for a call to `host` and `path`; the longest matching prefix wins.
     pub fn route(&self, host: &str, path: &str) -> Option<(&str, &Queue)> {
         self.queues
--- a/crates/batch/src/settle.rs
+++ b/crates/batch/src/settle.rs
@@ -60,6 +60,7 @@
         worker.clock_doubtful = false;
         worker.acked_end = worker.acked_end.max(worker.acking_end);
         worker.fence.answered = worker.fence.sent;
+        worker.addresses.confirm();
         self.settle_losses(now, id, report.incarnation);
         let Some(worker) = self.workers.get_mut(id) else { return };
         let ended: Vec<&End> =
@@ -76,8 +77,7 @@
                 continue;
             }
             foreign_runs += 1;
-            let (task, run, token) = (listed.task.clone(), listed.run, self.token(id));
-            self.out.push(Action::Stop { worker: id.clone(), task, run, token });
+            self.push_stop(id.clone(), listed.task.clone(), listed.run);
         }
         if let Some(worker) = self.workers.get_mut(id) {
             if worker.foreign_runs > 0 && foreign_runs == 0 {
@@ -370,20 +370,12 @@
         }
     }
 
-    /// Gives up all runs of a worker, since another incarnation answers under its id or address.
-    pub(crate) fn replaced(&mut self, now: Time, id: &WorkerId) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.renewing = false;
-        worker.listed = false;
-        worker.clock = None;
-        worker.reachable = false;
-        worker.note_silence(now);
-        self.settle_losses(now, id, u64::MAX);
-        self.note_crash(id);
-        let gone = self.runs.get(id).cloned().unwrap_or_default();
-        for key in gone {
-            self.record_loss(now, &key, Some(u64::MAX));
-            self.give_up(now, &key, "another incarnation of the worker answers");
+    /// Processes a renewal that another worker has answered. The one that was meant may go on
+    /// elsewhere, and its leases have to expire for its runs to be given up.
+    pub(crate) fn misdirected(&mut self, now: Time, id: &WorkerId) {
+        self.renewal_failed(now, id);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.reachable = false;
         }
     }
 
@@ -479,7 +471,8 @@
                 match (reason, self.workers.get_mut(&worker)) {
                     (Refusal::Ticket | Refusal::Fence, _) => {}
                     (Refusal::Late, Some(worker)) => worker.clock_doubtful = true,
-                    (Refusal::Reborn, Some(worker)) => worker.listed = false,
+                    // The next renewal tries its other address.
+                    (Refusal::Reborn, Some(worker)) => worker.reachable = false,
                     _ => self.back_off(now, &worker, WORKER_BACKOFF, "the worker refused a start"),
                 }
                 match (unanswered, reason) {
--- a/crates/batch/tests/schedules/odd_workers.rs
+++ b/crates/batch/tests/schedules/odd_workers.rs
@@ -1,5 +1,6 @@
 //! Entries of the directory that another writer left or replaced.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use batch::Planner;
 use batch::RenewalReport;
 use batch::WorkerId;
+use batch::WorkerInfo;
 use model::Stamp;
 use model::Time;
 
@@ -130,3 +132,96 @@
     assert_eq!(world.usable(), 4);
     assert_eq!(world.undelivered_starts, 0);
 }
+
+/// A world of four workers that run 16 tasks of about `estimate_ms`, and their job.
+fn busy_workers(estimate_ms: u64) -> (World, JobId) {
+    let mut world = World::new(5, 4, Faults::default(), policy(0));
+    let mut apart = step(16, 1, estimate_ms);
+    apart.spread = Some(6);
+    let job = world.submit("00000000000000aa", "usual", "a", vec![apart]);
+    world.run(1_500);
+    assert_eq!(world.starts, 16);
+    (world, job)
+}
+
+/// Replaces the entries of two workers, each by one with the address of the other.
+fn swap_entries(world: &mut World, change: impl Fn(&mut WorkerInfo)) {
+    for (id, other) in [(0, 1), (1, 0)].map(|(a, b)| (worker_id(a), worker_id(b))) {
+        let address = world.entry(&other).address;
+        let mut entry = WorkerInfo { address, ..world.entry(&id) };
+        change(&mut entry);
+        world.odd_entries.insert(id, entry);
+    }
+}
+
+/// Guards against tasks that run twice: entries of another writer stated the addresses of other
+/// workers, whose refusals of misdirected calls were taken as proof that the runs had ended.
+#[test]
+fn swapped_addresses() {
+    let unnamed = |entry: &mut WorkerInfo| entry.service = "unnamed".to_owned();
+    let older = |entry: &mut WorkerInfo| entry.incarnation = Some(1);
+    let sound = |_: &mut WorkerInfo| {};
+    let changes: [&dyn Fn(&mut WorkerInfo); 3] = [&unnamed, &older, &sound];
+    for change in changes {
+        for span in [1_500, 30_000] {
+            let (mut world, job) = busy_workers(20_000);
+            swap_entries(&mut world, change);
+            world.run(span);
+            world.odd_entries.clear();
+            world.run(45_000);
+            assert_eq!(world.stored_state(&job), JobState::Completed);
+            assert_eq!(world.starts, 16, "each task ran once");
+            assert_eq!(world.usable(), 4);
+        }
+    }
+}
+
+/// An entry whose service is not configured is logged once, and names no worker to use.
+#[test]
+fn unnamed_service() {
+    let (mut world, _) = busy_workers(2_000);
+    let entry = WorkerInfo { service: "unnamed".to_owned(), ..world.entry(&worker_id(0)) };
+    world.odd_entries.insert(worker_id(0), entry);
+    world.run(10_000);
+    let logged = world.trace.iter().filter(|line| line.contains("IgnoresEntry"));
+    assert_eq!(logged.count(), 1);
+    assert_eq!(world.usable(), 3);
+    world.odd_entries.clear();
+    world.run(2_500);
+    assert_eq!(world.usable(), 4);
+}
+
+/// Guards against workers that are lost because they keep being called where they answered before:
+/// one that restarts under its id at another address is found there.
+#[test]
+fn moved_worker() {
+    for busy in [true, false] {
+        let (mut world, job) = busy_workers(if busy { 20_000 } else { 1_000 });
+        if !busy {
+            world.run(6_000);
+            assert_eq!(world.stored_state(&job), JobState::Completed);
+        }
+        let now = world.now;
+        world.workers.get_mut(&worker_id(0)).expect("there").restart(now);
+        world.moved.insert(worker_id(0), SocketAddr::from(([10, 0, 0, 2], 8_000)));
+        world.run(4_000);
+        assert_eq!(world.usable(), 4, "busy: {busy}");
+        world.run(45_000);
+        assert_eq!(world.stored_state(&job), JobState::Completed);
+    }
+}
+
+/// The runs of a worker whose address another one has taken are given up once its leases have
+/// expired, and no earlier.
+#[test]
+fn taken_address() {
+    let (mut world, job) = busy_workers(20_000);
+    let address = world.entry(&worker_id(0)).address;
+    world.workers.get_mut(&worker_id(0)).expect("there").cut_until = u64::MAX;
+    world.moved.insert(worker_id(1), address);
+    world.run(4_000);
+    assert_eq!(world.starts, 16);
+    world.run(60_000);
+    assert_eq!(world.stored_state(&job), JobState::Completed);
+    assert!(world.starts > 16, "{} starts", world.starts);
+}
--- a/crates/entry/tests/hosted/odd_entries.rs
+++ b/crates/entry/tests/hosted/odd_entries.rs
@@ -93,3 +93,22 @@
     }
     assert_eq!(cluster.started_tasks().len(), 6, "restarted tasks: {:?}", cluster.started_tasks());
 }
+
+/// Guards against tasks that run twice: entries of a service that is not configured stated the
+/// addresses of other workers, whose refusals were taken as proof that the runs had ended.
+#[tokio::test]
+async fn swapped_addresses() {
+    let cluster = Cluster::start("swapped", 2, 2, TASK * 3).await;
+    assert_eq!(cluster.ask(0, Method::POST, "/work/00000000000000d8", &job(12)).await.0, 200);
+    cluster.until("all tasks run", async || cluster.started_tasks().len() == 12).await;
+    for (worker, other) in [(0, 1), (1, 0)] {
+        let entry = cluster.workers[other].entry("another-service");
+        cluster.store.put(&cluster.workers[worker].key(), &entry);
+    }
+    cluster.wait_completed(1, "00000000000000d8").await;
+    assert_eq!(cluster.started_tasks().len(), 12, "{:?}", cluster.started_tasks());
+    for id in ["\"i-0\"", "\"i-1\""] {
+        let lines = log_lines(&cluster, &["\"message\":\"ignores_entry\"", id]);
+        assert_eq!(lines.len(), 1, "{id} is logged once: {lines:?}");
+    }
+}
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep;
 
+use crate::metrics::Metrics;
 use crate::state::State;
 use batch::WorkerInfo;
 use model::Time;
@@ -213,7 +214,7 @@
         let mut news = false;
         for item in items {
             let known = before.remove(&item.key);
-            let (entry, is_news) = read_entry(item, known);
+            let (entry, is_news) = read_entry(item, known, &self.state.metrics);
             news |= is_news;
             self.entries.insert(item.key.clone(), entry);
         }
@@ -249,8 +250,8 @@
 }
 
 /// Reads an entry, given how it was read before, and returns whether it contains news. A malformed
-/// one is logged once per change.
-fn read_entry(item: &Item, known: Option<Entry>) -> (Entry, bool) {
+/// one is logged and counted once per change.
+fn read_entry(item: &Item, known: Option<Entry>, metrics: &Metrics) -> (Entry, bool) {
     let revision = item.revision;
     let value = item.value.as_deref().map_err(String::clone);
     let stable = value.as_ref().map_or(Vec::new(), |value| directory::without_heartbeat(value));
@@ -266,6 +267,7 @@
             if known.as_ref().is_none_or(|known| known.revision != revision) {
                 warn!(key = item.key.as_str(), error = error.as_str();
                     "directory: malformed worker entry; ignored");
+                metrics.count_event("ignores_entry");
             }
             None
         }
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -1,6 +1,5 @@
 //! Sends a planner's orders to the workers and reports their results.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -77,13 +76,22 @@
 }
 
 impl OrderSender {
-    /// Sends one order in a task of its own; orders to workers without a known address are dropped,
-    /// and a renewal is then reported as failed.
-    pub fn send(&self, addresses: &BTreeMap<WorkerId, SocketAddr>, action: Action) {
+    /// Sends one order in a task of its own.
+    pub fn send(&self, action: Action) {
         let sender = self.clone();
         match action {
-            Action::Start { worker, task, run, spec, deadline, saved, ticket, token, send_by } => {
-                let Some(&address) = addresses.get(&worker) else { return };
+            Action::Start {
+                worker,
+                address,
+                task,
+                run,
+                spec,
+                deadline,
+                saved,
+                ticket,
+                token,
+                send_by,
+            } => {
                 spawn_local(async move {
                     let (payload, saved) = (spec.payload.as_str(), saved.as_str());
                     let _permit = sender.payload_permit(payload.len()).await;
@@ -118,8 +126,7 @@
                     sender.send_event(Event::Started(worker, task, run, result));
                 });
             }
-            Action::Stop { worker, task, run, token } => {
-                let Some(&address) = addresses.get(&worker) else { return };
+            Action::Stop { worker, address, task, run, token } => {
                 spawn_local(async move {
                     let sent = sender.clock.now();
                     let stop = StopOrder { task: &task, run, token };
@@ -136,11 +143,7 @@
                     }
                 });
             }
-            Action::Renew { worker, deadline, seen, wait, token } => {
-                let Some(&address) = addresses.get(&worker) else {
-                    sender.send_event(Event::RenewalFailed(worker));
-                    return;
-                };
+            Action::Renew { worker, address, deadline, seen, wait, token } => {
                 spawn_local(async move {
                     let renewal = Renewal { deadline, seen, wait, token };
                     let event = sender.renew(worker, address, renewal).await;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -1,7 +1,6 @@
 //! The owner of the jobs: connects the planner to the store and to the workers.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -40,7 +39,6 @@
 use batch::Submission;
 use batch::View;
 use batch::ViewBounds;
-use batch::WorkerId;
 use model::Time;
 use net::Caller;
 use platform::store::Change;
@@ -109,7 +107,6 @@
     planner: Planner,
     evacuations: EvacuationFollower,
     orders: OrderSender,
-    addresses: BTreeMap<WorkerId, SocketAddr>,
     /// Passed on once the directory is followed.
     directory: Option<DirectoryReader>,
     /// `None` while a commit is in progress.
@@ -173,7 +170,6 @@
             planner,
             evacuations,
             orders,
-            addresses: BTreeMap::new(),
             directory: None,
             writer: Some(writer),
             events,
@@ -263,12 +259,9 @@
         }
     }
 
-    /// Stores the addresses of the listed workers and passes the workers to the planner.
+    /// Passes the listed workers to the planner.
     fn update_directory(&mut self, listing: Listing) -> Result<(), OwnershipLost> {
         if let Some(workers) = listing.workers {
-            for worker in &workers {
-                self.addresses.insert(worker.id.clone(), worker.address);
-            }
             self.planner.apply(self.state.clock.now(), Event::Listed(workers));
             self.evacuations.close(&self.planner);
         }
@@ -318,7 +311,7 @@
                     }
                     log_note(&note);
                 }
-                order => self.orders.send(&self.addresses, order),
+                order => self.orders.send(order),
             }
         }
         Ok(())
@@ -424,6 +417,10 @@
         Note::RaisesToken { worker, token } => {
             info!(worker = &*worker.0, token = token; "{what}");
         }
+        Note::IgnoresEntry { worker, service } => {
+            info!(worker = &*worker.0, service = service.as_str(), why = "service is not configured";
+                "{what}");
+        }
         Note::Adopts { jobs, runs, ended_runs, stopping } => {
             info!(jobs = jobs, runs = runs, ended_runs = ended_runs, stopping = stopping; "{what}");
         }
