Refuse an unanswered start on a restarted worker that the owner has called but not heard

Callers would see a task that was cancelled or has ended start again (TWICE).

Cause: a worker restarts while a renewal is on its way to it. The renewal reaches the new incarnation and waits there for up to 2 s. Until its answer the owner neither misses a call nor learns of the restart, so its token stays that of the start that got no answer, and the new incarnation carries that start out.

Change: calls to a worker carry a higher token as soon as it leaves a start unanswered. Whichever call arrives first at the new incarnation then makes it refuse the start.

Result: late_calls::waiting_renewal failed before (the start was taken) and passes now.

--- a/crates/batch/src/fence.rs
+++ b/crates/batch/src/fence.rs
@@ -6,12 +6,12 @@
 //! seems to last, and its ends are numbered from one again, so that a delayed acknowledgement would
 //! discard them.
 //!
-//! So calls to a worker carry a higher token as soon as it misses a renewal, and again once another
-//! incarnation has answered. The next renewal makes the worker refuse whatever was sent before. The
-//! token is the store revision of the owner's last transaction. It is higher than that of the claim
-//! and lower than that of the next owner's claim, since all of them write the same key on condition
-//! that nobody else has done so in the meantime. If a worker has seen the last revision already, the
-//! raise waits for a further transaction.
+//! So calls to a worker carry a higher token as soon as it leaves a start or a renewal unanswered,
+//! and again once another incarnation has answered. The next renewal makes the worker refuse
+//! whatever was sent before. The token is the store revision of the owner's last transaction. It is
+//! higher than that of the claim and lower than that of the next owner's claim, since all of them
+//! write the same key on condition that nobody else has done so in the meantime. If a worker has
+//! seen the last revision already, the raise waits for a further transaction.
 //!
 //! What remains is the time until the restarted worker is called for the first time. It is kept
 //! short while an unanswered start may still be on its way. An idle worker is also called when its
@@ -102,10 +102,12 @@
         }
     }
 
-    /// Records that a start got no answer.
+    /// Records that a start got no answer. The raised token makes the next incarnation refuse it as
+    /// soon as any call arrives there, even if the owner has not learned of the restart.
     pub(crate) fn note_doubtful_start(&mut self, now: Time, id: &WorkerId) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.fence.doubtful_until = now + DELAYED_START_TIME;
         }
+        self.raise_token(id);
     }
 }
--- a/crates/batch/tests/schedules/late_calls.rs
+++ b/crates/batch/tests/schedules/late_calls.rs
@@ -150,6 +150,25 @@
     assert_eq!(late.arrive_after_restart(&mut world), FENCED);
 }
 
+/// Guards against a start that got no answer and is carried out by an incarnation which the owner
+/// has called, but has not learned of yet: the call waits there for a run to end.
+#[test]
+fn waiting_renewal() {
+    let (mut world, job) = running_job(1, 1, 60_000);
+    let late = LateStart::of_job(&world, &job);
+    world.start_unanswered(&late.worker, &late.task, late.work.run);
+    world.run(1_000);
+    world.cancel(&job);
+    world.run(1_000);
+    while !world.is_renewing(&late.worker) {
+        world.run(1);
+    }
+    let now = world.now;
+    world.workers.get_mut(&late.worker).expect("there").restart(now);
+    world.run(100);
+    assert_eq!(late.arrive(&mut world), FENCED);
+}
+
 /// Guards against starts of a former owner on an idle worker that restarts between two reads of the
 /// directory: the owner had no reason to call the worker.
 #[test]
--- a/crates/batch/tests/schedules/world.rs
+++ b/crates/batch/tests/schedules/world.rs
@@ -544,6 +544,21 @@
         self.send(5, Message::Event { owner, event: Event::Cancelled(id.clone()) });
     }
 
+    /// Reports to the owner that a start got no answer.
+    pub fn start_unanswered(&mut self, worker: &WorkerId, task: &TaskKey, run: u32) {
+        let event = Event::Started(worker.clone(), task.clone(), run, StartResult::Unknown);
+        self.handle_event(self.owner, event);
+    }
+
+    /// Whether a renewal is on its way to a worker.
+    pub fn is_renewing(&self, id: &WorkerId) -> bool {
+        let renews =
+            |action: &Action| matches!(action, Action::Renew { worker, .. } if worker == id);
+        let calls =
+            |message: &Message| matches!(message, Message::Call { action, .. } if renews(action));
+        self.heap.iter().any(|envelope| calls(&envelope.message))
+    }
+
     fn handle_event(&mut self, owner: u64, event: Event) {
         if matches!(event, Event::Advised(_)) {
             self.advising.remove(&owner);
