Call every worker for as long as starts of the former owner may arrive

Cause: that a start got no answer was known only to the owner that sent it, and for a start on its way at the kill to nobody. The next owner calls an idle worker until its first answer and then not again, so a new incarnation there sees no fencing token until the directory has been read.

Change: after a takeover all workers count as ones that may carry out a late start, for the 3 s in which the former owner may go on and the 12 s in which a start may be late. A renewal waits there all the time, which breaks when the worker crashes, and is sent again after 100 ms (5 ms for each silent worker if they are many), also while the directory does not list the worker. Nothing is stored. A start of any former owner then meets the present one's token, whatever became of its run.

New schedules aim restarts at late starts.

--- a/crates/batch/src/calls.rs
+++ b/crates/batch/src/calls.rs
@@ -4,6 +4,7 @@
 
 use crate::Planner;
 use crate::action::Action;
+use crate::directory::Worker;
 use crate::directory::millis;
 use crate::job::Stage;
 use crate::planner::MAX_MISSED_CALLS;
@@ -19,6 +20,11 @@
 const RENEWAL_PAUSE: Duration = Duration::from_millis(1_000);
 /// Pause before a renewal is sent again to a worker that did not answer; doubles with each failure.
 const RENEWAL_RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// The same for a worker that may carry out a late start once it has restarted.
+const THREATENED_RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Minimum interval between two such renewals to any workers, so that the loss of many does not
+/// occupy the owner.
+const THREATENED_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum number of doublings of that pause.
 const MAX_RETRY_DOUBLINGS: u32 = 3;
 /// Pause before an unanswered stop is sent again.
@@ -101,6 +107,13 @@
     pub(crate) fn send_renewals(&mut self, now: Time) {
         let lease = self.settings.lease;
         let extend_from = now.min(self.extend_until);
+        let late_starts = &self.late_starts;
+        let silent = |(id, worker): &(&WorkerId, &Worker)| {
+            worker.missed_calls > 0 && late_starts.threaten(now, id)
+        };
+        let silent = u32::try_from(self.workers.iter().filter(silent).count()).unwrap_or(u32::MAX);
+        let threatened_pause = THREATENED_RETRY_PAUSE.max(THREATENED_RETRY_INTERVAL * silent);
+        self.renew_at = Time::NEVER;
         for (id, worker) in &mut self.workers {
             if worker.renewing || !worker.addresses.known() {
                 continue;
@@ -110,26 +123,30 @@
             let doubtful = !worker.reachable || worker.missed_calls > 0;
             let unheard = (!worker.clock_known() || doubtful) && worker.listed;
             let unacked = worker.stored_end > worker.acked_end;
-            let doubtful_start = worker.listed && worker.fence.doubtful(now);
+            let threatened = self.late_starts.threaten(now, id);
             let restarted = worker.seems_restarted();
             let raises = self.raises.contains(id);
             let unfenced = worker.listed && (raises || worker.fence.is_open());
             let wanted = busy || unheard || unacked || worker.foreign_runs > 0;
-            if !(wanted || doubtful_start || restarted || unfenced) {
+            if !(wanted || threatened || restarted || unfenced) {
                 continue;
             }
             let storing = worker.heard_end > worker.stored_end;
             let pause = match (worker.missed_calls, storing) {
                 (0, true) => RENEWAL_PAUSE,
                 (0, false) if !raises => Duration::ZERO,
-                _ if doubtful_start || raises => RENEWAL_RETRY_PAUSE,
+                (1.., _) if threatened => threatened_pause,
+                _ if raises => RENEWAL_RETRY_PAUSE,
                 (silent, _) => RENEWAL_RETRY_PAUSE * 2u32.pow(silent.min(MAX_RETRY_DOUBLINGS)),
             };
             let paused = worker.renewal_sent + pause > now && worker.renewal_sent != Time::ZERO;
             if paused && !restarted {
+                if threatened && worker.missed_calls > 0 {
+                    self.renew_at = self.renew_at.min(worker.renewal_sent + pause);
+                }
                 continue;
             }
-            let wait = (busy || doubtful_start)
+            let wait = (busy || threatened)
                 && !unheard
                 && !unfenced
                 && !restarted
--- a/crates/batch/src/fence.rs
+++ b/crates/batch/src/fence.rs
@@ -14,9 +14,13 @@
 //! seen the last revision already, the raise waits for a further transaction.
 //!
 //! What remains is the time until the restarted worker is called for the first time. It is kept
-//! short while an unanswered start may still be on its way. An idle worker is also called when its
-//! entry in the directory states another incarnation.
+//! short while a start may still be on its way: each worker with such a start is called all the
+//! time, also while it is idle or the directory does not list it. These are the workers that left a
+//! start of this owner unanswered, and for a while after a takeover all of them, since nothing that
+//! is stored tells which starts of the former owner got an answer. An idle worker is also called
+//! when its entry in the directory states another incarnation.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::Planner;
@@ -39,8 +43,6 @@
     pub sent: u64,
     /// Token of the last renewal that was answered.
     pub answered: u64,
-    /// Until when an unanswered start may still be carried out.
-    pub doubtful_until: Time,
     /// Incarnation that the worker's entry stated when the last renewal was sent; zero for none.
     pub listed: u64,
 }
@@ -55,10 +57,33 @@
     pub fn is_open(&self) -> bool {
         self.answered < self.token
     }
+}
+
+/// Starts that may still be carried out, although nobody waits for their answers.
+#[derive(Clone, Debug)]
+pub(crate) struct LateStarts {
+    /// Until when starts of former owners may be carried out, on any worker.
+    inherited_until: Time,
+    /// Until when unanswered starts of this owner may be carried out.
+    unanswered: BTreeMap<WorkerId, Time>,
+}
+
+impl LateStarts {
+    /// Late starts at a takeover at `now`, after which the former owner may go on for `solo`.
+    pub fn new(now: Time, solo: Duration) -> LateStarts {
+        let inherited_until = now + solo + DELAYED_START_TIME;
+        LateStarts { inherited_until, unanswered: BTreeMap::new() }
+    }
+
+    /// Whether a start may still be carried out by a worker.
+    pub fn threaten(&self, now: Time, id: &WorkerId) -> bool {
+        now < self.inherited_until || self.unanswered.get(id).is_some_and(|until| now < *until)
+    }
 
-    /// Whether an unanswered start may still be carried out.
-    pub fn doubtful(&self, now: Time) -> bool {
-        now < self.doubtful_until
+    /// Records that a start got no answer.
+    fn record(&mut self, now: Time, id: &WorkerId) {
+        self.unanswered.retain(|_, until| now < *until);
+        self.unanswered.insert(id.clone(), now + DELAYED_START_TIME);
     }
 }
 
@@ -105,9 +130,7 @@
     /// Records that a start got no answer. The raised token makes the next incarnation refuse it as
     /// soon as any call arrives there, even if the owner has not learned of the restart.
     pub(crate) fn note_doubtful_start(&mut self, now: Time, id: &WorkerId) {
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.fence.doubtful_until = now + DELAYED_START_TIME;
-        }
+        self.late_starts.record(now, id);
         self.raise_token(id);
     }
 }
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -17,6 +17,7 @@
 use crate::directory::millis;
 use crate::event::Event;
 use crate::event::StartResult;
+use crate::fence::LateStarts;
 use crate::headroom::UrgentUse;
 use crate::job::Job;
 use crate::job::JobState;
@@ -96,6 +97,9 @@
     pub(crate) revision: u64,
     /// Workers whose fencing token is raised after the next transaction.
     pub(crate) raises: BTreeSet<WorkerId>,
+    pub(crate) late_starts: LateStarts,
+    /// When the next renewal that waits for the end of a short pause is due.
+    pub(crate) renew_at: Time,
     pub(crate) out: Vec<Action>,
     pub(crate) advisor: Advisor,
     /// When leases from former owners have expired on workers that have not answered this owner.
@@ -182,6 +186,8 @@
             commit_after: Time::ZERO,
             revision: 0,
             raises: BTreeSet::new(),
+            late_starts: LateStarts::new(now, solo),
+            renew_at: Time::NEVER,
             out: Vec::new(),
             advisor: Advisor::default(),
             inherited_end,
@@ -234,7 +240,8 @@
     /// Latest time of the next decision if no event arrives before.
     pub fn next_wakeup(&self) -> Time {
         let commit = self.commit.is_none() && self.has_transaction();
-        self.replan_at.min(if commit { self.commit_after } else { Time::NEVER })
+        let commit_at = if commit { self.commit_after } else { Time::NEVER };
+        self.replan_at.min(commit_at).min(self.renew_at)
     }
 
     /// Returns counters for metrics and logs.
@@ -351,9 +358,11 @@
         }
         for id in unseen {
             let idle = self.runs.get(&id).is_none_or(BTreeSet::is_empty);
+            let threatened = self.late_starts.threaten(now, &id);
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.listed = false;
-                if idle && !worker.renewing && !self.silent_workers.contains_key(&id) {
+                let silent = self.silent_workers.contains_key(&id);
+                if idle && !worker.renewing && !silent && !threatened {
                     self.workers.remove(&id);
                 }
             }
--- a/crates/batch/tests/schedules/late_calls.rs
+++ b/crates/batch/tests/schedules/late_calls.rs
@@ -4,6 +4,8 @@
 use crate::worker::FakeWorker;
 use crate::worker::Work;
 use crate::world::Faults;
+use crate::world::LISTING_PAUSE_MS;
+use crate::world::NOTICE_MS;
 use crate::world::World;
 use crate::world::policy;
 use crate::world::worker_id;
@@ -150,6 +152,105 @@
     assert_eq!(late.arrive_after_restart(&mut world), FENCED);
 }
 
+/// Lets the next owner take over, crashes the worker, and lets the start of the former owner arrive
+/// as soon as an owner may be expected to have called the next incarnation, before the directory is
+/// read again.
+fn arrive_after_takeover(late: &LateStart, world: &mut World) -> StartResult {
+    world.take_over(false);
+    world.run(1_500);
+    arrive_between_listings(late, world)
+}
+
+fn arrive_between_listings(late: &LateStart, world: &mut World) -> StartResult {
+    let listing = (world.now + DOWN_MS).next_multiple_of(LISTING_PAUSE_MS);
+    let down = listing + 20 - world.now;
+    world.crash(&late.worker, down);
+    world.run(down + NOTICE_MS);
+    late.arrive(world)
+}
+
+/// Guards against a task that runs again although its job was shown as completed: the owner that had
+/// sent the start was killed, and the next one did not call the idle worker.
+#[test]
+fn ended_before_takeover() {
+    let (mut world, job) = running_job(1, 1, 1_000);
+    let late = LateStart::of_job(&world, &job);
+    world.run(4_000);
+    assert_eq!(world.stored_state(&job), JobState::Completed);
+    assert_eq!(arrive_after_takeover(&late, &mut world), FENCED);
+}
+
+/// The same for a job that was cancelled.
+#[test]
+fn cancelled_before_takeover() {
+    let (mut world, job) = running_job(1, 1, 60_000);
+    let late = LateStart::of_job(&world, &job);
+    world.cancel(&job);
+    world.run(2_000);
+    assert_eq!(world.stored_state(&job), JobState::Cancelled);
+    assert_eq!(arrive_after_takeover(&late, &mut world), FENCED);
+}
+
+/// The same for a run that was given up, whose task runs elsewhere.
+#[test]
+fn abandoned_before_takeover() {
+    let (mut world, job) = running_job(2, 1, 60_000);
+    let late = LateStart::of_job(&world, &job);
+    let deaf_until = world.now + 9_000;
+    world.workers.get_mut(&late.worker).expect("there").deaf_until = deaf_until;
+    world.run(11_000);
+    assert_ne!(LateStart::of_job(&world, &job).worker, late.worker, "the task runs elsewhere");
+    assert_eq!(arrive_after_takeover(&late, &mut world), FENCED);
+}
+
+/// The same for a run that was preempted.
+#[test]
+fn preempted_before_takeover() {
+    let (mut world, job) = running_job(1, 8, 60_000);
+    let late = LateStart::of_job(&world, &job);
+    world.submit("00000000000000ab", "urgent", "a", vec![step(8, 1, 500)]);
+    world.run(600);
+    assert!(!world.workers[&late.worker].running.contains_key(&late.task), "it was preempted");
+    assert_eq!(arrive_after_takeover(&late, &mut world), FENCED);
+}
+
+/// The same after two takeovers in a row.
+#[test]
+fn second_takeover() {
+    let (mut world, job) = running_job(1, 1, 1_000);
+    let late = LateStart::of_job(&world, &job);
+    world.run(3_000);
+    world.take_over(false);
+    world.run(4_000);
+    assert_eq!(arrive_after_takeover(&late, &mut world), FENCED);
+}
+
+/// The same for a worker that restarts twice.
+#[test]
+fn restarts_after_takeover() {
+    let (mut world, job) = running_job(1, 1, 1_000);
+    let late = LateStart::of_job(&world, &job);
+    world.run(3_000);
+    assert_eq!(arrive_after_takeover(&late, &mut world), FENCED);
+    world.run(1_000);
+    assert_eq!(arrive_between_listings(&late, &mut world), FENCED);
+}
+
+/// Guards against a worker that the owner forgets while it is away, so that it is not called before
+/// the directory lists it again.
+#[test]
+fn unlisted_worker() {
+    let (mut world, job) = running_job(1, 1, 1_000);
+    let late = LateStart::of_job(&world, &job);
+    world.run(3_000);
+    world.take_over(false);
+    world.run(1_500);
+    let down = 5_020 - world.now % LISTING_PAUSE_MS;
+    world.crash(&late.worker, down);
+    world.run(down + NOTICE_MS);
+    assert_eq!(late.arrive(&mut world), FENCED);
+}
+
 /// Guards against a start that got no answer and is carried out by an incarnation which the owner
 /// has called, but has not learned of yet: the call waits there for a run to end.
 #[test]
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -122,6 +122,21 @@
     run_seeds(250_020, Faults { late_in_transit: true, ..faults });
 }
 
+/// Guards against tasks that run twice because a worker restarts and carries out a start of a former
+/// owner before the present one has called it.
+#[test]
+fn inherited_doubts() {
+    let faults = Faults { takeovers: true, late: true, late_in_transit: true, ..Faults::default() };
+    run_seeds(270_019, Faults { aimed_restarts: true, ..faults });
+}
+
+/// The same while workers are out of reach, crash and go away.
+#[test]
+fn doubts_under_faults() {
+    let faults = Faults { late_in_transit: true, aimed_restarts: true, ..Faults::all() };
+    run_seeds(280_011, faults);
+}
+
 #[test]
 fn cuts_and_crashes() {
     run_seeds(300_000, Faults { cuts: true, crashes: true, ..Faults::default() });
