Call a restarted worker while a renewal of its former incarnation hangs

Cause: at most one renewal is open for each worker. Since idle workers are called after a takeover, such a renewal hangs for 2.7 s, and the later incarnation that the directory states in the meantime was not heeded. Busy workers had the same gap before.

Change: a worker whose entry states a later incarnation than its last answer is called with the token alone while a renewal is open, once for each statement. Nothing of the answer is used but a refusal.

--- a/crates/batch/src/action.rs
+++ b/crates/batch/src/action.rs
@@ -81,6 +81,16 @@
         /// Fencing token.
         token: u64,
     },
+    /// Make a worker refuse calls with a lower fencing token. Only a refusal of this call is
+    /// reported.
+    Fence {
+        /// The worker.
+        worker: WorkerId,
+        /// Its address.
+        address: SocketAddr,
+        /// Fencing token.
+        token: u64,
+    },
     /// Log a decision.
     Note(Note),
     /// Give up ownership, since another owner has a higher fencing token.
--- a/crates/batch/src/calls.rs
+++ b/crates/batch/src/calls.rs
@@ -115,7 +115,20 @@
         let threatened_pause = THREATENED_RETRY_PAUSE.max(THREATENED_RETRY_INTERVAL * silent);
         self.renew_at = Time::NEVER;
         for (id, worker) in &mut self.workers {
-            if worker.renewing || !worker.addresses.known() {
+            if !worker.addresses.known() {
+                continue;
+            }
+            if worker.renewing {
+                // The former incarnation may have gone away without closing the connection on which
+                // it held the renewal.
+                if worker.seems_restarted() {
+                    worker.fence.listed = worker.info.incarnation.unwrap_or(0);
+                    self.out.push(Action::Fence {
+                        worker: id.clone(),
+                        address: worker.addresses.current,
+                        token: worker.fence.token,
+                    });
+                }
                 continue;
             }
             let busy = self.runs.get(id).is_some_and(|keys| !keys.is_empty());
--- a/crates/batch/src/fence.rs
+++ b/crates/batch/src/fence.rs
@@ -43,7 +43,7 @@
     pub sent: u64,
     /// Token of the last renewal that was answered.
     pub answered: u64,
-    /// Incarnation that the worker's entry stated when the last renewal was sent; zero for none.
+    /// Incarnation that the worker's entry stated when it was last called; zero for none.
     pub listed: u64,
 }
 
--- a/crates/batch/tests/schedules/late_calls.rs
+++ b/crates/batch/tests/schedules/late_calls.rs
@@ -270,6 +270,22 @@
     assert_eq!(late.arrive(&mut world), FENCED);
 }
 
+/// Guards against a worker that is not called for as long as a renewal hangs which its former
+/// incarnation held, although the directory lists the new one.
+#[test]
+fn hung_renewal() {
+    let (mut world, job) = running_job(1, 1, 1_000);
+    let late = LateStart::of_job(&world, &job);
+    world.faults.hung_calls = true;
+    world.run(3_000);
+    world.take_over(false);
+    world.run(1_500);
+    let now = world.now;
+    world.workers.get_mut(&late.worker).expect("there").restart(now);
+    world.run(LISTING_PAUSE_MS + 100);
+    assert_eq!(late.arrive(&mut world), FENCED);
+}
+
 /// Guards against starts of a former owner on an idle worker that restarts between two reads of the
 /// directory: the owner had no reason to call the worker.
 #[test]
--- a/crates/batch/tests/schedules/main.rs
+++ b/crates/batch/tests/schedules/main.rs
@@ -137,6 +137,13 @@
     run_seeds(280_011, faults);
 }
 
+/// The same while calls hang that a restarted worker had held.
+#[test]
+fn doubts_and_hung_calls() {
+    let faults = Faults { late_in_transit: true, aimed_restarts: true, ..Faults::all() };
+    run_seeds(290_096, Faults { hung_calls: true, ..faults });
+}
+
 #[test]
 fn cuts_and_crashes() {
     run_seeds(300_000, Faults { cuts: true, crashes: true, ..Faults::default() });
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -150,6 +150,16 @@
                     sender.send_event(event);
                 });
             }
+            Action::Fence { worker, address, token } => {
+                spawn_local(async move {
+                    let renewal = Renewal { deadline: None, seen: 0, wait: 0, token };
+                    let result =
+                        sender.workers.renew(&worker, address, renewal, RENEWAL_TIMEOUT).await;
+                    if matches!(result, Err(WorkerError::Fenced)) {
+                        sender.send_event(Event::Fenced(worker, token));
+                    }
+                });
+            }
             Action::Advise { step, workers } => {
                 spawn_local(async move {
                     let advice = sender.advise(&step, &workers).await;
