Tests of inherited and hung calls with whole processes

Change: inherited_start and hung_call (entry, hosted); the simulated worker can lose power, which leaves its connections open.

--- a/crates/fake/src/hosted/worker.rs
+++ b/crates/fake/src/hosted/worker.rs
@@ -155,10 +155,14 @@
     /// Ends everything that runs, as a crash does, and refuses connections until the restart.
     pub fn crash(&self) {
         self.server.set_accepting(false);
-        let mut state = lock(&self.state);
-        let (starts, withheld) =
-            (std::mem::take(&mut state.starts), std::mem::take(&mut state.withheld));
-        *state = State { starts, withheld, ..State::new(state.run_time) };
+        lock(&self.state).reset();
+    }
+
+    /// Starts again at once as another incarnation. Calls that were open are neither answered nor
+    /// closed, as if the machine had lost power.
+    pub fn power_cycle(&self) {
+        self.server.silence();
+        lock(&self.state).reset();
     }
 
     /// Accepts connections again after a crash, as another incarnation.
@@ -203,6 +207,13 @@
         }
     }
 
+    /// Forgets everything but the records of the test.
+    fn reset(&mut self) {
+        let (starts, withheld) =
+            (std::mem::take(&mut self.starts), std::mem::take(&mut self.withheld));
+        *self = State { starts, withheld, ..State::new(self.run_time) };
+    }
+
     /// Carries out a call other than a `hold`.
     fn carry_out(&mut self, path: &str, body: &Value) -> Response<Body> {
         if let Some(refusal) = self.fence(body) {
