Keep the time of an unanswered start with its worker again

Cause: each decision looked up each worker in a map of unanswered starts, which costs in proportion to the fleet. The map was there for workers that the directory drops meanwhile, but these are kept now while they may carry out a late start. Change: a field of the worker, as before, and one time for the starts of former owners.

--- a/crates/batch/src/calls.rs
+++ b/crates/batch/src/calls.rs
@@ -107,11 +107,12 @@
     pub(crate) fn send_renewals(&mut self, now: Time) {
         let lease = self.settings.lease;
         let extend_from = now.min(self.extend_until);
-        let late_starts = &self.late_starts;
-        let silent = |(id, worker): &(&WorkerId, &Worker)| {
-            worker.missed_calls > 0 && late_starts.threaten(now, id)
-        };
-        let silent = u32::try_from(self.workers.iter().filter(silent).count()).unwrap_or(u32::MAX);
+        // Starts of former owners may still be carried out by any worker.
+        let inherited = now < self.late_starts_until;
+        let threatened = |worker: &Worker| inherited || worker.fence.is_doubtful(now);
+        let silent = |worker: &&Worker| worker.missed_calls > 0 && threatened(worker);
+        let silent = self.workers.values().filter(silent).count();
+        let silent = u32::try_from(silent).unwrap_or(u32::MAX);
         let threatened_pause = THREATENED_RETRY_PAUSE.max(THREATENED_RETRY_INTERVAL * silent);
         self.renew_at = Time::NEVER;
         for (id, worker) in &mut self.workers {
@@ -136,7 +137,7 @@
             let doubtful = !worker.reachable || worker.missed_calls > 0;
             let unheard = (!worker.clock_known() || doubtful) && worker.listed;
             let unacked = worker.stored_end > worker.acked_end;
-            let threatened = self.late_starts.threaten(now, id);
+            let threatened = threatened(worker);
             let restarted = worker.seems_restarted();
             let raises = self.raises.contains(id);
             let unfenced = worker.listed && (raises || worker.fence.is_open());
--- a/crates/batch/src/fence.rs
+++ b/crates/batch/src/fence.rs
@@ -20,7 +20,6 @@
 //! is stored tells which starts of the former owner got an answer. An idle worker is also called
 //! when its entry in the directory states another incarnation.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::Planner;
@@ -32,7 +31,7 @@
 
 /// Maximum time after which a start that got no answer is carried out: on the users' bad days this
 /// takes 2 to 12 s.
-const DELAYED_START_TIME: Duration = Duration::from_secs(12);
+pub(crate) const DELAYED_START_TIME: Duration = Duration::from_secs(12);
 
 /// Fencing token of the calls to one worker.
 #[derive(Clone, Debug, Default)]
@@ -43,6 +42,8 @@
     pub sent: u64,
     /// Token of the last renewal that was answered.
     pub answered: u64,
+    /// Until when an unanswered start of this owner may still be carried out.
+    pub doubtful_until: Time,
     /// Incarnation that the worker's entry stated when it was last called; zero for none.
     pub listed: u64,
 }
@@ -57,33 +58,10 @@
     pub fn is_open(&self) -> bool {
         self.answered < self.token
     }
-}
-
-/// Starts that may still be carried out, although nobody waits for their answers.
-#[derive(Clone, Debug)]
-pub(crate) struct LateStarts {
-    /// Until when starts of former owners may be carried out, on any worker.
-    inherited_until: Time,
-    /// Until when unanswered starts of this owner may be carried out.
-    unanswered: BTreeMap<WorkerId, Time>,
-}
-
-impl LateStarts {
-    /// Late starts at a takeover at `now`, after which the former owner may go on for `solo`.
-    pub fn new(now: Time, solo: Duration) -> LateStarts {
-        let inherited_until = now + solo + DELAYED_START_TIME;
-        LateStarts { inherited_until, unanswered: BTreeMap::new() }
-    }
-
-    /// Whether a start may still be carried out by a worker.
-    pub fn threaten(&self, now: Time, id: &WorkerId) -> bool {
-        now < self.inherited_until || self.unanswered.get(id).is_some_and(|until| now < *until)
-    }
 
-    /// Records that a start got no answer.
-    fn record(&mut self, now: Time, id: &WorkerId) {
-        self.unanswered.retain(|_, until| now < *until);
-        self.unanswered.insert(id.clone(), now + DELAYED_START_TIME);
+    /// Whether an unanswered start of this owner may still be carried out.
+    pub fn is_doubtful(&self, now: Time) -> bool {
+        now < self.doubtful_until
     }
 }
 
@@ -130,7 +108,9 @@
     /// Records that a start got no answer. The raised token makes the next incarnation refuse it as
     /// soon as any call arrives there, even if the owner has not learned of the restart.
     pub(crate) fn note_doubtful_start(&mut self, now: Time, id: &WorkerId) {
-        self.late_starts.record(now, id);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.fence.doubtful_until = now + DELAYED_START_TIME;
+        }
         self.raise_token(id);
     }
 }
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -17,7 +17,7 @@
 use crate::directory::millis;
 use crate::event::Event;
 use crate::event::StartResult;
-use crate::fence::LateStarts;
+use crate::fence::DELAYED_START_TIME;
 use crate::headroom::UrgentUse;
 use crate::job::Job;
 use crate::job::JobState;
@@ -97,7 +97,8 @@
     pub(crate) revision: u64,
     /// Workers whose fencing token is raised after the next transaction.
     pub(crate) raises: BTreeSet<WorkerId>,
-    pub(crate) late_starts: LateStarts,
+    /// Until when starts of former owners may be carried out.
+    pub(crate) late_starts_until: Time,
     /// When the next renewal that waits for the end of a short pause is due.
     pub(crate) renew_at: Time,
     pub(crate) out: Vec<Action>,
@@ -186,7 +187,7 @@
             commit_after: Time::ZERO,
             revision: 0,
             raises: BTreeSet::new(),
-            late_starts: LateStarts::new(now, solo),
+            late_starts_until: now + solo + DELAYED_START_TIME,
             renew_at: Time::NEVER,
             out: Vec::new(),
             advisor: Advisor::default(),
@@ -358,10 +359,11 @@
         }
         for id in unseen {
             let idle = self.runs.get(&id).is_none_or(BTreeSet::is_empty);
-            let threatened = self.late_starts.threaten(now, &id);
+            let inherited = now < self.late_starts_until;
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.listed = false;
                 let silent = self.silent_workers.contains_key(&id);
+                let threatened = inherited || worker.fence.is_doubtful(now);
                 if idle && !worker.renewing && !silent && !threatened {
                     self.workers.remove(&id);
                 }
