--- /dev/null
+++ b/crates/batch/examples/mutations/list.rs
@@ -0,0 +1,313 @@
+//! One-line faults of the decision code.
+
+/// A fault that replaces a piece of text which occurs once in a file of `src`.
+pub struct Mutation {
+    pub name: &'static str,
+    pub file: &'static str,
+    pub from: &'static str,
+    pub to: &'static str,
+}
+
+const fn mutation(
+    file: &'static str,
+    name: &'static str,
+    from: &'static str,
+    to: &'static str,
+) -> Mutation {
+    Mutation { name, file, from, to }
+}
+
+pub const MUTATIONS: &[Mutation] = &[
+    mutation(
+        "planner.rs",
+        "missed_renewal_keeps_token",
+        "if worker.missed_calls == 1 && worker.has_answered() {",
+        "if false {",
+    ),
+    mutation(
+        "settle.rs",
+        "restart_keeps_token",
+        "self.note_crash(id);\n                self.raise_token(id);",
+        "self.note_crash(id);",
+    ),
+    mutation(
+        "fence.rs",
+        "unanswered_start_keeps_token",
+        "        }\n        self.raise_token(id);\n    }\n}",
+        "        }\n    }\n}",
+    ),
+    mutation(
+        "fence.rs",
+        "own_token_deposes",
+        "let overtaken = |worker: &Worker| token < worker.fence.token;",
+        "let overtaken = |_: &Worker| token == 0;",
+    ),
+    mutation(
+        "fence.rs",
+        "raise_is_dropped",
+        "self.raises.insert(id.clone());\n            return;",
+        "return;",
+    ),
+    mutation(
+        "planner.rs",
+        "new_owner_trusts_idle_workers",
+        "late_starts_until: now + solo + DELAYED_START_TIME,",
+        "late_starts_until: (now + solo + DELAYED_START_TIME).min(now),",
+    ),
+    mutation(
+        "fence.rs",
+        "unanswered_start_is_forgotten",
+        "worker.fence.doubtful_until = now + DELAYED_START_TIME;",
+        "worker.fence.doubtful_until = (now + DELAYED_START_TIME).min(now);",
+    ),
+    mutation(
+        "calls.rs",
+        "listed_restart_waits_for_renewal",
+        "if worker.seems_restarted() {",
+        "if false {",
+    ),
+    mutation(
+        "calls.rs",
+        "listed_restart_is_ignored",
+        "let restarted = worker.seems_restarted();",
+        "let restarted = false;",
+    ),
+    mutation(
+        "planner.rs",
+        "unlisted_worker_is_forgotten",
+        "if idle && !worker.renewing && !silent && !threatened {",
+        "if idle && !worker.renewing && !silent && (threatened || !threatened) {",
+    ),
+    mutation(
+        "lost.rs",
+        "silent_worker_loses_runs_at_once",
+        "if !worker.reachable && worker.leases_end() <= now {",
+        "if !worker.reachable {",
+    ),
+    mutation(
+        "directory.rs",
+        "slow_clock_is_forgotten",
+        "let left = left.saturating_add(slow).saturating_add(CLOCK_MARGIN_MS);",
+        "let left = left.saturating_add(slow.min(0));",
+    ),
+    mutation(
+        "directory.rs",
+        "inherited_leases_are_forgotten",
+        "else { return self.inherited_end };",
+        "else { return Time::ZERO };",
+    ),
+    mutation(
+        "calls.rs",
+        "leases_of_silent_workers_are_extended",
+        ".filter(|_| !silent);",
+        ".filter(|_| !silent || silent);",
+    ),
+    mutation(
+        "calls.rs",
+        "renewed_lease_is_not_recorded",
+        "worker.deadline = worker.deadline.max(deadline.unwrap_or(0));",
+        "",
+    ),
+    mutation(
+        "planner.rs",
+        "started_lease_is_not_recorded",
+        "worker.deadline = worker.deadline.max(deadline);",
+        "",
+    ),
+    mutation(
+        "calls.rs",
+        "unconfirmed_owner_extends_leases",
+        "let extend_from = now.min(self.extend_until);",
+        "let extend_from = now;",
+    ),
+    mutation(
+        "directory.rs",
+        "doubtful_clock_is_used",
+        "self.clock.filter(|_| !self.clock_doubtful)?",
+        "self.clock?",
+    ),
+    mutation(
+        "calls.rs",
+        "end_is_acknowledged_unstored",
+        "if acknowledges { worker.stored_end } else { 0 }",
+        "if acknowledges { worker.heard_end } else { 0 }",
+    ),
+    mutation(
+        "calls.rs",
+        "end_is_acknowledged_after_a_miss",
+        "let acknowledges = unacked && worker.missed_calls == 0;",
+        "let acknowledges = unacked;",
+    ),
+    mutation(
+        "directory.rs",
+        "heard_ends_outlive_a_restart",
+        "        self.heard_end = 0;\n        self.acked_end = 0;",
+        "        self.acked_end = 0;",
+    ),
+    mutation(
+        "directory.rs",
+        "stored_ends_outlive_a_restart",
+        "        self.stored_end = 0;\n        self.heard_end = 0;",
+        "        self.heard_end = 0;",
+    ),
+    mutation(
+        "planner.rs",
+        "commit_acknowledges_next_incarnation",
+        "                && worker.incarnation == incarnation\n",
+        "                && (worker.incarnation == incarnation || incarnation > 0)\n",
+    ),
+    mutation(
+        "settle.rs",
+        "former_incarnation_answers",
+        "if report.incarnation < worker.incarnation {",
+        "if false {",
+    ),
+    mutation(
+        "settle.rs",
+        "late_failure_is_dropped",
+        "if lasting { current } else { task.failures.insert(end.run) }",
+        "if lasting || !current { current } else { task.failures.insert(end.run) }",
+    ),
+    mutation(
+        "settle.rs",
+        "end_of_another_run_counts",
+        "let current =\n            task.run == end.run && matches!",
+        "let current =\n            matches!",
+    ),
+    mutation("settle.rs", "truncated_report_proves_absence", "if report.truncated {", "if false {"),
+    mutation(
+        "settle.rs",
+        "report_before_the_start_proves_absence",
+        "let settled = settled.is_some_and(|at| at < report.sent);",
+        "let settled = settled.is_some();",
+    ),
+    mutation(
+        "settle.rs",
+        "lease_on_its_way_is_ignored",
+        "&& run.deadline < report.clock;",
+        "&& (run.deadline < report.clock || run.deadline > 0);",
+    ),
+    mutation("settle.rs", "unanswered_start_is_not_counted", "run.unanswered_starts += 1;", ""),
+    mutation(
+        "settle.rs",
+        "refusal_denies_an_unanswered_start",
+        "(0, _) => self.clear_run(now, key),",
+        "(0.., _) if reason != Refusal::Old => self.clear_run(now, key),",
+    ),
+    mutation(
+        "settle.rs",
+        "unanswered_stop_counts",
+        "if task.run != number || !answered {",
+        "if task.run != number {",
+    ),
+    mutation(
+        "settle.rs",
+        "restart_trusts_unanswered_starts",
+        "            self.stop_unconfirmed(now, id);\n",
+        "",
+    ),
+    mutation(
+        "settle.rs",
+        "foreign_run_goes_on",
+        "self.push_stop(id.clone(), listed.task.clone(), listed.run);",
+        "",
+    ),
+    mutation(
+        "settle.rs",
+        "completed_task_runs_on",
+        "run.stopping.get_or_insert(now);\n                    self.stopping.insert(TaskKey { index: index as u32, ..key.clone() });",
+        "",
+    ),
+    mutation(
+        "settle.rs",
+        "gang_goes_on_without_a_member",
+        "if job.spec.steps[key.step as usize].gang {\n            self.stop_run(now, key);\n        }",
+        "",
+    ),
+    mutation("views.rs", "older_view_wins", "*known = (*known).max(at);", "*known = at;"),
+    mutation(
+        "views.rs",
+        "stale_view_allows_starts",
+        "if now + ISSUE_MARGIN > send_by {",
+        "if false {",
+    ),
+    mutation(
+        "views.rs",
+        "draining_worker_is_started",
+        "worker.drain_end.is_some() || worker.evacuated;",
+        "worker.evacuated;",
+    ),
+    mutation(
+        "views.rs",
+        "evacuated_worker_is_started",
+        "worker.drain_end.is_some() || worker.evacuated;",
+        "worker.drain_end.is_some();",
+    ),
+    mutation("planner.rs", "older_entry_wins", "if worker.outdates(&info) {", "if false {"),
+    mutation(
+        "planner.rs",
+        "restored_runs_take_no_room",
+        "            worker.used.add(&need);\n            if run.incarnation",
+        "            if run.incarnation",
+    ),
+    mutation(
+        "directory.rs",
+        "foreign_runs_take_no_room",
+        "            && self.foreign_runs == 0\n",
+        "",
+    ),
+    mutation(
+        "directory.rs",
+        "draining_worker_is_placed",
+        "            && self.drain_end.is_none()\n",
+        "",
+    ),
+    mutation(
+        "settle.rs",
+        "ended_runs_keep_their_room",
+        "            worker.used.remove(&need);\n",
+        "            let _ = (worker, need);\n",
+    ),
+    mutation(
+        "planner.rs",
+        "restored_runs_are_not_stopped",
+        "            self.stop_obsolete_runs(now, &id);\n",
+        "",
+    ),
+    mutation(
+        "planner.rs",
+        "restored_losses_are_forgotten",
+        "            self.restore_losses(&id);\n",
+        "",
+    ),
+    mutation(
+        "planner.rs",
+        "restored_cancellation_is_forgotten",
+        "            if submission.cancelled {\n                self.cancelled(now, &id);\n            }\n        }\n        self.replan = true;",
+        "        }\n        self.replan = true;",
+    ),
+    mutation(
+        "crash.rs",
+        "crashing_job_goes_on",
+        "losses.len() >= MAX_LOSSES && crashes >= MIN_CRASHES && !ended",
+        "losses.len() >= MAX_LOSSES && crashes >= MIN_CRASHES && !ended && false",
+    ),
+    mutation(
+        "lost.rs",
+        "unconfirmed_member_has_ended",
+        "let all_started = here == 1 || unconfirmed == 0;",
+        "let all_started = here > 0 || unconfirmed == 0;",
+    ),
+    mutation(
+        "lost.rs",
+        "last_attempt_is_repeated",
+        " && self.failures(key) + 1 < attempts",
+        " && self.failures(key) < attempts",
+    ),
+    mutation(
+        "planner.rs",
+        "commits_overlap",
+        "if self.commit.is_some() || !self.has_transaction() || now < self.commit_after {",
+        "if !self.has_transaction() || now < self.commit_after {",
+    ),
+];
