Do not let an acknowledgement wait at an idle worker

Cause: since idle workers are called after a takeover, the renewal that acknowledges their last ends waited there for up to 2 s. If it reaches the next incarnation of the worker, ends with the same numbers are discarded there unreported. Also, doubtful_start began in the time in which all workers are called after a takeover, and so did not notice an owner that forgets its own unanswered starts; it begins after that now.

--- a/crates/batch/src/calls.rs
+++ b/crates/batch/src/calls.rs
@@ -160,7 +160,7 @@
                 }
                 continue;
             }
-            let wait = (busy || threatened)
+            let wait = (busy || threatened && !unacked)
                 && !unheard
                 && !unfenced
                 && !restarted
--- a/crates/batch/tests/schedules/fencing.rs
+++ b/crates/batch/tests/schedules/fencing.rs
@@ -246,6 +246,8 @@
 #[test]
 fn doubtful_start() {
     let mut owner = Owner::new();
+    owner.pass(LATE_STARTS_MS);
+    owner.report(FIRST, Vec::new());
     owner.run_with_doubt();
     owner.pass(3_000);
     owner.renewal_failed();
